--- /dev/null
+++ b/language/src/extract.rs
@@ -0,0 +1,136 @@
+//! Reading a job's tenant key, service and prefix by the compiled rules.
+
+use crate::{find, Find, Program, Source, Target, BODY_CAP};
+use sha2::{Digest, Sha256};
+
+/// The head of a job, as the door saw it. `header` is handed the lower-case
+/// name.
+pub struct Head<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub query: &'a str,
+    pub header: &'a dyn Fn(&str) -> Option<String>,
+}
+
+/// One value of the key. Invariant: `Wanted` is only given while the body may
+/// still go on and is below the cap.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Field {
+    Known(String),
+    Wanted,
+    Missing,
+}
+
+/// What is known of a job's key so far.
+#[derive(Debug, PartialEq)]
+pub struct Extract {
+    pub tenant: Field,
+    pub service: Field,
+    /// The fingerprint of the prompt's prefix, 0 where the route names none.
+    pub prefix: Option<u64>,
+}
+
+impl Extract {
+    pub fn is_settled(&self) -> bool {
+        self.tenant != Field::Wanted && self.service != Field::Wanted && self.prefix.is_some()
+    }
+}
+
+/// The digest under which a tenant key is kept and compared.
+pub fn fingerprint(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn mark(text: &[u8]) -> u64 {
+    let digest = Sha256::digest(text);
+    u64::from_be_bytes(digest[..8].try_into().expect("eight bytes of a digest"))
+}
+
+fn decoded(raw: &[u8]) -> Option<String> {
+    let mut quoted = Vec::with_capacity(raw.len() + 2);
+    quoted.push(b'"');
+    quoted.extend_from_slice(raw);
+    quoted.push(b'"');
+    simd_json::from_slice::<String>(&mut quoted).ok()
+}
+
+fn unescaped(text: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let pair = [rest.next()?, rest.next()?];
+        let pair = std::str::from_utf8(&pair).ok()?;
+        bytes.push(u8::from_str_radix(pair, 16).ok()?);
+    }
+    String::from_utf8(bytes).ok()
+}
+
+fn read(source: &Source, head: &Head, body: &[u8], ended: bool) -> Field {
+    let value = match source {
+        Source::Header(name) => (head.header)(name),
+        Source::Bearer => (head.header)("authorization").and_then(|value| {
+            let (scheme, token) = value.split_once(' ')?;
+            scheme.eq_ignore_ascii_case("bearer").then(|| token.trim().to_string())
+        }),
+        Source::Segment(place) => {
+            head.path.split('/').filter(|part| !part.is_empty()).nth(place - 1).and_then(unescaped)
+        }
+        Source::Query(name) => head.query.split('&').find_map(|pair| {
+            let (left, right) = pair.split_once('=')?;
+            (left == name).then(|| unescaped(right))?
+        }),
+        Source::Body(path) => match find(&body[..body.len().min(BODY_CAP)], path, ended) {
+            Find::Found { raw, whole: true } => decoded(&raw),
+            Find::Found { whole: false, .. } | Find::More if body.len() < BODY_CAP => {
+                return Field::Wanted
+            }
+            _ => None,
+        },
+    };
+    match value {
+        Some(text) if !text.is_empty() && text.len() <= 256 => Field::Known(text),
+        _ => Field::Missing,
+    }
+}
+
+fn prefix(source: &Source, length: usize, head: &Head, body: &[u8], ended: bool) -> Option<u64> {
+    let Source::Body(path) = source else {
+        return match read(source, head, body, ended) {
+            Field::Known(text) => Some(mark(&text.as_bytes()[..text.len().min(length)])),
+            _ => Some(0),
+        };
+    };
+    match find(&body[..body.len().min(BODY_CAP)], path, ended) {
+        Find::Found { raw, whole } if whole || raw.len() >= length || body.len() >= BODY_CAP => {
+            Some(mark(&raw[..raw.len().min(length)]))
+        }
+        Find::Found { .. } | Find::More if body.len() < BODY_CAP => None,
+        _ => Some(0),
+    }
+}
+
+impl Program {
+    /// Reads the key of a job on `route` from its head and as much of its
+    /// body as is there. `ended` says that the body is complete.
+    pub fn extract(&self, route: usize, head: &Head, body: &[u8], ended: bool) -> Extract {
+        let route = &self.routes[route];
+        let door = &self.doors[route.door];
+        let service = match (&route.target, &door.model) {
+            (Target::Service(name), _) => Field::Known(name.clone()),
+            (Target::Model, Some(source)) => read(source, head, body, ended),
+            (Target::Model, None) => Field::Missing,
+        };
+        Extract {
+            tenant: read(&door.tenant, head, body, ended),
+            service,
+            prefix: match &route.prefix {
+                None => Some(0),
+                Some((source, length)) => prefix(source, *length, head, body, ended),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/ledger/src/lib.rs
@@ -0,0 +1,202 @@
+//! Agreement among directory nodes, and the disk beneath it.
+//!
+//! `node` decides: terms, votes, replication, membership, pictures. `segments`
+//! keeps: checksummed segments with pictures beside them, over the small
+//! `Files` trait. Neither has a clock, a socket or a task; time, input and
+//! randomness are arguments, effects are returned values.
+
+pub mod node;
+pub mod pack;
+pub mod segments;
+
+use binrw::binrw;
+use pack::{read_bytes, read_list, read_text, write_bytes, write_list, write_text};
+use std::fmt;
+
+pub type Identity = u64;
+pub type Index = u64;
+pub type Term = u64;
+
+/// One directory node as the others know it. Invariant: an identity belongs
+/// to one data folder for good; a node that lost its folder gets another.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub identity: Identity,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub name: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub region: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub zone: String,
+    /// Where its own kind and the routers reach it.
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub address: String,
+    /// Where operators reach it.
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub desk: String,
+}
+
+/// Invariant: no identity stands twice, in one list or over both.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Members {
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub voters: Vec<Member>,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub learners: Vec<Member>,
+}
+
+impl Members {
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.voters.iter().chain(&self.learners)
+    }
+
+    pub fn get(&self, identity: Identity) -> Option<&Member> {
+        self.all().find(|member| member.identity == identity)
+    }
+
+    pub fn is_voter(&self, identity: Identity) -> bool {
+        self.voters.iter().any(|member| member.identity == identity)
+    }
+
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Matter {
+    /// A new leader's first entry; it says nothing.
+    #[brw(magic = 0u8)]
+    Blank,
+    #[brw(magic = 1u8)]
+    Command(
+        #[br(parse_with = read_bytes)]
+        #[bw(write_with = write_bytes)]
+        Vec<u8>,
+    ),
+    #[brw(magic = 2u8)]
+    Members(Members),
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub index: Index,
+    pub term: Term,
+    pub matter: Matter,
+}
+
+/// The whole state as of one entry. Invariant: `members` is the membership in
+/// force at `index`, and `state` holds every entry up to it and none past it.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Picture {
+    pub index: Index,
+    pub term: Term,
+    /// The cluster this picture belongs to; drawn when it was founded.
+    pub cluster: u64,
+    pub members: Members,
+    #[br(parse_with = read_bytes)]
+    #[bw(write_with = write_bytes)]
+    pub state: Vec<u8>,
+}
+
+/// What must be on disk before a vote or a new term counts. Invariant: `term`
+/// never falls; `vote` changes only along with `term`.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Copy, Debug, PartialEq, Default)]
+pub struct Pledge {
+    pub term: Term,
+    /// 0 stands for no vote.
+    pub vote: Identity,
+    /// 0 stands for a node that belongs to no cluster yet.
+    pub cluster: u64,
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    pub from: Identity,
+    pub to: Identity,
+    pub cluster: u64,
+    pub term: Term,
+    pub body: Body,
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Body {
+    /// Asks whether a vote would be given; changes nothing at the asked.
+    #[brw(magic = 0u8)]
+    Sound { last_index: Index, last_term: Term },
+    #[brw(magic = 1u8)]
+    SoundAnswer {
+        #[br(map = |n: u8| n != 0)]
+        #[bw(map = |b: &bool| u8::from(*b))]
+        granted: bool,
+    },
+    #[brw(magic = 2u8)]
+    Vote {
+        last_index: Index,
+        last_term: Term,
+        /// The leader itself asked for this election.
+        #[br(map = |n: u8| n != 0)]
+        #[bw(map = |b: &bool| u8::from(*b))]
+        handed: bool,
+    },
+    #[brw(magic = 3u8)]
+    VoteAnswer {
+        #[br(map = |n: u8| n != 0)]
+        #[bw(map = |b: &bool| u8::from(*b))]
+        granted: bool,
+    },
+    #[brw(magic = 4u8)]
+    Append {
+        prior_index: Index,
+        prior_term: Term,
+        commit: Index,
+        round: u64,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        entries: Vec<Entry>,
+    },
+    #[brw(magic = 5u8)]
+    AppendAnswer {
+        #[br(map = |n: u8| n != 0)]
+        #[bw(map = |b: &bool| u8::from(*b))]
+        fits: bool,
+        /// Synced on the sender's disk and the same as the leader's up to
+        /// here; where `fits` is false, where to try next.
+        matched: Index,
+        round: u64,
+    },
+    #[brw(magic = 6u8)]
+    Install { round: u64, picture: Picture },
+    /// The leader asks the receiver to take over at once.
+    #[brw(magic = 7u8)]
+    Stand,
+}
+
+impl fmt::Display for Member {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{} ({:016x}, {}, {})", self.name, self.identity, self.zone, self.address)
+    }
+}
--- /dev/null
+++ b/ledger/src/pack.rs
@@ -0,0 +1,93 @@
+//! How texts, byte runs and lists lie in binrw frames and records: a 32-bit
+//! count, then the content. A count is never trusted to reserve memory.
+
+use binrw::{BinRead, BinResult, BinWrite, Endian};
+use std::io::{Cursor, Read, Seek, Write};
+
+#[binrw::parser(reader, endian)]
+pub fn read_bytes() -> BinResult<Vec<u8>> {
+    let place = reader.stream_position()?;
+    let length = u32::read_options(reader, endian, ())?;
+    let mut bytes = Vec::new();
+    let read = reader.take(u64::from(length)).read_to_end(&mut bytes)?;
+    if read < length as usize {
+        return Err(binrw::Error::AssertFail {
+            pos: place,
+            message: format!("{length} bytes are announced and {read} are there"),
+        });
+    }
+    Ok(bytes)
+}
+
+#[binrw::writer(writer, endian)]
+pub fn write_bytes(bytes: &Vec<u8>) -> BinResult<()> {
+    (bytes.len() as u32).write_options(writer, endian, ())?;
+    writer.write_all(bytes)?;
+    Ok(())
+}
+
+#[binrw::parser(reader, endian)]
+pub fn read_text() -> BinResult<String> {
+    let place = reader.stream_position()?;
+    let bytes = read_bytes(reader, endian, ())?;
+    String::from_utf8(bytes).map_err(|_| binrw::Error::AssertFail {
+        pos: place,
+        message: "this text is not UTF-8".into(),
+    })
+}
+
+#[binrw::writer(writer, endian)]
+pub fn write_text(text: &String) -> BinResult<()> {
+    (text.len() as u32).write_options(writer, endian, ())?;
+    writer.write_all(text.as_bytes())?;
+    Ok(())
+}
+
+pub fn read_list<T, R>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Vec<T>>
+where
+    T: for<'a> BinRead<Args<'a> = ()>,
+    R: Read + Seek,
+{
+    let length = u32::read_options(reader, endian, ())?;
+    let mut list = Vec::new();
+    for _ in 0..length {
+        list.push(T::read_options(reader, endian, ())?);
+    }
+    Ok(list)
+}
+
+pub fn write_list<T, W>(list: &Vec<T>, writer: &mut W, endian: Endian, _: ()) -> BinResult<()>
+where
+    T: for<'a> BinWrite<Args<'a> = ()>,
+    W: Write + Seek,
+{
+    (list.len() as u32).write_options(writer, endian, ())?;
+    for item in list {
+        item.write_options(writer, endian, ())?;
+    }
+    Ok(())
+}
+
+/// Invariant: writing to memory cannot fail, so this never does.
+pub fn packed<T>(item: &T) -> Vec<u8>
+where
+    T: for<'a> BinWrite<Args<'a> = ()>,
+{
+    let mut cursor = Cursor::new(Vec::new());
+    item.write_options(&mut cursor, Endian::Big, ()).expect("memory takes what is written");
+    cursor.into_inner()
+}
+
+/// Reads one item that fills `bytes` to the last.
+pub fn unpacked<T>(bytes: &[u8]) -> Result<T, String>
+where
+    T: for<'a> BinRead<Args<'a> = ()>,
+{
+    let mut cursor = Cursor::new(bytes);
+    let item = T::read_options(&mut cursor, Endian::Big, ())
+        .map_err(|error| error.to_string().replace('\n', " "))?;
+    match cursor.position() as usize == bytes.len() {
+        true => Ok(item),
+        false => Err(format!("{} bytes too many", bytes.len() - cursor.position() as usize)),
+    }
+}
--- /dev/null
+++ b/placement/src/lib.rs
@@ -0,0 +1,25 @@
+//! Where a job goes and how it gets there: electing an engine in a cell, the
+//! controllers that steer toward set points, and a job's state chart.
+//!
+//! No clock, no socket and no task lives here.
+
+mod cache;
+mod control;
+mod elect;
+mod job;
+
+pub use cache::{Cache, Hit};
+pub use control::{Bucket, Retries, Warmth};
+pub use elect::{elect, rank, Candidate};
+pub use job::{Event, Job, Misstep, Outcome, State};
+
+/// What an engine said of itself last, and when it was heard.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Vitals {
+    pub running: u32,
+    pub queue: u32,
+    pub slots: u32,
+    pub is_warm: bool,
+    pub is_draining: bool,
+    pub heard: u64,
+}
--- /dev/null
+++ b/residency/src/book.rs
@@ -0,0 +1,291 @@
+//! The home book: where each tenant and service may live. Read from simd-json
+//! values and checked whole, with the place of everything that is wrong.
+
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+use std::collections::BTreeMap;
+
+/// Invariants: every cell's zone is in `zones`; every home is the region of
+/// some zone; `rules` has been compiled.
+pub struct Book {
+    /// Zone to region.
+    pub zones: BTreeMap<String, String>,
+    /// Cell to zone.
+    pub cells: BTreeMap<String, String>,
+    pub services: BTreeMap<String, Service>,
+    pub tenants: BTreeMap<String, Tenant>,
+    pub rules: String,
+    pub points: language::SetPoints,
+}
+
+pub struct Service {
+    /// Empty stands for any region.
+    pub homes: Vec<String>,
+}
+
+pub struct Tenant {
+    /// Empty stands for any region.
+    pub homes: Vec<String>,
+    /// Empty stands for any service.
+    pub services: Vec<String>,
+    /// Jobs a second; 0 stands for no quota.
+    pub pace: u64,
+    pub burst: u64,
+    pub fresh_ms: Option<u64>,
+    pub expire_ms: Option<u64>,
+}
+
+/// Parses JSON, with line and column of the first thing that is wrong.
+pub fn parse_text(text: &str) -> Result<OwnedValue, String> {
+    let mut bytes = text.as_bytes().to_vec();
+    simd_json::to_owned_value(&mut bytes).map_err(|error| {
+        let at = error.index().min(text.len());
+        let before = &text.as_bytes()[..at];
+        let line = before.iter().filter(|byte| **byte == b'\n').count() + 1;
+        let column = before.iter().rev().take_while(|byte| **byte != b'\n').count() + 1;
+        format!("line {line}, column {column}: {:?}", error.error())
+    })
+}
+
+/// Merges a partial revision into a book: objects join name by name, null
+/// takes a name away, anything else replaces what was there.
+pub fn merge(whole: &mut OwnedValue, part: &OwnedValue) {
+    let (Some(ours), Some(theirs)) = (whole.as_object_mut(), part.as_object()) else {
+        *whole = part.clone();
+        return;
+    };
+    for (name, value) in theirs.iter() {
+        if value.is_null() {
+            ours.remove(name);
+        } else if let Some(known) = ours.get_mut(name) {
+            merge(known, value);
+        } else {
+            let mut fresh = OwnedValue::object();
+            merge(&mut fresh, value);
+            ours.insert(name.clone(), fresh);
+        }
+    }
+}
+
+/// Reads one object with a closed list of fields, gathering complaints.
+struct Reader<'a> {
+    complaints: &'a mut Vec<String>,
+}
+
+impl Reader<'_> {
+    fn complain(&mut self, place: &str, text: impl std::fmt::Display) {
+        self.complaints.push(format!("{place}: {text}"));
+    }
+
+    fn name(&mut self, place: &str, name: &str) {
+        let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if name.is_empty() || name.len() > 64 || !name.chars().all(fits) {
+            self.complain(place, "a name is 1 to 64 letters, digits, dots, dashes, underscores");
+        }
+    }
+
+    /// The members of an object of named things, or nothing.
+    fn things<'v>(
+        &mut self,
+        value: &'v OwnedValue,
+        name: &str,
+    ) -> Vec<(&'v String, &'v OwnedValue)> {
+        let Some(found) = value.get(name) else { return Vec::new() };
+        let Some(object) = found.as_object() else {
+            self.complain(name, "an object should stand here");
+            return Vec::new();
+        };
+        let mut things: Vec<_> = object.iter().collect();
+        things.sort_by_key(|(name, _)| name.as_str());
+        for (thing, _) in &things {
+            self.name(&format!("{name}.{thing}"), thing);
+        }
+        things
+    }
+
+    fn fields(&mut self, place: &str, value: &OwnedValue, known: &[&str]) {
+        let Some(object) = value.as_object() else {
+            return self.complain(place, "an object should stand here");
+        };
+        for (name, _) in object.iter() {
+            if !known.contains(&name.as_str()) {
+                self.complain(&join(place, name), "no such field is known here");
+            }
+        }
+    }
+
+    fn text(&mut self, place: &str, value: &OwnedValue, name: &str) -> String {
+        match value.get(name).and_then(|found| found.as_str()) {
+            Some(text) => text.to_string(),
+            None => {
+                self.complain(&join(place, name), "a text should stand here");
+                String::new()
+            }
+        }
+    }
+
+    fn texts(&mut self, place: &str, value: &OwnedValue, name: &str) -> Vec<String> {
+        let Some(found) = value.get(name) else { return Vec::new() };
+        let list = found.as_array().map(|list| {
+            list.iter().map(|item| item.as_str().map(String::from)).collect::<Option<Vec<_>>>()
+        });
+        match list {
+            Some(Some(texts)) => texts,
+            _ => {
+                self.complain(&join(place, name), "a list of texts should stand here");
+                Vec::new()
+            }
+        }
+    }
+
+    fn count(&mut self, place: &str, value: &OwnedValue, name: &str) -> u64 {
+        match value.get(name).map(|found| found.as_u64()) {
+            None => 0,
+            Some(Some(count)) if count <= 1_000_000 => count,
+            _ => {
+                self.complain(&join(place, name), "a whole number up to 1000000 should stand here");
+                0
+            }
+        }
+    }
+
+    fn span(&mut self, place: &str, value: &OwnedValue, name: &str) -> Option<u64> {
+        let found = value.get(name)?;
+        let span = found.as_str().and_then(language::parse_span);
+        if span.is_none() {
+            self.complain(&join(place, name), "a time such as 30s, 5m or 24h should stand here");
+        }
+        span
+    }
+}
+
+fn join(place: &str, name: &str) -> String {
+    match place.is_empty() {
+        true => name.into(),
+        false => format!("{place}.{name}"),
+    }
+}
+
+impl Book {
+    pub fn region_of_cell(&self, cell: &str) -> Option<&String> {
+        self.zones.get(self.cells.get(cell)?)
+    }
+
+    pub fn regions(&self) -> Vec<&String> {
+        let mut regions: Vec<&String> = self.zones.values().collect();
+        regions.sort();
+        regions.dedup();
+        regions
+    }
+
+    /// Reads and checks a whole book. Either all of it holds, or everything
+    /// that is wrong is returned.
+    pub fn read(value: &OwnedValue) -> Result<Book, Vec<String>> {
+        let mut complaints = Vec::new();
+        let mut reader = Reader { complaints: &mut complaints };
+        reader.fields("", value, &["zones", "cells", "services", "tenants", "rules"]);
+        let mut book = Book {
+            zones: BTreeMap::new(),
+            cells: BTreeMap::new(),
+            services: BTreeMap::new(),
+            tenants: BTreeMap::new(),
+            rules: String::new(),
+            points: language::SetPoints::default(),
+        };
+        for (name, zone) in reader.things(value, "zones") {
+            let place = format!("zones.{name}");
+            reader.fields(&place, zone, &["region"]);
+            let region = reader.text(&place, zone, "region");
+            reader.name(&join(&place, "region"), &region);
+            book.zones.insert(name.clone(), region);
+        }
+        for (name, cell) in reader.things(value, "cells") {
+            let place = format!("cells.{name}");
+            reader.fields(&place, cell, &["zone"]);
+            let zone = reader.text(&place, cell, "zone");
+            if !book.zones.contains_key(&zone) {
+                reader.complain(&join(&place, "zone"), format!("there is no zone {zone}"));
+            }
+            book.cells.insert(name.clone(), zone);
+        }
+        let regions: Vec<String> = book.regions().into_iter().cloned().collect();
+        let homes = |reader: &mut Reader, place: &str, thing: &OwnedValue| {
+            let homes = reader.texts(place, thing, "homes");
+            for (at, home) in homes.iter().enumerate() {
+                if !regions.contains(home) {
+                    reader.complain(
+                        &format!("{place}.homes[{at}]"),
+                        format!("no zone lies in a region {home}"),
+                    );
+                }
+            }
+            if thing.get("homes").is_some() && homes.is_empty() {
+                reader.complain(
+                    &join(place, "homes"),
+                    "an empty list allows no place; leave it out to allow any",
+                );
+            }
+            homes
+        };
+        for (name, service) in reader.things(value, "services") {
+            let place = format!("services.{name}");
+            reader.fields(&place, service, &["homes"]);
+            let homes = homes(&mut reader, &place, service);
+            book.services.insert(name.clone(), Service { homes });
+        }
+        for (name, tenant) in reader.things(value, "tenants") {
+            let place = format!("tenants.{name}");
+            let known = ["homes", "services", "pace", "burst", "fresh", "expire"];
+            reader.fields(&place, tenant, &known);
+            let services = reader.texts(&place, tenant, "services");
+            for (at, service) in services.iter().enumerate() {
+                if !book.services.contains_key(service) {
+                    let place = format!("{place}.services[{at}]");
+                    reader.complain(&place, format!("there is no service {service}"));
+                }
+            }
+            let pace = reader.count(&place, tenant, "pace");
+            let burst = reader.count(&place, tenant, "burst");
+            let tenant = Tenant {
+                homes: homes(&mut reader, &place, tenant),
+                services,
+                pace,
+                burst: if burst == 0 { pace * 2 } else { burst },
+                fresh_ms: reader.span(&place, tenant, "fresh"),
+                expire_ms: reader.span(&place, tenant, "expire"),
+            };
+            if tenant.fresh_ms > tenant.expire_ms && tenant.expire_ms.is_some() {
+                reader.complain(&join(&place, "fresh"), "it is longer than `expire`");
+            }
+            book.tenants.insert(name.clone(), tenant);
+        }
+        if let Some(rules) = value.get("rules") {
+            book.rules = match rules.as_str() {
+                Some(text) => text.to_string(),
+                None => reader.texts("", value, "rules").join("\n"),
+            };
+        }
+        match language::compile(&book.rules) {
+            Ok(program) => {
+                book.points = program.points;
+                for route in &program.routes {
+                    if let language::Target::Service(name) = &route.target {
+                        if !book.services.contains_key(name) {
+                            let text = format!("route {} names no known service", route.name);
+                            reader.complain("rules", text);
+                        }
+                    }
+                }
+            }
+            Err(found) => {
+                for complaint in found {
+                    reader.complain("rules", complaint);
+                }
+            }
+        }
+        match complaints.is_empty() {
+            true => Ok(book),
+            false => Err(complaints),
+        }
+    }
+}
--- /dev/null
+++ b/residency/src/lib.rs
@@ -0,0 +1,74 @@
+//! The replicated state: home book, routes, tenant keys, engines, evacuations
+//! and moves. It applies one ledger entry at a time and yields events; the
+//! routers' view is built from the same events.
+//!
+//! No clock, no socket and no task lives here.
+
+mod book;
+mod state;
+mod view;
+
+pub use book::{merge, parse_text, Book, Service, Tenant};
+pub use state::{Command, Outcome, State, Submission, SUBMISSIONS_KEPT};
+pub use view::{Cell, Engine, EngineState, Event, Place, Touch, View};
+
+use binrw::binrw;
+use ledger::pack::{read_list, read_text, write_list, write_text};
+
+/// Where the jobs of one key may go, as a directory node resolved it.
+/// Invariants: `cells` all lie in `regions`, the serving one first; `regions`
+/// never holds one outside the tenant's homes.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Mapping {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub tenant: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub service: String,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub regions: Vec<Name>,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub cells: Vec<Name>,
+    /// Remaining time; 0 stands for never fresh.
+    pub fresh_ms: u64,
+    pub expire_ms: u64,
+    pub epoch: u64,
+}
+
+impl Mapping {
+    pub fn key(&self) -> String {
+        key(&self.tenant, &self.service)
+    }
+}
+
+/// The routing key: what the caches are asked by.
+pub fn key(tenant: &str, service: &str) -> String {
+    format!("{tenant}/{service}")
+}
+
+/// A name on the wire.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Name(
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub String,
+);
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Name {
+        Name(text.into())
+    }
+}
+
+impl std::fmt::Display for Name {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/residency/src/state.rs
@@ -0,0 +1,550 @@
+//! Applying what was agreed on.
+
+use crate::{book, key, Book, Engine, EngineState, Event, Mapping, Name, Place, Touch, View};
+use binrw::binrw;
+use ledger::pack::{packed, read_list, read_text, unpacked, write_list, write_text};
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// How many submissions are remembered, so that a repeat is known as one.
+pub const SUBMISSIONS_KEPT: usize = 4096;
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// A revision of the home book, whole or partial, as JSON.
+    #[brw(magic = 0u8)]
+    Revise {
+        #[br(map = |n: u8| n != 0)]
+        #[bw(map = |b: &bool| u8::from(*b))]
+        whole: bool,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        text: String,
+    },
+    #[brw(magic = 1u8)]
+    Key(Place),
+    #[brw(magic = 2u8)]
+    KeyGone(Name),
+    #[brw(magic = 3u8)]
+    Engine(Engine),
+    #[brw(magic = 4u8)]
+    EngineGone(Name),
+    #[brw(magic = 5u8)]
+    Evacuate(Name),
+    #[brw(magic = 6u8)]
+    GiveBack(Name),
+    /// A key's jobs go to another cell; never fresh until settled.
+    #[brw(magic = 7u8)]
+    Move { tenant: Name, service: Name, cell: Name },
+    #[brw(magic = 8u8)]
+    Settle { tenant: Name, service: Name },
+    #[brw(magic = 9u8)]
+    Unpin { tenant: Name, service: Name },
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Submission {
+    /// Drawn by who submits; a repeat carries the same.
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub id: String,
+    /// The epoch that the change was based on; 0 stands for any.
+    pub base: u64,
+    pub command: Command,
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    #[brw(magic = 0u8)]
+    Applied { epoch: u64 },
+    #[brw(magic = 1u8)]
+    Repeated { epoch: u64 },
+    /// Something of the same kind changed at this epoch, past the base.
+    #[brw(magic = 2u8)]
+    Conflict { epoch: u64 },
+    #[brw(magic = 3u8)]
+    Refused(
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        String,
+    ),
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone)]
+struct Known {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    id: String,
+    sum: u32,
+    epoch: u64,
+}
+
+/// Invariant: a pin's cell is in the book.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+struct Pin {
+    key: Name,
+    cell: Name,
+    #[br(map = |n: u8| n != 0)]
+    #[bw(map = |b: &bool| u8::from(*b))]
+    is_moving: bool,
+}
+
+#[binrw]
+#[brw(big)]
+struct Picture {
+    epoch: u64,
+    marks: [u64; 5],
+    document: Name,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    view: Vec<Event>,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pins: Vec<Pin>,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    known: Vec<Known>,
+}
+
+/// Invariants: `book` is what `document` reads as; `view` holds what the
+/// events of all applied entries make; the same entries in the same order give
+/// the same state on every node.
+pub struct State {
+    document: OwnedValue,
+    pub book: Book,
+    pub view: View,
+    pins: BTreeMap<String, Pin>,
+    known: VecDeque<Known>,
+    /// The epoch of the last change of each kind of command.
+    marks: [u64; 5],
+}
+
+impl Default for State {
+    fn default() -> State {
+        let document = OwnedValue::object();
+        State {
+            book: Book::read(&document).ok().expect("an empty book reads"),
+            document,
+            view: View::default(),
+            pins: BTreeMap::new(),
+            known: VecDeque::new(),
+            marks: [0; 5],
+        }
+    }
+}
+
+fn kind(command: &Command) -> usize {
+    match command {
+        Command::Revise { .. } => 0,
+        Command::Key(_) | Command::KeyGone(_) => 1,
+        Command::Engine(_) | Command::EngineGone(_) => 2,
+        Command::Evacuate(_) | Command::GiveBack(_) => 3,
+        Command::Move { .. } | Command::Settle { .. } | Command::Unpin { .. } => 4,
+    }
+}
+
+type Checked = Result<Vec<Event>, String>;
+
+impl State {
+    pub fn epoch(&self) -> u64 {
+        self.view.epoch
+    }
+
+    pub fn document(&self) -> String {
+        self.document.encode()
+    }
+
+    /// Whether a repeat of a submission, and with what outcome.
+    fn repeat(&self, submission: &Submission) -> Option<Outcome> {
+        let known = self.known.iter().find(|known| known.id == submission.id)?;
+        Some(match known.sum == crc(&submission.command) {
+            true => Outcome::Repeated { epoch: known.epoch },
+            false => Outcome::Refused(format!(
+                "submission id {} was used for another change, at epoch {}",
+                submission.id, known.epoch
+            )),
+        })
+    }
+
+    /// Says what applying a submission now would give, changing nothing.
+    pub fn check(&self, submission: &Submission) -> Option<Outcome> {
+        if let Some(outcome) = self.repeat(submission) {
+            return Some(outcome);
+        }
+        let mark = self.marks[kind(&submission.command)];
+        if submission.base != 0 && submission.base < mark {
+            return Some(Outcome::Conflict { epoch: mark });
+        }
+        self.plan(&submission.command).err().map(Outcome::Refused)
+    }
+
+    /// Applies a submission that was agreed on as the ledger's entry `epoch`.
+    /// Nothing changes unless the outcome is `Applied`.
+    pub fn apply(&mut self, epoch: u64, submission: &Submission) -> (Outcome, Vec<Event>) {
+        if let Some(outcome) = self.repeat(submission) {
+            return (outcome, Vec::new());
+        }
+        let mark = self.marks[kind(&submission.command)];
+        if submission.base != 0 && submission.base < mark {
+            return (Outcome::Conflict { epoch: mark }, Vec::new());
+        }
+        let events = match self.plan(&submission.command) {
+            Ok(events) => events,
+            Err(text) => return (Outcome::Refused(text), Vec::new()),
+        };
+        self.commit(&submission.command);
+        for event in &events {
+            self.view.take(event);
+        }
+        self.view.epoch = epoch;
+        self.marks[kind(&submission.command)] = epoch;
+        let sum = crc(&submission.command);
+        self.known.push_back(Known { id: submission.id.clone(), sum, epoch });
+        if self.known.len() > SUBMISSIONS_KEPT {
+            self.known.pop_front();
+        }
+        (Outcome::Applied { epoch }, events)
+    }
+
+    fn revised(&self, whole: bool, text: &str) -> Result<(OwnedValue, Book), String> {
+        let part = book::parse_text(text)?;
+        let mut document = if whole { OwnedValue::object() } else { self.document.clone() };
+        book::merge(&mut document, &part);
+        let book = Book::read(&document).map_err(|complaints| complaints.join("\n"))?;
+        for engine in self.view.engines.values() {
+            if !book.cells.contains_key(&engine.cell) {
+                return Err(format!(
+                    "cells: engine {} is listed in cell {}, which would be gone",
+                    engine.name, engine.cell
+                ));
+            }
+        }
+        for pin in self.pins.values() {
+            if !book.cells.contains_key(&pin.cell.0) {
+                return Err(format!(
+                    "cells: {} is moved to cell {}, which would be gone",
+                    pin.key, pin.cell
+                ));
+            }
+        }
+        for zone in &self.view.evacuated {
+            if !book.zones.contains_key(zone) {
+                return Err(format!("zones: {zone} is evacuated; give it back first"));
+            }
+        }
+        Ok((document, book))
+    }
+
+    /// Checks a command and says which events it makes.
+    fn plan(&self, command: &Command) -> Checked {
+        let known_pair = |tenant: &Name, service: &Name| {
+            if !self.book.tenants.contains_key(&tenant.0) {
+                return Err(format!("there is no tenant {tenant}"));
+            }
+            if !self.book.services.contains_key(&service.0) {
+                return Err(format!("there is no service {service}"));
+            }
+            Ok(key(&tenant.0, &service.0))
+        };
+        match command {
+            Command::Revise { whole, text } => {
+                let (_, book) = self.revised(*whole, text)?;
+                let place = |(name, within): (&String, &String)| Place {
+                    name: name.clone(),
+                    within: within.clone(),
+                };
+                let mut events = Vec::new();
+                if book.rules != self.view.rules {
+                    events.push(Event::Rules(Name(book.rules.clone())));
+                }
+                events.push(Event::Places {
+                    zones: book.zones.iter().map(place).collect(),
+                    cells: book.cells.iter().map(place).collect(),
+                });
+                for (digest, tenant) in &self.view.keys {
+                    if !book.tenants.contains_key(tenant) {
+                        events.push(Event::KeyGone(Name(digest.clone())));
+                    }
+                }
+                let pace = |(name, tenant): (&String, &book::Tenant)| crate::view::TenantPace {
+                    tenant: name.clone(),
+                    pace: tenant.pace,
+                    burst: tenant.burst,
+                };
+                events.push(Event::Paces(book.tenants.iter().map(pace).collect()));
+                events.push(Event::Touched(Touch::All));
+                Ok(events)
+            }
+            Command::Key(place) => {
+                let is_digest = place.name.len() == 64
+                    && place.name.bytes().all(|byte| byte.is_ascii_hexdigit());
+                if !is_digest {
+                    return Err("a key is kept as 64 hexadecimal digits".into());
+                }
+                if !self.book.tenants.contains_key(&place.within) {
+                    return Err(format!("there is no tenant {}", place.within));
+                }
+                match self.view.keys.get(&place.name) {
+                    Some(tenant) if *tenant != place.within => {
+                        Err(format!("this key belongs to tenant {tenant}"))
+                    }
+                    _ => Ok(vec![Event::Key(place.clone())]),
+                }
+            }
+            Command::KeyGone(digest) => match self.view.keys.contains_key(&digest.0) {
+                true => Ok(vec![Event::KeyGone(digest.clone())]),
+                false => Err("there is no such key".into()),
+            },
+            Command::Engine(engine) => {
+                if !self.book.cells.contains_key(&engine.cell) {
+                    return Err(format!("there is no cell {}", engine.cell));
+                }
+                if engine.address.parse::<std::net::SocketAddr>().is_err() {
+                    return Err(format!("{} is no address and port", engine.address));
+                }
+                let unknown =
+                    engine.services.iter().find(|name| !self.book.services.contains_key(&name.0));
+                if let Some(name) = unknown {
+                    return Err(format!("there is no service {name}"));
+                }
+                if engine.services.is_empty() || engine.slots == 0 || engine.slots > 100_000 {
+                    return Err("an engine has a service and 1 to 100000 slots at least".into());
+                }
+                let namesake =
+                    |other: &&Engine| other.address == engine.address && other.name != engine.name;
+                if let Some(other) = self.view.engines.values().find(namesake) {
+                    return Err(format!("engine {} has that address", other.name));
+                }
+                Ok(self.engine_events(&engine.name, Some(engine)))
+            }
+            Command::EngineGone(name) => match self.view.engines.contains_key(&name.0) {
+                true => Ok(self.engine_events(&name.0, None)),
+                false => Err(format!("there is no engine {name}")),
+            },
+            Command::Evacuate(zone) | Command::GiveBack(zone) => {
+                if !self.book.zones.contains_key(&zone.0) {
+                    return Err(format!("there is no zone {zone}"));
+                }
+                Ok(match command {
+                    Command::Evacuate(_) => vec![Event::Evacuated(zone.clone())],
+                    _ => vec![Event::GivenBack(zone.clone())],
+                }
+                .into_iter()
+                .chain([Event::Touched(Touch::All)])
+                .collect())
+            }
+            Command::Move { tenant, service, cell } => {
+                let key = known_pair(tenant, service)?;
+                let Some(region) = self.book.region_of_cell(&cell.0) else {
+                    return Err(format!("there is no cell {cell}"));
+                };
+                if !self.permitted(&tenant.0, &service.0, region).contains(region) {
+                    return Err(format!("cell {cell} in {region} is outside the homes of {key}"));
+                }
+                Ok(vec![Event::Touched(Touch::Key(Name(key)))])
+            }
+            Command::Settle { tenant, service } | Command::Unpin { tenant, service } => {
+                let key = known_pair(tenant, service)?;
+                match self.pins.contains_key(&key) {
+                    true => Ok(vec![Event::Touched(Touch::Key(Name(key)))]),
+                    false => Err(format!("{key} is not moved")),
+                }
+            }
+        }
+    }
+
+    /// Mappings name cells, not engines: they are void only where a cell gains
+    /// its first engine for a service or loses its last.
+    fn engine_events(&self, name: &str, after: Option<&Engine>) -> Vec<Event> {
+        let counts = |engine: &&Engine| engine.state != EngineState::Draining;
+        let pairs = |engines: &mut dyn Iterator<Item = &Engine>| -> BTreeSet<(String, String)> {
+            let mut pairs = BTreeSet::new();
+            for engine in engines.filter(counts) {
+                let pair = |service: &Name| (engine.cell.clone(), service.0.clone());
+                pairs.extend(engine.services.iter().map(pair));
+            }
+            pairs
+        };
+        let before = pairs(&mut self.view.engines.values());
+        let others = self.view.engines.values().filter(|engine| engine.name != name);
+        let mut events = vec![match after {
+            Some(engine) => Event::Engine(engine.clone()),
+            None => Event::EngineGone(Name(name.into())),
+        }];
+        if pairs(&mut others.chain(after)) != before {
+            events.push(Event::Touched(Touch::All));
+        }
+        events
+    }
+
+    /// Makes what `plan` has allowed.
+    fn commit(&mut self, command: &Command) {
+        match command {
+            Command::Revise { whole, text } => {
+                let (document, book) =
+                    self.revised(*whole, text).expect("a revision is planned before");
+                self.document = document;
+                self.book = book;
+                let book = &self.book;
+                self.pins.retain(|key, _| {
+                    let pair = key.split_once('/').expect("a key has two parts");
+                    book.tenants.contains_key(pair.0) && book.services.contains_key(pair.1)
+                });
+            }
+            Command::Move { tenant, service, cell } => {
+                let key = key(&tenant.0, &service.0);
+                let pin = Pin { key: Name(key.clone()), cell: cell.clone(), is_moving: true };
+                self.pins.insert(key, pin);
+            }
+            Command::Settle { tenant, service } => {
+                if let Some(pin) = self.pins.get_mut(&key(&tenant.0, &service.0)) {
+                    pin.is_moving = false;
+                }
+            }
+            Command::Unpin { tenant, service } => {
+                self.pins.remove(&key(&tenant.0, &service.0));
+            }
+            _ => {}
+        }
+    }
+
+    /// The regions that a key's jobs may go to, nearest first.
+    fn permitted(&self, tenant: &str, service: &str, asker: &str) -> Vec<String> {
+        let Some(tenant) = self.book.tenants.get(tenant) else { return Vec::new() };
+        let Some(service) = self.book.services.get(service) else { return Vec::new() };
+        let mut regions: Vec<String> = match tenant.homes.is_empty() {
+            false => tenant.homes.clone(),
+            true => {
+                let mut all: Vec<String> = self.book.regions().into_iter().cloned().collect();
+                all.sort_by_key(|region| region != asker);
+                all
+            }
+        };
+        regions.retain(|region| service.homes.is_empty() || service.homes.contains(region));
+        regions
+    }
+
+    /// Resolves a key for a caller of the region `asker`. The error is a code
+    /// and a sentence for the caller.
+    pub fn resolve(
+        &self,
+        tenant: &str,
+        service: &str,
+        asker: &str,
+    ) -> Result<Mapping, (&'static str, String)> {
+        let Some(entry) = self.book.tenants.get(tenant) else {
+            return Err(("unknown-tenant", "no such tenant is known".into()));
+        };
+        if !self.book.services.contains_key(service) {
+            return Err(("unknown-service", format!("no service {service} is known")));
+        }
+        if !entry.services.is_empty() && !entry.services.iter().any(|known| known == service) {
+            return Err(("service-not-allowed", format!("{tenant} may not use {service}")));
+        }
+        let regions = self.permitted(tenant, service, asker);
+        let key = key(tenant, service);
+        let pin = self.pins.get(&key);
+        let serves = |engine: &&Engine| {
+            engine.state != EngineState::Draining
+                && engine.services.iter().any(|name| name.0 == service)
+        };
+        let mut cells: Vec<(bool, usize, u32, String)> = Vec::new();
+        for engine in self.view.engines.values().filter(serves) {
+            let Some(zone) = self.book.cells.get(&engine.cell) else { continue };
+            let rank = self
+                .book
+                .zones
+                .get(zone)
+                .and_then(|home| regions.iter().position(|region| region == home));
+            let Some(rank) = rank else { continue };
+            if self.view.evacuated.contains(zone) || cells.iter().any(|c| c.3 == engine.cell) {
+                continue;
+            }
+            let is_pinned = pin.is_some_and(|pin| pin.cell.0 == engine.cell);
+            let draw = draw(&format!("{key}@{}", engine.cell));
+            cells.push((!is_pinned, rank, draw, engine.cell.clone()));
+        }
+        cells.sort();
+        if cells.is_empty() {
+            let text = format!("no place that {tenant} allows has an engine for {service} now");
+            return Err(("no-place", text));
+        }
+        let is_moving = pin.is_some_and(|pin| pin.is_moving);
+        let is_emptied = regions.iter().take(1).any(|home| {
+            self.book
+                .zones
+                .iter()
+                .any(|(zone, region)| region == home && self.view.evacuated.contains(zone))
+        });
+        let points = &self.book.points;
+        Ok(Mapping {
+            tenant: tenant.into(),
+            service: service.into(),
+            regions: regions.into_iter().map(Name).collect(),
+            cells: cells.into_iter().map(|cell| Name(cell.3)).collect(),
+            fresh_ms: match is_moving || is_emptied {
+                true => 0,
+                false => entry.fresh_ms.unwrap_or(points.fresh_ms),
+            },
+            expire_ms: entry.expire_ms.unwrap_or(points.expire_ms),
+            epoch: self.epoch(),
+        })
+    }
+
+    pub fn moves(&self) -> impl Iterator<Item = (&str, &str, bool)> {
+        self.pins.values().map(|pin| (pin.key.0.as_str(), pin.cell.0.as_str(), pin.is_moving))
+    }
+
+    pub fn picture(&self) -> Vec<u8> {
+        packed(&Picture {
+            epoch: self.epoch(),
+            marks: self.marks,
+            document: Name(self.document.encode()),
+            view: self.view.picture(),
+            pins: self.pins.values().cloned().collect(),
+            known: self.known.iter().cloned().collect(),
+        })
+    }
+
+    pub fn restore(bytes: &[u8]) -> Result<State, String> {
+        if bytes.is_empty() {
+            return Ok(State::default());
+        }
+        let picture: Picture = unpacked(bytes)?;
+        let document = book::parse_text(&picture.document.0)?;
+        let book = Book::read(&document).map_err(|complaints| complaints.join("; "))?;
+        let mut view = View::default();
+        for event in &picture.view {
+            view.take(event);
+        }
+        view.epoch = picture.epoch;
+        Ok(State {
+            document,
+            book,
+            view,
+            pins: picture.pins.into_iter().map(|pin| (pin.key.0.clone(), pin)).collect(),
+            known: picture.known.into(),
+            marks: picture.marks,
+        })
+    }
+}
+
+fn crc(command: &Command) -> u32 {
+    crc32fast::hash(&packed(command))
+}
+
+/// A draw that all nodes make alike.
+fn draw(text: &str) -> u32 {
+    crc32fast::hash(text.as_bytes())
+}
--- /dev/null
+++ b/residency/src/view.rs
@@ -0,0 +1,254 @@
+//! What a router knows: a picture of it, then changes.
+
+use binrw::binrw;
+use ledger::pack::{read_list, read_text, write_list, write_text};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[binrw]
+#[brw(big, repr = u8)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum EngineState {
+    /// Announced; gets no work yet.
+    Coming = 0,
+    Serving = 1,
+    /// Finishes what it has; gets nothing more.
+    Draining = 2,
+}
+
+impl std::fmt::Display for EngineState {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(match self {
+            EngineState::Coming => "coming",
+            EngineState::Serving => "serving",
+            EngineState::Draining => "draining",
+        })
+    }
+}
+
+/// An engine as the platform listed it.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub name: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub address: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub cell: String,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub services: Vec<crate::Name>,
+    pub slots: u32,
+    pub state: EngineState,
+}
+
+/// A pair of names: zone and region, cell and zone, digest and tenant.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub name: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub within: String,
+}
+
+/// Which cached mappings an event makes void.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Touch {
+    #[brw(magic = 0u8)]
+    All,
+    #[brw(magic = 1u8)]
+    Tenant(crate::Name),
+    #[brw(magic = 2u8)]
+    Key(crate::Name),
+}
+
+impl Touch {
+    pub fn covers(&self, mapping: &crate::Mapping) -> bool {
+        match self {
+            Touch::All => true,
+            Touch::Tenant(name) => mapping.tenant == name.0,
+            Touch::Key(name) => mapping.key() == name.0,
+        }
+    }
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    #[brw(magic = 0u8)]
+    Rules(crate::Name),
+    /// Zones with their regions, cells with their zones, in place of what was.
+    #[brw(magic = 1u8)]
+    Places {
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        zones: Vec<Place>,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        cells: Vec<Place>,
+    },
+    /// The digest of a key and its tenant.
+    #[brw(magic = 2u8)]
+    Key(Place),
+    #[brw(magic = 3u8)]
+    KeyGone(crate::Name),
+    #[brw(magic = 4u8)]
+    Engine(Engine),
+    #[brw(magic = 5u8)]
+    EngineGone(crate::Name),
+    #[brw(magic = 6u8)]
+    Evacuated(crate::Name),
+    #[brw(magic = 7u8)]
+    GivenBack(crate::Name),
+    #[brw(magic = 8u8)]
+    Touched(Touch),
+    /// Tenants with their pace and burst, in place of what was.
+    #[brw(magic = 9u8)]
+    Paces(
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        Vec<TenantPace>,
+    ),
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantPace {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub tenant: String,
+    pub pace: u64,
+    pub burst: u64,
+}
+
+pub struct Cell {
+    pub zone: String,
+    pub region: String,
+}
+
+/// Invariants: `epoch` only rises; `program` is what `rules` compiles to.
+#[derive(Clone)]
+pub struct View {
+    pub epoch: u64,
+    pub rules: String,
+    pub program: std::sync::Arc<language::Program>,
+    pub zones: BTreeMap<String, String>,
+    pub cells: BTreeMap<String, String>,
+    /// Digest to tenant.
+    pub keys: BTreeMap<String, String>,
+    pub engines: BTreeMap<String, Engine>,
+    pub evacuated: BTreeSet<String>,
+    pub paces: BTreeMap<String, (u64, u64)>,
+}
+
+impl Default for View {
+    fn default() -> View {
+        View {
+            epoch: 0,
+            rules: String::new(),
+            program: std::sync::Arc::new(language::compile("").ok().expect("no rules compile")),
+            zones: BTreeMap::new(),
+            cells: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            paces: BTreeMap::new(),
+        }
+    }
+}
+
+fn places(map: &BTreeMap<String, String>) -> Vec<Place> {
+    let place =
+        |(name, within): (&String, &String)| Place { name: name.clone(), within: within.clone() };
+    map.iter().map(place).collect()
+}
+
+fn map(places: &[Place]) -> BTreeMap<String, String> {
+    places.iter().map(|place| (place.name.clone(), place.within.clone())).collect()
+}
+
+impl View {
+    pub fn cell(&self, name: &str) -> Option<Cell> {
+        let zone = self.cells.get(name)?;
+        Some(Cell { zone: zone.clone(), region: self.zones.get(zone)?.clone() })
+    }
+
+    /// Whether an engine may get new work, as far as operators and platform
+    /// have said.
+    pub fn is_open(&self, engine: &Engine) -> bool {
+        engine.state == EngineState::Serving
+            && self.cells.get(&engine.cell).is_some_and(|zone| !self.evacuated.contains(zone))
+    }
+
+    /// Takes one event. The events of an entry come together; the caller sets
+    /// the epoch when all are in.
+    pub fn take(&mut self, event: &Event) {
+        match event {
+            Event::Rules(text) => {
+                // Rules are compiled before they are proposed and again when
+                // they are applied; what reaches a view compiles.
+                if let Ok(program) = language::compile(&text.0) {
+                    self.program = std::sync::Arc::new(program);
+                    self.rules = text.0.clone();
+                }
+            }
+            Event::Places { zones, cells } => {
+                self.zones = map(zones);
+                self.cells = map(cells);
+            }
+            Event::Key(place) => {
+                self.keys.insert(place.name.clone(), place.within.clone());
+            }
+            Event::KeyGone(digest) => {
+                self.keys.remove(&digest.0);
+            }
+            Event::Engine(engine) => {
+                self.engines.insert(engine.name.clone(), engine.clone());
+            }
+            Event::EngineGone(name) => {
+                self.engines.remove(&name.0);
+            }
+            Event::Evacuated(zone) => {
+                self.evacuated.insert(zone.0.clone());
+            }
+            Event::GivenBack(zone) => {
+                self.evacuated.remove(&zone.0);
+            }
+            Event::Touched(_) => {}
+            Event::Paces(list) => {
+                self.paces = list.iter().map(|p| (p.tenant.clone(), (p.pace, p.burst))).collect();
+            }
+        }
+    }
+
+    /// Events that make an empty view the same as this one.
+    pub fn picture(&self) -> Vec<Event> {
+        let name = |text: &String| crate::Name(text.clone());
+        let pace = |(tenant, (pace, burst)): (&String, &(u64, u64))| TenantPace {
+            tenant: tenant.clone(),
+            pace: *pace,
+            burst: *burst,
+        };
+        let mut events = vec![
+            Event::Rules(name(&self.rules)),
+            Event::Places { zones: places(&self.zones), cells: places(&self.cells) },
+            Event::Paces(self.paces.iter().map(pace).collect()),
+        ];
+        events.extend(places(&self.keys).into_iter().map(Event::Key));
+        events.extend(self.engines.values().cloned().map(Event::Engine));
+        events.extend(self.evacuated.iter().map(|zone| Event::Evacuated(name(zone))));
+        events
+    }
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,406 @@
+//! The frames that rushport's own processes send each other over TCP: a
+//! 32-bit length, then the frame in binrw. A connection begins with a `Hello`
+//! that says its epoch; another epoch is refused in words.
+
+use binrw::binrw;
+use ledger::pack::{
+    packed, read_bytes, read_list, read_text, unpacked, write_bytes, write_list, write_text,
+};
+use ledger::{Member, Message};
+use residency::{Event, Mapping, Name, Outcome, Submission};
+
+/// The epoch of these frames. Changed whenever one of them changes.
+pub const EPOCH: u16 = 1;
+/// The most that one frame may hold.
+pub const CAP: usize = 64 << 20;
+/// The most that a frame may hold on a connection that has not said who it is.
+pub const HELLO_CAP: usize = 4096;
+
+#[binrw]
+#[brw(big, repr = u8)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// Another directory node: a stream of `Between` frames.
+    Directory = 1,
+    /// A router's session with a directory node.
+    Router = 2,
+    /// One forwarded job.
+    Job = 3,
+    /// A router asking a neighbour's share of the region's cache.
+    Neighbour = 4,
+}
+
+/// A router as the others know it; soft, from its beats.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Front {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub name: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub region: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub zone: String,
+    /// Where callers reach it.
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub door: String,
+    /// Where its neighbours reach it.
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub address: String,
+    /// What is in force there.
+    pub epoch: u64,
+    /// How old this report is.
+    pub age_ms: u64,
+    pub is_leaving: u8,
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub tenant: String,
+    /// Thousandths of a job a second: wanted on the way up, granted down.
+    pub pace: u64,
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Header {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub name: String,
+    #[br(parse_with = read_bytes)]
+    #[bw(write_with = write_bytes)]
+    pub value: Vec<u8>,
+}
+
+/// The head of a forwarded job.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobHead {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub id: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub method: String,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub target: String,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub headers: Vec<Header>,
+    /// The asking router's region, which is the caller's.
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub region: String,
+    /// The router's epoch; the node answers from no older a state.
+    pub epoch: u64,
+    /// What is left of the job's deadline.
+    pub left_ms: u64,
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame {
+    #[brw(magic = 1u8)]
+    Hello {
+        epoch: u16,
+        kind: Kind,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        name: String,
+    },
+    /// The last frame before a connection is closed on purpose.
+    #[brw(magic = 2u8)]
+    Refused {
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        text: String,
+    },
+
+    // Directory node to directory node.
+    #[brw(magic = 10u8)]
+    Ledger(Message),
+    /// A question to the leader; answered to `from` with the same number.
+    #[brw(magic = 11u8)]
+    Ask { from: u64, number: u64, question: Question },
+    #[brw(magic = 12u8)]
+    Reply { number: u64, reply: Reply },
+    /// The routers that beat at the sender.
+    #[brw(magic = 13u8)]
+    Fronts {
+        from: u64,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        fronts: Vec<Front>,
+    },
+    /// A blank node asks to be let in; answered on the same connection.
+    #[brw(magic = 14u8)]
+    Join(Member),
+    #[brw(magic = 15u8)]
+    Joined {
+        #[br(map = |n: u8| n != 0)]
+        #[bw(map = |b: &bool| u8::from(*b))]
+        admitted: bool,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        text: String,
+    },
+
+    // Router and directory node, one session.
+    #[brw(magic = 20u8)]
+    Beat {
+        number: u64,
+        front: Front,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        demands: Vec<Demand>,
+    },
+    /// The leader led throughout since this beat was sent, and all that counted
+    /// then has gone before this frame.
+    #[brw(magic = 21u8)]
+    Licence {
+        number: u64,
+        epoch: u64,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        shares: Vec<Demand>,
+    },
+    /// A whole view, in place of what the router had.
+    #[brw(magic = 22u8)]
+    Picture {
+        epoch: u64,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        events: Vec<Event>,
+    },
+    /// The events of one entry. `prior` is the epoch that they build on.
+    #[brw(magic = 23u8)]
+    Change {
+        prior: u64,
+        epoch: u64,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        events: Vec<Event>,
+    },
+    /// Who else is there: routers, and where directory nodes listen.
+    #[brw(magic = 24u8)]
+    Company {
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        fronts: Vec<Front>,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        directories: Vec<Member>,
+    },
+    /// The key alone.
+    #[brw(magic = 25u8)]
+    Resolve {
+        number: u64,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        tenant: String,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        service: String,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        region: String,
+    },
+    #[brw(magic = 26u8)]
+    Resolved { number: u64, answer: Answer },
+
+    // A forwarded job, one connection each.
+    #[brw(magic = 30u8)]
+    Job(JobHead),
+    #[brw(magic = 31u8)]
+    Body(
+        #[br(parse_with = read_bytes)]
+        #[bw(write_with = write_bytes)]
+        Vec<u8>,
+    ),
+    #[brw(magic = 32u8)]
+    BodyEnd,
+    /// Ahead of the engine's answer, so that caches fill before it ends.
+    #[brw(magic = 33u8)]
+    Mapped(Mapping),
+    #[brw(magic = 34u8)]
+    AnswerHead {
+        status: u16,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        headers: Vec<Header>,
+    },
+    #[brw(magic = 35u8)]
+    AnswerBody(
+        #[br(parse_with = read_bytes)]
+        #[bw(write_with = write_bytes)]
+        Vec<u8>,
+    ),
+    /// The answer is whole. Without this frame it is broken.
+    #[brw(magic = 36u8)]
+    AnswerEnd,
+    /// The node refuses the job, or gave it up.
+    #[brw(magic = 37u8)]
+    Declined {
+        status: u16,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        code: String,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        text: String,
+        #[br(map = |n: u8| n != 0)]
+        #[bw(map = |b: &bool| u8::from(*b))]
+        not_run: bool,
+        retry_after_ms: u64,
+    },
+
+    // Router and neighbour.
+    #[brw(magic = 40u8)]
+    Look {
+        number: u64,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        key: String,
+        /// The asker's epoch; an older share answers with a miss.
+        epoch: u64,
+    },
+    #[brw(magic = 41u8)]
+    Seen {
+        number: u64,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        mapping: Vec<Mapping>,
+    },
+    #[brw(magic = 42u8)]
+    Keep(Mapping),
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Question {
+    /// Does the asked lead, and how far has it come?
+    #[brw(magic = 0u8)]
+    Confirm {
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        demands: Vec<FrontDemand>,
+    },
+    #[brw(magic = 1u8)]
+    Submit(Submission),
+    #[brw(magic = 2u8)]
+    Admit(Member),
+    #[brw(magic = 3u8)]
+    Retire { identity: u64 },
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct FrontDemand {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub front: String,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub demands: Vec<Demand>,
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    #[brw(magic = 0u8)]
+    Confirmed {
+        index: u64,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        shares: Vec<FrontDemand>,
+    },
+    #[brw(magic = 1u8)]
+    Submitted(Outcome),
+    /// A change of membership counts.
+    #[brw(magic = 2u8)]
+    Changed,
+    #[brw(magic = 3u8)]
+    NotLeader,
+    #[brw(magic = 4u8)]
+    Busy,
+    #[brw(magic = 5u8)]
+    Unfit(Name),
+    /// Leadership was lost meanwhile: it may or may not hold.
+    #[brw(magic = 6u8)]
+    Lost,
+}
+
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    #[brw(magic = 0u8)]
+    Mapping(Mapping),
+    #[brw(magic = 1u8)]
+    None { code: Name, text: Name },
+    /// The node can't answer for now.
+    #[brw(magic = 2u8)]
+    Later,
+}
+
+/// A frame with its length before it.
+pub fn encode(frame: &Frame) -> Vec<u8> {
+    let body = packed(frame);
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend(body);
+    bytes
+}
+
+/// Reads the body of one frame, which must fill it.
+pub fn decode(bytes: &[u8]) -> Result<Frame, String> {
+    unpacked(bytes)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn garbage_is_refused_and_never_panics() {
+        let cases: Vec<Vec<u8>> = vec![
+            vec![],
+            vec![0],
+            vec![255; 40],
+            vec![1, 0, 1, 9],
+            vec![31, 255, 255, 255, 255, 1],
+            vec![13, 0, 0, 0, 0, 0, 0, 0, 1, 255, 255, 255, 255],
+        ];
+        for bytes in cases {
+            assert!(decode(&bytes).is_err(), "{bytes:?}");
+        }
+        let mut long = encode(&Frame::BodyEnd)[4..].to_vec();
+        long.push(0);
+        assert!(decode(&long).is_err(), "bytes past the end are refused");
+    }
+
+    proptest::proptest! {
+        #[test]
+        fn any_bytes_are_read_without_panic(bytes in proptest::collection::vec(0u8..=255, 0..200)) {
+            if let Ok(frame) = decode(&bytes) {
+                let again = encode(&frame);
+                assert_eq!(decode(&again[4..]), Ok(frame));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/yard/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not there yet.
