--- /dev/null
+++ b/directory/src/desk.rs
@@ -0,0 +1,346 @@
+//! The operators' API.
+
+use crate::hub::{Call, Standing};
+use crate::Desk;
+use residency::{Command, Engine, EngineState, Name, Outcome, Place, Submission};
+use simd_json::prelude::*;
+use simd_json::{json, OwnedValue};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::{Question, Reply};
+use yard::web::{self, Request, Response};
+
+type Server = dropshot::HttpServer<web::Handler>;
+
+/// The most that a submission may hold.
+const SUBMISSION_CAP: usize = 8 << 20;
+/// How long a submission is tried for, over changes of leader.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+pub fn serve(desk: Arc<Desk>, address: SocketAddr) -> anyhow::Result<Server> {
+    let handler: web::Handler = Arc::new(move |request, _| {
+        let desk = Arc::clone(&desk);
+        Box::pin(async move { answer(&desk, request).await })
+    });
+    web::serve(address, SUBMISSION_CAP, handler)
+}
+
+fn refused(status: u16, code: &str, text: impl Into<String>) -> Response {
+    web::json(status, &json!({ "code": code, "text": text.into() }))
+}
+
+async fn answer(desk: &Desk, request: Request) -> Response {
+    let path = request.uri().path().to_string();
+    match (request.method().as_str(), path.as_str()) {
+        ("GET", "/vitals") => vitals(desk),
+        ("GET", "/counters") => web::json(200, &desk.counters.value()),
+        ("GET", "/status") => status(desk),
+        ("GET", "/book") => book(desk),
+        ("GET", "/explain") => explain(desk, &request),
+        ("POST", "/found") => found(desk).await,
+        ("POST", "/retire") => retire(desk, request).await,
+        ("POST", "/submit") => submit(desk, request).await,
+        _ => refused(404, "no-such-page", format!("there is no {path} for this method")),
+    }
+}
+
+fn hex(identity: u64) -> String {
+    format!("{identity:016x}")
+}
+
+fn vitals(desk: &Desk) -> Response {
+    let standing = desk.hub.standing.borrow().clone();
+    let is_well = desk.hub.is_recent() && !standing.is_stalled;
+    let value = json!({
+        "name": desk.member.name.clone(),
+        "well": is_well,
+        "recent": desk.hub.is_recent(),
+        "disk_stalled": standing.is_stalled,
+        "founded": standing.cluster != 0,
+        "leads": standing.is_leader,
+        "epoch": desk.hub.view.borrow().epoch,
+    });
+    web::json(if is_well { 200 } else { 503 }, &value)
+}
+
+fn members(standing: &Standing) -> OwnedValue {
+    let describe = |member: &ledger::Member, kind: &str| {
+        let synced = standing.progress.iter().find(|(id, _)| *id == member.identity);
+        json!({
+            "name": member.name.clone(),
+            "identity": hex(member.identity),
+            "kind": kind,
+            "region": member.region.clone(),
+            "zone": member.zone.clone(),
+            "address": member.address.clone(),
+            "desk": member.desk.clone(),
+            "leads": standing.leader == Some(member.identity),
+            "synced": synced.map(|(_, index)| *index),
+        })
+    };
+    let voters = standing.members.voters.iter().map(|member| describe(member, "voter"));
+    let learners = standing.members.learners.iter().map(|member| describe(member, "learner"));
+    OwnedValue::from(voters.chain(learners).collect::<Vec<_>>())
+}
+
+fn status(desk: &Desk) -> Response {
+    let standing = desk.hub.standing.borrow().clone();
+    let fronts: Vec<OwnedValue> = desk
+        .fronts
+        .lock()
+        .list(false)
+        .iter()
+        .map(|front| {
+            json!({
+                "name": front.name.clone(),
+                "region": front.region.clone(),
+                "zone": front.zone.clone(),
+                "door": front.door.clone(),
+                "epoch": front.epoch,
+                "age_ms": front.age_ms,
+                "leaving": front.is_leaving != 0,
+            })
+        })
+        .collect();
+    let state = desk.hub.state.read();
+    let engines: Vec<OwnedValue> = state
+        .view
+        .engines
+        .values()
+        .map(|engine| {
+            json!({
+                "name": engine.name.clone(),
+                "cell": engine.cell.clone(),
+                "address": engine.address.clone(),
+                "state": engine.state.to_string(),
+                "open": state.view.is_open(engine),
+            })
+        })
+        .collect();
+    let moves: Vec<OwnedValue> = state
+        .moves()
+        .map(|(key, cell, is_moving)| json!({ "key": key, "cell": cell, "settled": !is_moving }))
+        .collect();
+    let value = json!({
+        "node": desk.member.name.clone(),
+        "cluster": hex(standing.cluster),
+        "leads": standing.is_leader,
+        "leader": standing.leader.map(hex),
+        "term": standing.term,
+        "commit": standing.commit,
+        "applied": standing.applied,
+        "last": standing.last,
+        "epoch": state.epoch(),
+        "recent": desk.hub.is_recent(),
+        "disk_stalled": standing.is_stalled,
+        "members": members(&standing),
+        "routers": fronts,
+        "engines": engines,
+        "evacuated": state.view.evacuated.iter().cloned().collect::<Vec<String>>(),
+        "moves": moves,
+        "keys": state.view.keys.len(),
+    });
+    web::json(200, &value)
+}
+
+fn book(desk: &Desk) -> Response {
+    let state = desk.hub.state.read();
+    let document = residency::parse_text(&state.document()).unwrap_or_default();
+    web::json(200, &json!({ "epoch": state.epoch(), "book": document }))
+}
+
+/// Which engine a key gets, and why; from what this node sees.
+fn explain(desk: &Desk, request: &Request) -> Response {
+    let field = |name: &str| web::query(request.uri(), name);
+    let (Some(tenant), Some(service)) = (field("tenant"), field("service")) else {
+        return refused(400, "bad-question", "tenant and service are needed");
+    };
+    let region = field("region").unwrap_or(desk.member.region.clone());
+    let prefix = field("prefix").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let resolved = desk.hub.state.read().resolve(&tenant, &service, &region);
+    let mapping = match resolved {
+        Ok(mapping) => mapping,
+        Err((code, text)) => return refused(404, code, text),
+    };
+    let view = desk.hub.view.borrow().clone();
+    let (engine, why) = match desk.dispatcher.roster.elect(&view, &mapping, prefix) {
+        yard::roster::Elected::Engine(seat) => {
+            (Some(seat.name.clone()), "ranks first for this prefix among those with room")
+        }
+        yard::roster::Elected::Full => (None, "all that are allowed are at their limit"),
+        yard::roster::Elected::Nobody => (None, "none that is allowed is in sight"),
+    };
+    let list = |names: &[Name]| names.iter().map(|name| name.0.clone()).collect::<Vec<String>>();
+    let value = json!({
+        "tenant": tenant,
+        "service": service,
+        "asked_from": region,
+        "regions": list(&mapping.regions),
+        "cells": list(&mapping.cells),
+        "fresh_ms": mapping.fresh_ms,
+        "expire_ms": mapping.expire_ms,
+        "epoch": mapping.epoch,
+        "engine": engine,
+        "why": why,
+        "engines": desk.dispatcher.roster.value(),
+    });
+    web::json(200, &value)
+}
+
+async fn found(desk: &Desk) -> Response {
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    if !desk.hub.send(Call::Found(sender)) {
+        return refused(503, "busy", "the ledger's ring is full");
+    }
+    match receiver.await {
+        Ok(Ok(())) => {
+            let mut standing = desk.hub.standing.clone();
+            let leads = standing.wait_for(|standing| standing.is_leader);
+            let led = tokio::time::timeout(Duration::from_secs(5), leads).await;
+            let cluster = led.ok().and_then(|led| led.ok()).map(|standing| standing.cluster);
+            match cluster {
+                Some(cluster) => web::json(200, &json!({ "cluster": hex(cluster) })),
+                None => refused(503, "not-yet", "founded, and not leading yet; ask for the status"),
+            }
+        }
+        Ok(Err(text)) => refused(409, "founded-already", text),
+        Err(_) => refused(503, "busy", "the ledger ended"),
+    }
+}
+
+async fn retire(desk: &Desk, request: Request) -> Response {
+    let identity = web::query(request.uri(), "identity");
+    let Some(identity) = identity.and_then(|text| u64::from_str_radix(&text, 16).ok()) else {
+        return refused(400, "bad-question", "identity is 16 hexadecimal digits");
+    };
+    match desk.hub.ask(Question::Retire { identity }).await {
+        Reply::Changed => web::json(200, &json!({ "retired": hex(identity) })),
+        Reply::Unfit(text) => refused(409, "unfit", text.0),
+        Reply::Lost => refused(503, "unknown", "leadership changed meanwhile; look at the members"),
+        _ => refused(503, "no-leader", "no leader can be reached; nothing was changed"),
+    }
+}
+
+/// Reads a submission. Complaints name the field.
+fn read_submission(value: &OwnedValue) -> Result<Submission, String> {
+    let text = |name: &str| {
+        value
+            .get(name)
+            .and_then(|v| v.as_str())
+            .map(String::from)
+            .ok_or(format!("{name}: a text should stand here"))
+    };
+    let name = |field: &str| text(field).map(Name);
+    let known = [
+        "id", "base", "do", "whole", "book", "key", "tenant", "name", "address", "cell",
+        "services", "slots", "state", "zone", "service",
+    ];
+    let Some(object) = value.as_object() else { return Err("an object should stand here".into()) };
+    if let Some((field, _)) = object.iter().find(|(field, _)| !known.contains(&field.as_str())) {
+        return Err(format!("{field}: no such field is known here"));
+    }
+    let digest = || {
+        let key = text("key")?;
+        match (8..=256).contains(&key.len()) {
+            true => Ok(language::fingerprint(&key)),
+            false => Err("key: a tenant key has 8 to 256 characters".to_string()),
+        }
+    };
+    let state = || match text("state")?.as_str() {
+        "coming" => Ok(EngineState::Coming),
+        "serving" => Ok(EngineState::Serving),
+        "draining" => Ok(EngineState::Draining),
+        other => Err(format!("state: {other} is none of coming, serving, draining")),
+    };
+    let command = match text("do")?.as_str() {
+        "revise" => Command::Revise {
+            whole: value
+                .get("whole")
+                .and_then(|v| v.as_bool())
+                .ok_or("whole: true or false should stand here")?,
+            text: value.get("book").ok_or("book: it is missing")?.encode(),
+        },
+        "key" => Command::Key(Place { name: digest()?, within: text("tenant")? }),
+        "key-gone" => Command::KeyGone(Name(digest()?)),
+        "engine" => {
+            let services = value.get("services").and_then(|v| v.as_array()).map(|list| {
+                list.iter().map(|item| item.as_str().map(Name::from)).collect::<Option<Vec<Name>>>()
+            });
+            Command::Engine(Engine {
+                name: text("name")?,
+                address: text("address")?,
+                cell: text("cell")?,
+                services: services
+                    .flatten()
+                    .ok_or("services: a list of texts should stand here")?,
+                slots: value
+                    .get("slots")
+                    .and_then(|v| v.as_u32())
+                    .ok_or("slots: a number should stand here")?,
+                state: state()?,
+            })
+        }
+        "engine-state" => Command::EngineState { name: name("name")?, state: state()? },
+        "engine-gone" => Command::EngineGone(name("name")?),
+        "evacuate" => Command::Evacuate(name("zone")?),
+        "give-back" => Command::GiveBack(name("zone")?),
+        "move" => Command::Move {
+            tenant: name("tenant")?,
+            service: name("service")?,
+            cell: name("cell")?,
+        },
+        "settle" => Command::Settle { tenant: name("tenant")?, service: name("service")? },
+        "unpin" => Command::Unpin { tenant: name("tenant")?, service: name("service")? },
+        other => return Err(format!("do: {other} is nothing that can be done")),
+    };
+    let id = text("id")?;
+    if id.is_empty() || id.len() > 64 || !id.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err("id: 1 to 64 visible characters should stand here".into());
+    }
+    let base = match value.get("base") {
+        None => 0,
+        Some(base) => base.as_u64().ok_or("base: an epoch should stand here")?,
+    };
+    Ok(Submission { id, base, command })
+}
+
+async fn submit(desk: &Desk, request: Request) -> Response {
+    let value = match web::read_json(request.into_body(), SUBMISSION_CAP).await {
+        Ok(value) => value,
+        Err(text) => return refused(400, "bad-json", text),
+    };
+    let submission = match read_submission(&value) {
+        Ok(submission) => submission,
+        Err(text) => return refused(400, "bad-submission", text),
+    };
+    let id = submission.id.clone();
+    let reply = desk.hub.submit(submission, PATIENCE).await;
+    if let Reply::Submitted(outcome) = &reply {
+        log::info!(submission = id.as_str(); "{outcome:?}");
+    }
+    match reply {
+        Reply::Submitted(Outcome::Applied { epoch }) => {
+            web::json(200, &json!({ "id": id, "epoch": epoch, "repeated": false }))
+        }
+        Reply::Submitted(Outcome::Repeated { epoch }) => {
+            web::json(200, &json!({ "id": id, "epoch": epoch, "repeated": true }))
+        }
+        Reply::Submitted(Outcome::Conflict { epoch }) => refused(
+            409,
+            "conflict",
+            format!("something of this kind changed at epoch {epoch}, past the base; nothing was changed"),
+        ),
+        Reply::Submitted(Outcome::Refused(text)) => refused(422, "refused", text),
+        Reply::Lost => refused(
+            503,
+            "unknown",
+            format!("leadership changed meanwhile; submit again with the same id {id}"),
+        ),
+        _ => refused(
+            503,
+            "no-leader",
+            format!("no leader took it in time; submit again with the same id {id}"),
+        ),
+    }
+}
--- /dev/null
+++ b/directory/src/hub.rs
@@ -0,0 +1,484 @@
+//! The thread that owns the ledger node and applies what was agreed on, and
+//! the thread that owns the disk. Everybody else talks to them through one
+//! bounded ring.
+
+use crate::links::Links;
+use ledger::node::{Effect, Input, Kept, Node, Pace, Refusal as No, Role, Write};
+use ledger::pack::{packed, unpacked};
+use ledger::segments::{Folder, Segments};
+use ledger::{Identity, Matter, Member, Members, Message};
+use parking_lot::RwLock;
+use residency::{Event, Mapping, State, Submission, View};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use wire::{Frame, Question, Reply};
+use yard::counters::Counters;
+use yard::now;
+use yard::web::Refusal;
+
+/// How long a confirmation by a majority holds: the licence's length.
+pub const LICENCE_MS: u64 = 2_000;
+const RING: usize = 4096;
+const ASK_PATIENCE_MS: u64 = 1_500;
+
+/// What the ledger thread is asked.
+pub enum Call {
+    Heard(Message),
+    Synced(u64),
+    DiskFailed(String),
+    Ask(Question, oneshot::Sender<Reply>),
+    /// A question from another node, to be answered there.
+    AskedBy(Identity, u64, Question),
+    Replied(u64, Reply),
+    Found(oneshot::Sender<Result<(), String>>),
+    Attach(mpsc::Sender<Frame>),
+    HandOver,
+}
+
+/// How this node stands, for all to see.
+#[derive(Clone, Default)]
+pub struct Standing {
+    pub is_leader: bool,
+    pub leader: Option<Identity>,
+    pub term: u64,
+    pub cluster: u64,
+    pub members: Members,
+    pub commit: u64,
+    pub applied: u64,
+    pub last: u64,
+    pub is_stalled: bool,
+    pub progress: Vec<(Identity, u64)>,
+}
+
+pub struct Hub {
+    calls: SyncSender<Call>,
+    pub state: Arc<RwLock<State>>,
+    pub view: watch::Receiver<Arc<View>>,
+    pub standing: watch::Receiver<Standing>,
+    /// When the question was asked that a majority confirmed last.
+    confirmed: AtomicU64,
+}
+
+impl Hub {
+    pub fn send(&self, call: Call) -> bool {
+        self.calls.try_send(call).is_ok()
+    }
+
+    pub async fn ask(&self, question: Question) -> Reply {
+        let (sender, receiver) = oneshot::channel();
+        if !self.send(Call::Ask(question, sender)) {
+            return Reply::Busy;
+        }
+        receiver.await.unwrap_or(Reply::Lost)
+    }
+
+    /// Submits until the outcome is known or patience ends. The submission's
+    /// id makes the repeats harmless.
+    pub async fn submit(&self, submission: Submission, patience: Duration) -> Reply {
+        let until = tokio::time::Instant::now() + patience;
+        loop {
+            let reply = self.ask(Question::Submit(submission.clone())).await;
+            let is_final = matches!(reply, Reply::Submitted(_));
+            if is_final || tokio::time::Instant::now() >= until {
+                return reply;
+            }
+            tokio::time::sleep(yard::jitter(120)).await;
+        }
+    }
+
+    pub fn note_confirmed(&self, asked: u64) {
+        self.confirmed.fetch_max(asked, Ordering::Relaxed);
+    }
+
+    /// Whether what this node holds is known to be recent.
+    pub fn is_recent(&self) -> bool {
+        now() < self.confirmed.load(Ordering::Relaxed) + LICENCE_MS
+    }
+
+    /// Leave to dispatch a forwarded job, in the last moment.
+    pub fn leave(&self, mapping: &Mapping) -> Result<(), Refusal> {
+        if !self.is_recent() {
+            let text = "this directory node is cut off from a majority";
+            return Err(Refusal::not_run(503, "no-licence", text).retry(1_000));
+        }
+        let asker = mapping.regions.first().map_or("", |region| region.0.as_str());
+        match self.state.read().resolve(&mapping.tenant, &mapping.service, asker) {
+            Ok(now) if mapping.regions.iter().all(|region| now.regions.contains(region)) => Ok(()),
+            _ => Err(Refusal::not_run(503, "mapping-void", "homes changed meanwhile").retry(1_000)),
+        }
+    }
+
+    /// Hands leadership over, if it is here, and waits for a new leader.
+    pub async fn stop(&self) {
+        if self.standing.borrow().is_leader && self.send(Call::HandOver) {
+            let mut standing = self.standing.clone();
+            let gone = standing.wait_for(|standing| !standing.is_leader);
+            drop(tokio::time::timeout(Duration::from_millis(1_500), gone).await);
+        }
+    }
+}
+
+enum Waiter {
+    Here(oneshot::Sender<Reply>),
+    There(Identity, u64),
+}
+
+/// Invariants: only this thread steps the node and changes the state; events
+/// go to the sessions in the order of the ledger, before anything that rests
+/// on them.
+struct Thread {
+    node: Node,
+    me: Member,
+    state: Arc<RwLock<State>>,
+    view: watch::Sender<Arc<View>>,
+    standing: watch::Sender<Standing>,
+    disk: SyncSender<(u64, Vec<Write>)>,
+    links: Arc<Links>,
+    counters: Arc<Counters>,
+    sessions: Vec<mpsc::Sender<Frame>>,
+    next: u64,
+    /// Matters handed to the node here, by token.
+    tokens: HashMap<u64, Waiter>,
+    /// Questions sent to the leader, by number, with the time of sending.
+    asked: HashMap<u64, (u64, oneshot::Sender<Reply>)>,
+    /// Confirmed by the leader; answered once this index is applied here.
+    confirms: Vec<(u64, Waiter)>,
+    picture_every: u64,
+}
+
+#[allow(clippy::too_many_arguments)]
+pub fn start(
+    me: Member,
+    pace: Pace,
+    picture_every: u64,
+    segments: Segments<Folder>,
+    kept: Kept,
+    links: Arc<Links>,
+    counters: Arc<Counters>,
+) -> anyhow::Result<Arc<Hub>> {
+    let node = Node::new(me.identity, pace, rand::random(), now(), kept);
+    let state = State::restore(&node.picture().state)
+        .map_err(|text| anyhow::anyhow!("the picture can't be read: {text}"))?;
+    let (calls, ring) = sync_channel(RING);
+    let (disk, writes) = sync_channel(RING);
+    let (view, view_out) = watch::channel(Arc::new(state.view.clone()));
+    let (standing, standing_out) = watch::channel(Standing::default());
+    let state = Arc::new(RwLock::new(state));
+    let hub = Arc::new(Hub {
+        calls: calls.clone(),
+        state: Arc::clone(&state),
+        view: view_out,
+        standing: standing_out,
+        confirmed: AtomicU64::new(0),
+    });
+    std::thread::Builder::new()
+        .name("disk".into())
+        .spawn(move || keep(segments, &writes, &calls))?;
+    let mut thread = Thread {
+        node,
+        me,
+        state,
+        view,
+        standing,
+        disk,
+        links,
+        counters,
+        sessions: Vec::new(),
+        next: rand::random::<u32>().into(),
+        tokens: HashMap::new(),
+        asked: HashMap::new(),
+        confirms: Vec::new(),
+        picture_every,
+    };
+    thread.publish();
+    std::thread::Builder::new().name("ledger".into()).spawn(move || thread.run(&ring))?;
+    Ok(hub)
+}
+
+/// The disk's thread: what has piled up is written and synced as one.
+fn keep(
+    mut segments: Segments<Folder>,
+    writes: &Receiver<(u64, Vec<Write>)>,
+    calls: &SyncSender<Call>,
+) {
+    while let Ok((mut ticket, mut batch)) = writes.recv() {
+        while let Ok((later, more)) = writes.try_recv() {
+            ticket = later;
+            batch.extend(more);
+        }
+        let call = match segments.write(&batch) {
+            Ok(()) => Call::Synced(ticket),
+            Err(error) => {
+                // What is on disk after a failed write or sync is not known;
+                // only a restart, which reads it back, may build on it.
+                log::error!("the disk failed, nothing more is written: {error}");
+                drop(calls.send(Call::DiskFailed(error.to_string())));
+                return;
+            }
+        };
+        if calls.send(call).is_err() {
+            return;
+        }
+    }
+}
+
+impl Thread {
+    fn run(&mut self, ring: &Receiver<Call>) {
+        loop {
+            match ring.recv_timeout(Duration::from_millis(10)) {
+                Ok(call) => {
+                    self.handle(call);
+                    // What waits in the ring travels together.
+                    for _ in 0..256 {
+                        match ring.try_recv() {
+                            Ok(call) => self.handle(call),
+                            Err(_) => break,
+                        }
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.step(Input::Beat);
+            self.expire();
+            self.picture();
+            self.publish();
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn handle(&mut self, call: Call) {
+        match call {
+            Call::Heard(message) => self.step(Input::Heard(message)),
+            Call::Synced(ticket) => self.step(Input::Synced(ticket)),
+            Call::DiskFailed(_) => self.step(Input::DiskFailed),
+            Call::Ask(question, reply) => self.ask(question, reply),
+            Call::AskedBy(from, number, question) => {
+                let waiter = Waiter::There(from, number);
+                match self.node.role() == Role::Leader {
+                    true => self.lead(question, waiter),
+                    false => self.deliver(waiter, Reply::NotLeader),
+                }
+            }
+            Call::Replied(number, reply) => {
+                let Some((_, sender)) = self.asked.remove(&number) else { return };
+                match reply {
+                    Reply::Confirmed { index, .. } => {
+                        self.confirms.push((index, Waiter::Here(sender)));
+                        self.settle();
+                    }
+                    reply => self.deliver(Waiter::Here(sender), reply),
+                }
+            }
+            Call::Found(reply) => {
+                let answer = match self.node.cluster() {
+                    0 => {
+                        self.step(Input::Found(self.me.clone(), rand::random::<u64>() | 1));
+                        Ok(())
+                    }
+                    cluster => Err(format!("this node belongs to cluster {cluster:016x} already")),
+                };
+                drop(reply.send(answer));
+            }
+            Call::Attach(session) => {
+                let state = self.state.read();
+                let picture = Frame::Picture { epoch: state.epoch(), events: state.view.picture() };
+                drop(state);
+                if session.try_send(picture).is_ok() {
+                    self.sessions.push(session);
+                }
+            }
+            Call::HandOver => self.step(Input::HandOver),
+        }
+    }
+
+    /// A question from this process: answered here by the leader, else there.
+    fn ask(&mut self, question: Question, reply: oneshot::Sender<Reply>) {
+        if self.node.role() == Role::Leader {
+            return self.lead(question, Waiter::Here(reply));
+        }
+        let leader = self.node.leader().and_then(|id| self.node.members().get(id)).cloned();
+        let Some(leader) = leader else {
+            return self.deliver(Waiter::Here(reply), Reply::NotLeader);
+        };
+        let number = self.number();
+        self.asked.insert(number, (now(), reply));
+        let frame = Frame::Ask { from: self.me.identity, number, question };
+        self.links.send(&leader.address, frame);
+    }
+
+    fn lead(&mut self, question: Question, waiter: Waiter) {
+        let token = self.number();
+        let input = match question {
+            Question::Confirm { .. } => Input::Confirm(token),
+            Question::Submit(submission) => {
+                // A repeat, a conflict or a refusal needs no entry.
+                if let Some(outcome) = self.state.read().check(&submission) {
+                    return self.deliver(waiter, Reply::Submitted(outcome));
+                }
+                Input::Propose(token, packed(&submission))
+            }
+            Question::Admit(member) => Input::Admit(token, member),
+            Question::Retire { identity } => Input::Retire(token, identity),
+        };
+        self.tokens.insert(token, waiter);
+        self.step(input);
+    }
+
+    fn deliver(&self, waiter: Waiter, reply: Reply) {
+        match waiter {
+            // Who asked may have left; then nobody needs the answer.
+            Waiter::Here(sender) => drop(sender.send(reply)),
+            Waiter::There(to, number) => self.links.send_to(to, Frame::Reply { number, reply }),
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        for effect in self.node.step(now(), input) {
+            match effect {
+                Effect::Write(ticket, writes) => match self.disk.try_send((ticket, writes)) {
+                    Ok(()) => {}
+                    Err(TrySendError::Full(_)) => {
+                        log::error!("the ring to the disk is full");
+                        self.step(Input::DiskFailed);
+                    }
+                    Err(TrySendError::Disconnected(_)) => self.step(Input::DiskFailed),
+                },
+                Effect::Send(message) => {
+                    let to = message.to;
+                    match self.node.members().get(to) {
+                        Some(member) => self.links.send(&member.address, Frame::Ledger(message)),
+                        None => self.links.send_to(to, Frame::Ledger(message)),
+                    }
+                }
+                Effect::Apply(entry, token) => {
+                    let waiter = token.and_then(|token| self.tokens.remove(&token));
+                    let reply = match &entry.matter {
+                        Matter::Blank => None,
+                        Matter::Members(members) => {
+                            log::info!(index = entry.index; "members: {} voters, {} learners",
+                                members.voters.len(), members.learners.len());
+                            Some(Reply::Changed)
+                        }
+                        Matter::Command(bytes) => Some(self.apply(entry.index, bytes)),
+                    };
+                    if let (Some(waiter), Some(reply)) = (waiter, reply) {
+                        self.deliver(waiter, reply);
+                    }
+                }
+                Effect::Restore(picture) => {
+                    let state = State::restore(&picture.state)
+                        .expect("a picture that another node took can be read");
+                    log::info!(index = picture.index; "took over a picture");
+                    self.view.send_replace(Arc::new(state.view.clone()));
+                    *self.state.write() = state;
+                    // Routers come again, and get a picture of their own.
+                    self.sessions.clear();
+                }
+                Effect::Confirmed(token, index) => {
+                    if let Some(waiter) = self.tokens.remove(&token) {
+                        self.confirms.push((index, waiter));
+                    }
+                }
+                Effect::Refused(token, no) => {
+                    if let Some(waiter) = self.tokens.remove(&token) {
+                        let reply = match no {
+                            No::NotLeader => Reply::NotLeader,
+                            No::Busy => Reply::Busy,
+                            No::Unfit(text) => Reply::Unfit(residency::Name(text)),
+                            No::Lost => Reply::Lost,
+                        };
+                        self.deliver(waiter, reply);
+                    }
+                }
+            }
+        }
+        self.settle();
+    }
+
+    fn apply(&mut self, index: u64, bytes: &[u8]) -> Reply {
+        let submission: Submission =
+            unpacked(bytes).expect("what was proposed here or by an equal can be read");
+        let mut state = self.state.write();
+        let prior = state.epoch();
+        let (outcome, events) = state.apply(index, &submission);
+        let view = Arc::new(state.view.clone());
+        drop(state);
+        self.counters.one("applied");
+        if !events.is_empty() {
+            self.announce(prior, index, events);
+            self.view.send_replace(view);
+        }
+        Reply::Submitted(outcome)
+    }
+
+    fn announce(&mut self, prior: u64, epoch: u64, events: Vec<Event>) {
+        let frame = Frame::Change { prior, epoch, events };
+        // A session that can't keep up is let go; it comes again for a picture.
+        self.sessions.retain(|session| session.try_send(frame.clone()).is_ok());
+    }
+
+    /// Answers confirmed questions once what counted then is applied here.
+    fn settle(&mut self) {
+        let applied = self.node.applied();
+        let (done, open) = std::mem::take(&mut self.confirms)
+            .into_iter()
+            .partition(|(index, _)| *index <= applied);
+        self.confirms = open;
+        let epoch = self.state.read().epoch();
+        for (index, waiter) in done {
+            // Here the epoch is of use, to another node the index.
+            let index = if matches!(waiter, Waiter::Here(_)) { epoch } else { index };
+            self.deliver(waiter, Reply::Confirmed { index, shares: Vec::new() });
+        }
+    }
+
+    fn expire(&mut self) {
+        let old = now().saturating_sub(ASK_PATIENCE_MS);
+        let late: Vec<u64> =
+            self.asked.iter().filter(|(_, (at, _))| *at < old).map(|(n, _)| *n).collect();
+        for number in late {
+            if let Some((_, sender)) = self.asked.remove(&number) {
+                drop(sender.send(Reply::Lost));
+            }
+        }
+    }
+
+    fn picture(&mut self) {
+        if self.node.applied() >= self.node.picture().index + self.picture_every {
+            let state = self.state.read().picture();
+            let index = self.node.applied();
+            self.step(Input::Pictured(index, state));
+        }
+    }
+
+    fn publish(&mut self) {
+        let node = &self.node;
+        let standing = Standing {
+            is_leader: node.role() == Role::Leader,
+            leader: node.leader(),
+            term: node.term(),
+            cluster: node.cluster(),
+            members: node.members().clone(),
+            commit: node.commit(),
+            applied: node.applied(),
+            last: node.last(),
+            is_stalled: node.is_stalled(),
+            progress: node.progress().collect(),
+        };
+        let before = self.standing.borrow().clone();
+        if before.leader != standing.leader {
+            log::info!(term = standing.term; "leader is {}",
+                standing.leader.and_then(|id| standing.members.get(id)).map_or("not known".into(), |m| m.to_string()));
+        }
+        self.standing.send_replace(standing);
+    }
+}
--- /dev/null
+++ b/directory/src/jobs.rs
@@ -0,0 +1,218 @@
+//! Forwarded jobs: one connection each. The mapping goes back first, then the
+//! engine's answer, then an end frame; without it the answer is broken.
+
+use crate::Desk;
+use anyhow::{anyhow, bail};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use language::{Extract, Field, Head};
+use placement::{Event, Job, Outcome};
+use residency::Mapping;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncRead;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use wire::{Frame, JobHead};
+use yard::dispatch::{headers_of, headers_to, step, Carried, Parts, Piped};
+use yard::web::{self, Refusal};
+use yard::{link, now};
+
+/// A body whose key is not found within this is refused.
+const SEARCH_CAP: usize = 1 << 20;
+
+fn declined(refusal: &Refusal) -> Frame {
+    Frame::Declined {
+        status: refusal.status,
+        code: refusal.code.clone(),
+        text: refusal.text.clone(),
+        not_run: refusal.outcome == Outcome::NotRun,
+        retry_after_ms: refusal.retry_after_ms.unwrap_or(0),
+    }
+}
+
+pub async fn serve(desk: Arc<Desk>, stream: TcpStream) -> anyhow::Result<()> {
+    let (mut reader, mut writer) = stream.into_split();
+    let first = tokio::time::timeout(link::PATIENCE, link::receive(&mut reader, 1 << 20)).await??;
+    let Some(Frame::Job(head)) = first else { bail!("a job's connection begins with the job") };
+    desk.counters.one("jobs-forwarded");
+    let read = tokio::time::timeout(Duration::from_secs(10), read_key(&desk, &head, &mut reader));
+    let found = match read.await {
+        Ok(found) => found?,
+        Err(_) => Err(Refusal::not_run(408, "slow-body", "the body came too slowly")),
+    };
+    let (mapping, extract, held, is_ended, route) = match found {
+        Ok(found) => found,
+        Err(refusal) => return link::send(&mut writer, &declined(&refusal)).await,
+    };
+    link::send(&mut writer, &Frame::Mapped(mapping.clone())).await?;
+    // Past its budget a node still answers with the mapping alone.
+    let place = Arc::clone(&desk.job_places).try_acquire_owned();
+    let weight = (held.len() + 64 * 1024) as u32;
+    let bytes = Arc::clone(&desk.job_bytes).try_acquire_many_owned(weight);
+    let (Ok(_place), Ok(_bytes)) = (place, bytes) else {
+        desk.counters.one("jobs-over-budget");
+        let refusal = Refusal::not_run(503, "directory-full", "take the job to an engine yourself");
+        return link::send(&mut writer, &declined(&refusal)).await;
+    };
+    let is_repeatable =
+        desk.hub.view.borrow().program.routes.get(route).is_some_and(|r| r.repeatable);
+    let mut job = Job::new(is_repeatable);
+    step(&mut job, Event::KeyRead);
+    step(&mut job, Event::MappingFound);
+    let (pieces, rest) = mpsc::channel::<anyhow::Result<Bytes>>(8);
+    let mut carried = Carried::new(held, (!is_ended).then(|| Piped(rest).boxed_unsync()));
+    if !is_ended {
+        link::send(&mut writer, &Frame::Go).await?;
+    }
+    let parts = Parts {
+        id: head.id.clone(),
+        method: head.method.parse()?,
+        target: head.target.clone(),
+        headers: headers_of(&head.headers)?,
+        deadline: now() + head.left_ms,
+    };
+    let prefix = extract.prefix.unwrap_or(0);
+    let mut upload = pin!(upload(&mut reader, pieces, is_ended));
+    let answer = {
+        let mut work =
+            pin!(desk.dispatcher.dispatch(&mut job, &parts, &mut carried, &mapping, prefix));
+        tokio::select! {
+            answer = &mut work => answer,
+            gone = &mut upload => {
+                gone?;
+                bail!("the router left before an answer began");
+            }
+        }
+    };
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(refusal) => return link::send(&mut writer, &declined(&refusal)).await,
+    };
+    let head =
+        Frame::AnswerHead { status: answer.status.as_u16(), headers: headers_to(&answer.headers) };
+    link::send(&mut writer, &head).await?;
+    let mut body = answer.body;
+    loop {
+        tokio::select! {
+            piece = body.frame() => match piece {
+                Some(piece) => {
+                    if let Ok(data) = piece?.into_data() {
+                        link::send(&mut writer, &Frame::AnswerBody(data.to_vec())).await?;
+                    }
+                }
+                None => {
+                    return link::send(&mut writer, &Frame::AnswerEnd).await;
+                }
+            },
+            gone = &mut upload => {
+                gone?;
+                bail!("the router left while the answer was on its way");
+            }
+        }
+    }
+}
+
+/// Carries the rest of the body over, then watches for the router's leaving;
+/// it ends only when the router is gone.
+async fn upload(
+    reader: &mut (impl AsyncRead + Unpin),
+    pieces: mpsc::Sender<anyhow::Result<Bytes>>,
+    mut is_ended: bool,
+) -> anyhow::Result<()> {
+    let mut pieces = Some(pieces);
+    loop {
+        let frame = link::receive(reader, 1 << 20).await;
+        match frame {
+            Ok(Some(Frame::Body(bytes))) if !is_ended => {
+                if let Some(sender) = &pieces {
+                    // The engine may stop listening; the answer says why.
+                    drop(sender.send(Ok(bytes.into())).await);
+                }
+            }
+            Ok(Some(Frame::BodyEnd)) if !is_ended => {
+                is_ended = true;
+                pieces = None;
+            }
+            Ok(Some(_)) => bail!("an unexpected frame within a job"),
+            Ok(None) | Err(_) => {
+                if let Some(sender) = pieces.filter(|_| !is_ended) {
+                    drop(sender.send(Err(anyhow!("the body broke off"))).await);
+                }
+                return frame.map(|_| ());
+            }
+        }
+    }
+}
+
+type Found = (Mapping, Extract, Bytes, bool, usize);
+
+/// Reads as much of the body as the key needs, and resolves it.
+async fn read_key(
+    desk: &Desk,
+    head: &JobHead,
+    reader: &mut (impl AsyncRead + Unpin),
+) -> anyhow::Result<Result<Found, Refusal>> {
+    if !desk.hub.is_recent() {
+        let text = "this directory node is cut off from a majority";
+        return Ok(Err(Refusal::not_run(503, "no-licence", text).retry(1_000)));
+    }
+    // Never from an older state than the router's own.
+    let mut views = desk.hub.view.clone();
+    let is_there = views.wait_for(|view| view.epoch >= head.epoch);
+    let Ok(Ok(view)) = tokio::time::timeout(Duration::from_millis(500), is_there)
+        .await
+        .map(|found| found.map(|view| view.clone()))
+    else {
+        let text = "this directory node is behind the router";
+        return Ok(Err(Refusal::not_run(503, "behind", text).retry(1_000)));
+    };
+    let headers = headers_of(&head.headers)?;
+    // The door's own view of the job, as the rules read it.
+    let with_head = |ask: &mut dyn FnMut(&Head)| {
+        let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+        let header = |name: &str| headers.get(name)?.to_str().ok().map(String::from);
+        ask(&Head { method: &head.method, path, query, header: &header });
+    };
+    let mut route = None;
+    with_head(&mut |head| route = view.program.route(head));
+    let Some(route) = route else {
+        return Ok(Err(Refusal::not_run(404, "no-route", "no route fits this method and path")));
+    };
+    let mut held = Vec::new();
+    let mut is_ended = false;
+    let extract = loop {
+        match link::receive(reader, 1 << 20).await? {
+            Some(Frame::Body(bytes)) => held.extend_from_slice(&bytes),
+            Some(Frame::BodyEnd) => is_ended = true,
+            Some(_) => bail!("an unexpected frame within a body"),
+            None => bail!("the router left within the body"),
+        }
+        let mut extract = None;
+        with_head(&mut |head| {
+            extract = Some(view.program.extract(route, head, &held, is_ended, SEARCH_CAP));
+        });
+        match extract {
+            Some(extract) if is_ended || held.len() >= SEARCH_CAP || extract.is_settled() => {
+                break extract
+            }
+            _ => {}
+        }
+    };
+    let refuse = |status, code, text: &str| Ok(Err(Refusal::not_run(status, code, text)));
+    let Field::Known(key) = &extract.tenant else {
+        return refuse(401, "no-key", "no tenant key is to be found in this job");
+    };
+    let Some(tenant) = view.keys.get(&language::fingerprint(key)) else {
+        return refuse(401, "unknown-key", "this tenant key is not known");
+    };
+    let Field::Known(service) = &extract.service else {
+        return refuse(400, "no-model", "no model is to be found in this job");
+    };
+    let resolved = desk.hub.state.read().resolve(tenant, service, &head.region);
+    Ok(match resolved {
+        Ok(mapping) => Ok((mapping, extract, held.into(), is_ended, route)),
+        Err((code, text)) => Err(web::no_place(code, text)),
+    })
+}
--- /dev/null
+++ b/directory/src/links.rs
@@ -0,0 +1,193 @@
+//! Links to the other directory nodes, and the port they all come in by.
+
+use crate::hub::Call;
+use crate::{jobs, sessions, Desk};
+use ledger::{Identity, Member};
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use wire::{Frame, Kind, Question, Reply};
+use yard::link;
+
+const QUEUE: usize = 1024;
+
+/// One way out to each address. Invariant: a frame is sent once or dropped;
+/// whoever needs an answer asks again.
+pub struct Links {
+    me: Member,
+    source: SocketAddr,
+    /// The ledger's thread sends, too, and is not the runtime's own.
+    runtime: tokio::runtime::Handle,
+    out: Mutex<HashMap<String, mpsc::Sender<Frame>>>,
+    /// Where those who introduced themselves are to be found.
+    known: Mutex<HashMap<Identity, String>>,
+}
+
+impl Links {
+    pub fn new(me: Member, source: SocketAddr) -> Arc<Links> {
+        let runtime = tokio::runtime::Handle::current();
+        Arc::new(Links { me, source, runtime, out: Default::default(), known: Default::default() })
+    }
+
+    pub fn send_to(self: &Arc<Links>, to: Identity, frame: Frame) {
+        let address = self.known.lock().get(&to).cloned();
+        if let Some(address) = address {
+            self.send(&address, frame);
+        }
+    }
+
+    pub fn send(self: &Arc<Links>, address: &str, frame: Frame) {
+        let mut out = self.out.lock();
+        let sender = out.entry(address.to_string()).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(QUEUE);
+            self.runtime.spawn(Arc::clone(self).carry(address.to_string(), receiver));
+            sender
+        });
+        // A full queue drops the frame, as a slow network would.
+        drop(sender.try_send(frame));
+    }
+
+    async fn carry(self: Arc<Links>, address: String, mut frames: mpsc::Receiver<Frame>) {
+        let Ok(to) = address.parse() else { return };
+        loop {
+            let Some(first) = frames.recv().await else { return };
+            if let Err(error) = self.connected(to, first, &mut frames).await {
+                log::debug!(to = address.as_str(); "link: {error:#}");
+            }
+            tokio::time::sleep(yard::jitter(60)).await;
+            // What waited all that time is stale by now.
+            while frames.try_recv().is_ok() {}
+        }
+    }
+
+    async fn connected(
+        &self,
+        to: SocketAddr,
+        first: Frame,
+        frames: &mut mpsc::Receiver<Frame>,
+    ) -> anyhow::Result<()> {
+        let mut stream = link::dial(self.source, to, Kind::Directory, &self.me.name).await?;
+        link::send(&mut stream, &Frame::Introduce(self.me.clone())).await?;
+        link::send(&mut stream, &first).await?;
+        let (mut reader, mut writer) = stream.split();
+        loop {
+            tokio::select! {
+                frame = frames.recv() => {
+                    let Some(frame) = frame else { return Ok(()) };
+                    tokio::time::timeout(link::PATIENCE, link::send(&mut writer, &frame)).await??;
+                }
+                back = link::receive(&mut reader, wire::HELLO_CAP) => {
+                    match back? {
+                        Some(Frame::Refused { text }) => {
+                            log::warn!("{to} refuses this node: {text}");
+                            tokio::time::sleep(Duration::from_secs(2)).await;
+                            return Ok(());
+                        }
+                        _ => anyhow::bail!("the other side closed"),
+                    }
+                }
+            }
+        }
+    }
+}
+
+pub async fn accept(desk: Arc<Desk>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let desk = Arc::clone(&desk);
+                tokio::spawn(async move {
+                    if let Err(error) = welcome(desk, stream).await {
+                        log::info!("a connection from {from} was closed: {error:#}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("accepting failed: {error}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn welcome(desk: Arc<Desk>, mut stream: TcpStream) -> anyhow::Result<()> {
+    let (kind, name) = link::greet(&mut stream).await?;
+    match kind {
+        Kind::Directory => hear(desk, stream).await,
+        Kind::Router => sessions::serve(desk, stream, name).await,
+        Kind::Job => jobs::serve(desk, stream).await,
+        Kind::Neighbour => anyhow::bail!("{name} takes this for a router"),
+    }
+}
+
+/// Frames from another directory node.
+async fn hear(desk: Arc<Desk>, mut stream: TcpStream) -> anyhow::Result<()> {
+    while let Some(frame) = link::receive(&mut stream, wire::CAP).await? {
+        match frame {
+            Frame::Introduce(member) => {
+                desk.links.known.lock().insert(member.identity, member.address);
+            }
+            Frame::Ledger(message) => {
+                desk.hub.send(Call::Heard(message));
+            }
+            Frame::Ask { from, number, question } => {
+                desk.hub.send(Call::AskedBy(from, number, question));
+            }
+            Frame::Reply { number, reply } => {
+                desk.hub.send(Call::Replied(number, reply));
+            }
+            Frame::Fronts { fronts, .. } => desk.fronts.lock().take(fronts, false),
+            Frame::Join(member) => {
+                let reply = desk.hub.ask(Question::Admit(member)).await;
+                let text = match &reply {
+                    Reply::Unfit(text) => text.0.clone(),
+                    other => format!("{other:?}"),
+                };
+                let admitted = matches!(reply, Reply::Confirmed { .. } | Reply::Changed);
+                link::send(&mut stream, &Frame::Joined { admitted, text }).await?;
+            }
+            other => anyhow::bail!("an unexpected frame from a directory node: {other:?}"),
+        }
+    }
+    Ok(())
+}
+
+/// Asks the seeds to be let in, until this node is a member as it stands.
+pub async fn join(desk: Arc<Desk>) {
+    let mut said = String::new();
+    loop {
+        let standing = desk.hub.standing.borrow().clone();
+        let known = standing.members.get(desk.member.identity).cloned();
+        let is_blank = standing.cluster == 0;
+        let has_moved = known.is_some_and(|known| known != desk.member);
+        if is_blank || has_moved {
+            for seed in desk.seeds.iter().filter(|seed| **seed != desk.source) {
+                match ask_in(&desk, *seed).await {
+                    Ok((true, _)) => break,
+                    Ok((false, text)) if text != said => {
+                        log::info!("{seed} does not let this node in yet: {text}");
+                        said = text;
+                    }
+                    Ok(_) => {}
+                    Err(error) => log::debug!("asking {seed}: {error:#}"),
+                }
+            }
+        }
+        tokio::time::sleep(yard::jitter(if is_blank { 300 } else { 2_000 })).await;
+    }
+}
+
+async fn ask_in(desk: &Desk, seed: SocketAddr) -> anyhow::Result<(bool, String)> {
+    let mut stream = link::dial(desk.source, seed, Kind::Directory, &desk.member.name).await?;
+    link::send(&mut stream, &Frame::Join(desk.member.clone())).await?;
+    let patience = Duration::from_secs(3);
+    match tokio::time::timeout(patience, link::receive(&mut stream, wire::HELLO_CAP)).await?? {
+        Some(Frame::Joined { admitted, text }) => Ok((admitted, text)),
+        Some(Frame::Refused { text }) => Ok((false, text)),
+        other => anyhow::bail!("an unexpected answer: {other:?}"),
+    }
+}
--- /dev/null
+++ b/directory/src/sessions.rs
@@ -0,0 +1,165 @@
+//! Routers' sessions: beats in; pictures, changes, licences and company out.
+
+use crate::hub::{Call, LICENCE_MS};
+use crate::Desk;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use wire::{Answer, Frame, Front, Question, Reply};
+use yard::{link, now};
+
+/// A router that was not heard of for this long is not counted as there.
+const FRONT_AGE_MS: u64 = 3_000;
+/// Frames waiting for one router, at the most.
+const QUEUE: usize = 1024;
+
+/// The routers known here. Soft: from beats, and from what the other nodes
+/// tell of theirs. Invariant: the younger report of a router stands.
+#[derive(Default)]
+pub struct Fronts {
+    known: HashMap<String, (Front, u64, bool)>,
+    beats: Vec<(mpsc::Sender<Frame>, u64, u64)>,
+}
+
+impl Fronts {
+    pub fn take(&mut self, fronts: Vec<Front>, is_here: bool) {
+        let at = now();
+        for front in fronts {
+            let heard = at.saturating_sub(front.age_ms);
+            let is_younger =
+                self.known.get(&front.name).is_none_or(|(_, before, _)| *before <= heard);
+            if is_younger && front.age_ms < FRONT_AGE_MS {
+                self.known.insert(front.name.clone(), (front, heard, is_here));
+            }
+        }
+        self.known.retain(|_, (_, heard, _)| at - *heard < FRONT_AGE_MS);
+    }
+
+    pub fn list(&self, only_here: bool) -> Vec<Front> {
+        let at = now();
+        let mut list: Vec<Front> = self
+            .known
+            .values()
+            .filter(|(_, heard, is_here)| {
+                at.saturating_sub(*heard) < FRONT_AGE_MS && (*is_here || !only_here)
+            })
+            .map(|(front, heard, _)| Front { age_ms: at.saturating_sub(*heard), ..front.clone() })
+            .collect();
+        list.sort_by(|a, b| a.name.cmp(&b.name));
+        list
+    }
+}
+
+pub async fn serve(desk: Arc<Desk>, stream: TcpStream, name: String) -> anyhow::Result<()> {
+    let (mut reader, mut writer) = stream.into_split();
+    let (out, mut queue) = mpsc::channel::<Frame>(QUEUE);
+    if desk.hub.standing.borrow().cluster == 0 {
+        let text = "this node belongs to no cluster yet".into();
+        return link::send(&mut writer, &Frame::Refused { text }).await;
+    }
+    if !desk.hub.send(Call::Attach(out.clone())) {
+        anyhow::bail!("the ledger's ring is full");
+    }
+    log::info!(router = name.as_str(); "router session begins");
+    let company = out.downgrade();
+    let teller = Arc::clone(&desk);
+    let told = tokio::spawn(async move {
+        // Weak, so that the session ends when the ledger lets go of it.
+        while let Some(out) = company.upgrade() {
+            let frame = Frame::Company {
+                fronts: teller.fronts.lock().list(false),
+                directories: teller.hub.standing.borrow().members.all().cloned().collect(),
+            };
+            drop(out.try_send(frame));
+            drop(out);
+            tokio::time::sleep(yard::jitter(700)).await;
+        }
+    });
+    let _told = yard::roster::Aborting(told.abort_handle());
+    let writing = async {
+        while let Some(frame) = queue.recv().await {
+            tokio::time::timeout(link::PATIENCE * 2, link::send(&mut writer, &frame)).await??;
+        }
+        anyhow::Ok(())
+    };
+    let reading = async {
+        while let Some(frame) = link::receive(&mut reader, 1 << 20).await? {
+            match frame {
+                Frame::Beat { number, front, .. } => {
+                    let mut fronts = desk.fronts.lock();
+                    fronts.take(vec![front], true);
+                    fronts.beats.push((out.clone(), number, now()));
+                }
+                Frame::Resolve { number, tenant, service, region } => {
+                    desk.counters.one("resolves");
+                    let answer = resolve(&desk, &tenant, &service, &region);
+                    drop(out.try_send(Frame::Resolved { number, answer }));
+                }
+                other => anyhow::bail!("an unexpected frame from a router: {other:?}"),
+            }
+        }
+        anyhow::Ok(())
+    };
+    tokio::select! {
+        done = writing => done,
+        done = reading => done,
+    }
+}
+
+fn resolve(desk: &Desk, tenant: &str, service: &str, region: &str) -> Answer {
+    if !desk.hub.is_recent() {
+        return Answer::Later;
+    }
+    match desk.hub.state.read().resolve(tenant, service, region) {
+        Ok(mapping) => Answer::Mapping(mapping),
+        Err((code, text)) => Answer::None { code: code.into(), text: text.as_str().into() },
+    }
+}
+
+/// Has the leader confirmed, again and again, for all beats that came in; one
+/// question is under way at a time.
+pub async fn confirm(desk: Arc<Desk>) {
+    let mut last = 0;
+    loop {
+        let (beats, at) = (std::mem::take(&mut desk.fronts.lock().beats), now());
+        if beats.is_empty() && at < last + 300 {
+            tokio::time::sleep(Duration::from_millis(15)).await;
+            continue;
+        }
+        last = at;
+        match desk.hub.ask(Question::Confirm { demands: Vec::new() }).await {
+            Reply::Confirmed { index, shares } => {
+                desk.hub.note_confirmed(at);
+                for (out, number, _) in beats {
+                    let licence = Frame::Licence { number, epoch: index, shares: Vec::new() };
+                    drop(out.try_send(licence));
+                }
+                drop(shares);
+            }
+            _ => {
+                // The beats keep their place while they are of any use.
+                let of_use = beats.into_iter().filter(|(_, _, came)| at < came + LICENCE_MS);
+                desk.fronts.lock().beats.extend(of_use);
+                tokio::time::sleep(Duration::from_millis(40)).await;
+            }
+        }
+    }
+}
+
+/// Tells the other nodes which routers beat here.
+pub async fn gossip(desk: Arc<Desk>) {
+    loop {
+        let fronts = desk.fronts.lock().list(true);
+        let standing = desk.hub.standing.borrow().clone();
+        for member in standing.members.all() {
+            if member.identity != desk.member.identity {
+                let from = desk.member.identity;
+                let fronts = fronts.clone();
+                desk.links.send(&member.address, Frame::Fronts { from, fronts });
+            }
+        }
+        tokio::time::sleep(yard::jitter(300)).await;
+    }
+}
--- a/language/src/extract.rs
+++ b/language/src/extract.rs
@@ -1,6 +1,6 @@
 //! Reading a job's tenant key, service and prefix by the compiled rules.
 
-use crate::{find, Find, Program, Source, Target, BODY_CAP};
+use crate::{find, Find, Program, Source, Target};
 use sha2::{Digest, Sha256};
 
 /// The head of a job, as the door saw it. `header` is handed the lower-case
@@ -36,6 +36,13 @@
     }
 }
 
+/// Invariant: a body that has ended, or has reached the cap, grows no more.
+struct Body<'a> {
+    text: &'a [u8],
+    ended: bool,
+    may_grow: bool,
+}
+
 /// The digest under which a tenant key is kept and compared.
 pub fn fingerprint(key: &str) -> String {
     Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
@@ -69,7 +76,7 @@
     String::from_utf8(bytes).ok()
 }
 
-fn read(source: &Source, head: &Head, body: &[u8], ended: bool) -> Field {
+fn read(source: &Source, head: &Head, body: &Body) -> Field {
     let value = match source {
         Source::Header(name) => (head.header)(name),
         Source::Bearer => (head.header)("authorization").and_then(|value| {
@@ -83,11 +90,9 @@
             let (left, right) = pair.split_once('=')?;
             (left == name).then(|| unescaped(right))?
         }),
-        Source::Body(path) => match find(&body[..body.len().min(BODY_CAP)], path, ended) {
+        Source::Body(path) => match find(body.text, path, body.ended) {
             Find::Found { raw, whole: true } => decoded(&raw),
-            Find::Found { whole: false, .. } | Find::More if body.len() < BODY_CAP => {
-                return Field::Wanted
-            }
+            Find::Found { whole: false, .. } | Find::More if body.may_grow => return Field::Wanted,
             _ => None,
         },
     };
@@ -97,39 +102,52 @@
     }
 }
 
-fn prefix(source: &Source, length: usize, head: &Head, body: &[u8], ended: bool) -> Option<u64> {
+fn prefix(source: &Source, length: usize, head: &Head, body: &Body) -> Option<u64> {
     let Source::Body(path) = source else {
-        return match read(source, head, body, ended) {
+        return match read(source, head, body) {
             Field::Known(text) => Some(mark(&text.as_bytes()[..text.len().min(length)])),
             _ => Some(0),
         };
     };
-    match find(&body[..body.len().min(BODY_CAP)], path, ended) {
-        Find::Found { raw, whole } if whole || raw.len() >= length || body.len() >= BODY_CAP => {
+    match find(body.text, path, body.ended) {
+        Find::Found { raw, whole } if whole || raw.len() >= length || !body.may_grow => {
             Some(mark(&raw[..raw.len().min(length)]))
         }
-        Find::Found { .. } | Find::More if body.len() < BODY_CAP => None,
+        Find::Found { .. } | Find::More if body.may_grow => None,
         _ => Some(0),
     }
 }
 
 impl Program {
     /// Reads the key of a job on `route` from its head and as much of its
-    /// body as is there. `ended` says that the body is complete.
-    pub fn extract(&self, route: usize, head: &Head, body: &[u8], ended: bool) -> Extract {
+    /// body as is there. `ended` says that the body is complete; past `cap`
+    /// none of it is looked at.
+    pub fn extract(
+        &self,
+        route: usize,
+        head: &Head,
+        body: &[u8],
+        ended: bool,
+        cap: usize,
+    ) -> Extract {
         let route = &self.routes[route];
         let door = &self.doors[route.door];
+        let body = Body {
+            text: &body[..body.len().min(cap)],
+            ended: ended && body.len() <= cap,
+            may_grow: !ended && body.len() < cap,
+        };
         let service = match (&route.target, &door.model) {
             (Target::Service(name), _) => Field::Known(name.clone()),
-            (Target::Model, Some(source)) => read(source, head, body, ended),
+            (Target::Model, Some(source)) => read(source, head, &body),
             (Target::Model, None) => Field::Missing,
         };
         Extract {
-            tenant: read(&door.tenant, head, body, ended),
+            tenant: read(&door.tenant, head, &body),
             service,
             prefix: match &route.prefix {
                 None => Some(0),
-                Some((source, length)) => prefix(source, *length, head, body, ended),
+                Some((source, length)) => prefix(source, *length, head, &body),
             },
         }
     }
--- a/ledger/src/pack.rs
+++ b/ledger/src/pack.rs
@@ -19,6 +19,8 @@
     Ok(bytes)
 }
 
+// binrw hands the field itself over, which is a `Vec`.
+#[allow(clippy::ptr_arg)]
 #[binrw::writer(writer, endian)]
 pub fn write_bytes(bytes: &Vec<u8>) -> BinResult<()> {
     (bytes.len() as u32).write_options(writer, endian, ())?;
--- a/placement/src/job.rs
+++ b/placement/src/job.rs
@@ -96,6 +96,7 @@
 /// unless the engine itself declined it; `may_have_run` falls back to false
 /// only by the word of who had the job; after an answer byte there is no
 /// further round.
+#[derive(Clone, Copy)]
 pub struct Job {
     state: State,
     is_repeatable: bool,
--- a/residency/src/lib.rs
+++ b/residency/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use book::{merge, parse_text, Book, Service, Tenant};
 pub use state::{Command, Outcome, State, Submission, SUBMISSIONS_KEPT};
-pub use view::{Cell, Engine, EngineState, Event, Place, Touch, View};
+pub use view::{Cell, Engine, EngineState, Event, Place, Terms, Touch, View};
 
 use binrw::binrw;
 use ledger::pack::{read_list, read_text, write_list, write_text};
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -1,6 +1,8 @@
 //! Applying what was agreed on.
 
-use crate::{book, key, Book, Engine, EngineState, Event, Mapping, Name, Place, Touch, View};
+use crate::{
+    book, key, Book, Engine, EngineState, Event, Mapping, Name, Place, Terms, Touch, View,
+};
 use binrw::binrw;
 use ledger::pack::{packed, read_list, read_text, unpacked, write_list, write_text};
 use simd_json::prelude::*;
@@ -32,6 +34,8 @@
     Engine(Engine),
     #[brw(magic = 4u8)]
     EngineGone(Name),
+    #[brw(magic = 10u8)]
+    EngineState { name: Name, state: EngineState },
     #[brw(magic = 5u8)]
     Evacuate(Name),
     #[brw(magic = 6u8)]
@@ -134,7 +138,7 @@
     fn default() -> State {
         let document = OwnedValue::object();
         State {
-            book: Book::read(&document).ok().expect("an empty book reads"),
+            book: Book::read(&document).expect("an empty book reads"),
             document,
             view: View::default(),
             pins: BTreeMap::new(),
@@ -148,7 +152,7 @@
     match command {
         Command::Revise { .. } => 0,
         Command::Key(_) | Command::KeyGone(_) => 1,
-        Command::Engine(_) | Command::EngineGone(_) => 2,
+        Command::Engine(_) | Command::EngineGone(_) | Command::EngineState { .. } => 2,
         Command::Evacuate(_) | Command::GiveBack(_) => 3,
         Command::Move { .. } | Command::Settle { .. } | Command::Unpin { .. } => 4,
     }
@@ -277,12 +281,13 @@
                         events.push(Event::KeyGone(Name(digest.clone())));
                     }
                 }
-                let pace = |(name, tenant): (&String, &book::Tenant)| crate::view::TenantPace {
+                let terms = |(name, tenant): (&String, &book::Tenant)| Terms {
                     tenant: name.clone(),
                     pace: tenant.pace,
                     burst: tenant.burst,
+                    homes: tenant.homes.iter().cloned().map(Name).collect(),
                 };
-                events.push(Event::Paces(book.tenants.iter().map(pace).collect()));
+                events.push(Event::Tenants(book.tenants.iter().map(terms).collect()));
                 events.push(Event::Touched(Touch::All));
                 Ok(events)
             }
@@ -332,6 +337,13 @@
                 true => Ok(self.engine_events(&name.0, None)),
                 false => Err(format!("there is no engine {name}")),
             },
+            Command::EngineState { name, state } => match self.view.engines.get(&name.0) {
+                Some(engine) => {
+                    let engine = Engine { state: *state, ..engine.clone() };
+                    Ok(self.engine_events(&name.0, Some(&engine)))
+                }
+                None => Err(format!("there is no engine {name}")),
+            },
             Command::Evacuate(zone) | Command::GiveBack(zone) => {
                 if !self.book.zones.contains_key(&zone.0) {
                     return Err(format!("there is no zone {zone}"));
--- a/residency/src/view.rs
+++ b/residency/src/view.rs
@@ -113,24 +113,29 @@
     GivenBack(crate::Name),
     #[brw(magic = 8u8)]
     Touched(Touch),
-    /// Tenants with their pace and burst, in place of what was.
+    /// The terms of all tenants, in place of what was.
     #[brw(magic = 9u8)]
-    Paces(
+    Tenants(
         #[br(parse_with = read_list)]
         #[bw(write_with = write_list)]
-        Vec<TenantPace>,
+        Vec<Terms>,
     ),
 }
 
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
-pub struct TenantPace {
+pub struct Terms {
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub tenant: String,
+    /// Jobs a second; 0 stands for no quota.
     pub pace: u64,
     pub burst: u64,
+    /// Empty stands for any region.
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub homes: Vec<crate::Name>,
 }
 
 pub struct Cell {
@@ -150,7 +155,7 @@
     pub keys: BTreeMap<String, String>,
     pub engines: BTreeMap<String, Engine>,
     pub evacuated: BTreeSet<String>,
-    pub paces: BTreeMap<String, (u64, u64)>,
+    pub tenants: BTreeMap<String, Terms>,
 }
 
 impl Default for View {
@@ -158,13 +163,13 @@
         View {
             epoch: 0,
             rules: String::new(),
-            program: std::sync::Arc::new(language::compile("").ok().expect("no rules compile")),
+            program: std::sync::Arc::new(language::compile("").expect("no rules compile")),
             zones: BTreeMap::new(),
             cells: BTreeMap::new(),
             keys: BTreeMap::new(),
             engines: BTreeMap::new(),
             evacuated: BTreeSet::new(),
-            paces: BTreeMap::new(),
+            tenants: BTreeMap::new(),
         }
     }
 }
@@ -227,8 +232,9 @@
                 self.evacuated.remove(&zone.0);
             }
             Event::Touched(_) => {}
-            Event::Paces(list) => {
-                self.paces = list.iter().map(|p| (p.tenant.clone(), (p.pace, p.burst))).collect();
+            Event::Tenants(list) => {
+                self.tenants =
+                    list.iter().map(|terms| (terms.tenant.clone(), terms.clone())).collect();
             }
         }
     }
@@ -236,15 +242,10 @@
     /// Events that make an empty view the same as this one.
     pub fn picture(&self) -> Vec<Event> {
         let name = |text: &String| crate::Name(text.clone());
-        let pace = |(tenant, (pace, burst)): (&String, &(u64, u64))| TenantPace {
-            tenant: tenant.clone(),
-            pace: *pace,
-            burst: *burst,
-        };
         let mut events = vec![
             Event::Rules(name(&self.rules)),
             Event::Places { zones: places(&self.zones), cells: places(&self.cells) },
-            Event::Paces(self.paces.iter().map(pace).collect()),
+            Event::Tenants(self.tenants.values().cloned().collect()),
         ];
         events.extend(places(&self.keys).into_iter().map(Event::Key));
         events.extend(self.engines.values().cloned().map(Event::Engine));
--- /dev/null
+++ b/router/src/company.rs
@@ -0,0 +1,179 @@
+//! The other routers and the directory nodes, as last heard; and the region's
+//! shared cache, spread over its routers.
+
+use crate::Router;
+use ledger::Member;
+use parking_lot::Mutex;
+use placement::Hit;
+use residency::Mapping;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use wire::{Frame, Front, Kind};
+use yard::link;
+
+/// A neighbour that takes longer is a miss.
+const LOOK_PATIENCE: Duration = Duration::from_millis(60);
+
+type Looks = Arc<Mutex<HashMap<u64, oneshot::Sender<Option<Mapping>>>>>;
+
+/// Soft knowledge, replaced whenever a directory node tells it anew.
+#[derive(Default)]
+pub struct Company {
+    pub fronts: Vec<Front>,
+    pub directories: Vec<Member>,
+    links: Mutex<HashMap<SocketAddr, Neighbour>>,
+}
+
+#[derive(Clone)]
+struct Neighbour {
+    out: mpsc::Sender<Frame>,
+    looks: Looks,
+}
+
+/// The router that holds a key's share of the region's cache, by rendezvous
+/// over those of the region. `None`: this one.
+fn owner(router: &Router, key: &str) -> Option<SocketAddr> {
+    let number = |text: &str| {
+        let digest = language::fingerprint(text);
+        u64::from_str_radix(&digest[..16], 16).expect("sixteen hexadecimal digits")
+    };
+    let company = router.company.read();
+    let own = (router.boot.name.as_str(), None);
+    let others = company
+        .fronts
+        .iter()
+        .filter(|front| front.region == router.boot.region && front.is_leaving == 0)
+        .filter(|front| front.name != router.boot.name)
+        .filter_map(|front| Some((front.name.as_str(), Some(front.address.parse().ok()?))));
+    let key = number(key);
+    std::iter::once(own)
+        .chain(others)
+        .max_by_key(|(name, _)| placement::rank(key, number(name)))
+        .and_then(|(_, address)| address)
+}
+
+fn neighbour(router: &Arc<Router>, to: SocketAddr) -> Neighbour {
+    let company = router.company.read();
+    let mut links = company.links.lock();
+    if let Some(known) = links.get(&to).filter(|known| !known.out.is_closed()) {
+        return known.clone();
+    }
+    let (out, queue) = mpsc::channel(256);
+    let fresh = Neighbour { out, looks: Looks::default() };
+    links.insert(to, fresh.clone());
+    let (name, source, looks) =
+        (router.boot.name.clone(), router.boot.address, Arc::clone(&fresh.looks));
+    tokio::spawn(async move {
+        if let Err(error) = carry(source, to, &name, queue, looks).await {
+            log::debug!("neighbour {to}: {error:#}");
+        }
+    });
+    fresh
+}
+
+async fn carry(
+    source: SocketAddr,
+    to: SocketAddr,
+    name: &str,
+    mut queue: mpsc::Receiver<Frame>,
+    looks: Looks,
+) -> anyhow::Result<()> {
+    let stream = link::dial(source, to, Kind::Neighbour, name).await?;
+    let (mut reader, mut writer) = stream.into_split();
+    loop {
+        tokio::select! {
+            frame = queue.recv() => {
+                let Some(frame) = frame else { return Ok(()) };
+                link::send(&mut writer, &frame).await?;
+            }
+            frame = link::receive(&mut reader, 1 << 20) => match frame? {
+                Some(Frame::Seen { number, mapping }) => {
+                    if let Some(sender) = looks.lock().remove(&number) {
+                        drop(sender.send(mapping.into_iter().next()));
+                    }
+                }
+                other => anyhow::bail!("an unexpected frame: {other:?}"),
+            },
+        }
+    }
+}
+
+/// Looks a key up in the region's layer. Failing is a miss.
+pub async fn look(router: &Arc<Router>, key: &str) -> Hit<Mapping> {
+    let Some(to) = owner(router, key) else { return router.layers.share(key) };
+    let neighbour = neighbour(router, to);
+    let number = rand::random();
+    let (sender, receiver) = oneshot::channel();
+    neighbour.looks.lock().insert(number, sender);
+    let epoch = router.view.borrow().epoch;
+    drop(neighbour.out.try_send(Frame::Look { number, key: key.into(), epoch }));
+    let seen = tokio::time::timeout(LOOK_PATIENCE, receiver).await;
+    neighbour.looks.lock().remove(&number);
+    match seen {
+        Ok(Ok(Some(mapping))) if mapping.key() == key && !router.layers.is_void(&mapping) => {
+            match mapping.fresh_ms > 0 {
+                true => Hit::Fresh(mapping),
+                false => Hit::Stale(mapping),
+            }
+        }
+        Ok(Ok(_)) => Hit::Miss,
+        _ => {
+            router.counters.one("neighbours-silent");
+            Hit::Miss
+        }
+    }
+}
+
+/// Writes a mapping to both layers.
+pub fn keep(router: &Arc<Router>, mapping: &Mapping) {
+    router.layers.keep_own(mapping);
+    match owner(router, &mapping.key()) {
+        None => router.layers.keep_share(mapping),
+        Some(to) => drop(neighbour(router, to).out.try_send(Frame::Keep(mapping.clone()))),
+    }
+}
+
+pub async fn accept(router: Arc<Router>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let router = Arc::clone(&router);
+                tokio::spawn(async move {
+                    if let Err(error) = serve(router, stream).await {
+                        log::info!("a connection from {from} was closed: {error:#}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("accepting failed: {error}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve(router: Arc<Router>, mut stream: TcpStream) -> anyhow::Result<()> {
+    let (kind, name) = link::greet(&mut stream).await?;
+    anyhow::ensure!(kind == Kind::Neighbour, "{name} takes this for a directory node");
+    while let Some(frame) = link::receive(&mut stream, 1 << 20).await? {
+        match frame {
+            Frame::Look { number, key, epoch } => {
+                // A share that is behind the asker does not know what is void.
+                let is_behind = router.view.borrow().epoch < epoch;
+                let hit = if is_behind { Hit::Miss } else { router.layers.share(&key) };
+                let mapping = match hit {
+                    Hit::Fresh(mapping) | Hit::Stale(mapping) => vec![mapping],
+                    Hit::Miss => Vec::new(),
+                };
+                link::send(&mut stream, &Frame::Seen { number, mapping }).await?;
+            }
+            Frame::Keep(mapping) => router.layers.keep_share(&mapping),
+            other => anyhow::bail!("an unexpected frame from a neighbour: {other:?}"),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/router/src/door.rs
@@ -0,0 +1,443 @@
+//! The doors: a caller's job from its head to its answer.
+
+use crate::forward::{self, Handed};
+use crate::{company, Router};
+use bytes::BytesMut;
+use dropshot::{Body, HttpServer};
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
+use language::{Extract, Field, Head, Source, Target, BODY_CAP};
+use placement::{Event, Hit, Job};
+use residency::{Mapping, View};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::Answer;
+use yard::dispatch::{step, Carried, Parts, Rest};
+use yard::now;
+use yard::web::{self, Refusal, Request, Response, JOB};
+
+/// How long the part of a body that holds the key may take.
+const HEAD_PATIENCE: Duration = Duration::from_secs(10);
+/// How long a job waits for the mapping that another one asks for.
+const JOIN_PATIENCE: Duration = Duration::from_millis(1_500);
+const RESOLVE_PATIENCE: Duration = Duration::from_millis(1_000);
+
+pub fn serve(router: Arc<Router>) -> anyhow::Result<HttpServer<web::Handler>> {
+    let (address, cap) = (router.boot.door, router.boot.body);
+    let handler: web::Handler = Arc::new(move |request, from| {
+        let router = Arc::clone(&router);
+        Box::pin(async move { answer(router, request, from).await })
+    });
+    web::serve(address, cap, handler)
+}
+
+/// The caller's own id for its job, where it is fit for logs, or a drawn one.
+fn job_id(request: &Request) -> String {
+    let fits = |id: &&str| {
+        (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
+    };
+    let given = request.headers().get(JOB).and_then(|value| value.to_str().ok()).filter(fits);
+    given.map_or_else(|| format!("{:016x}", rand::random::<u64>()), String::from)
+}
+
+async fn answer(router: Arc<Router>, request: Request, _from: SocketAddr) -> Response {
+    let id = job_id(&request);
+    if request.uri().path() == "/where" {
+        return whereabouts(&router, &request).unwrap_or_else(|refusal| refusal.response(&id));
+    }
+    router.counters.one("jobs");
+    let under_way = Arc::clone(&router.under_way);
+    match take(&router, request, &id).await {
+        Ok(response) => {
+            let (mut head, body) = response.into_parts();
+            if let Ok(id) = id.parse() {
+                head.headers.insert(JOB, id);
+            }
+            // The job is under way until its last byte is out.
+            let body = body.map_err(move |error| {
+                let _ = &under_way;
+                error
+            });
+            Response::from_parts(head, Body::wrap(body))
+        }
+        Err(refusal) => {
+            router.counters.one(match refusal.outcome {
+                placement::Outcome::NotRun => "refused-not-run",
+                _ => "refused-unknown",
+            });
+            log::info!(job = id.as_str(), code = refusal.code.as_str(),
+                outcome = refusal.outcome.to_string(); "refused: {}", refusal.text);
+            refusal.response(&id)
+        }
+    }
+}
+
+struct Reader<'a> {
+    view: &'a View,
+    parts: &'a http::request::Parts,
+}
+
+impl Reader<'_> {
+    fn with<T>(&self, ask: impl FnOnce(&Head) -> T) -> T {
+        let header = |name: &str| self.parts.headers.get(name)?.to_str().ok().map(String::from);
+        ask(&Head {
+            method: self.parts.method.as_str(),
+            path: self.parts.uri.path(),
+            query: self.parts.uri.query().unwrap_or(""),
+            header: &header,
+        })
+    }
+
+    fn extract(&self, route: usize, body: &[u8], is_ended: bool) -> Extract {
+        self.with(|head| self.view.program.extract(route, head, body, is_ended, BODY_CAP))
+    }
+
+    /// The tenant of a key that was read; an unknown key goes no further.
+    fn tenant(&self, extract: &Extract) -> Result<Option<String>, Refusal> {
+        let Field::Known(key) = &extract.tenant else { return Ok(None) };
+        match self.view.keys.get(&language::fingerprint(key)) {
+            Some(tenant) => Ok(Some(tenant.clone())),
+            None => Err(Refusal::not_run(401, "unknown-key", "this tenant key is not known")),
+        }
+    }
+}
+
+async fn take(router: &Arc<Router>, request: Request, id: &str) -> Result<Response, Refusal> {
+    let arrived = now();
+    router.leave()?;
+    if router.is_leaving.load(Ordering::Relaxed) {
+        let text = "this router is stopping; ask another";
+        return Err(Refusal::not_run(503, "leaving", text).retry(1_000));
+    }
+    let (head, mut body) = request.into_parts();
+    let view = router.view.borrow().clone();
+    let reader = Reader { view: &view, parts: &head };
+    let Some(route) = reader.with(|head| view.program.route(head)) else {
+        return Err(Refusal::not_run(404, "no-route", "no route fits this method and path"));
+    };
+    let announced = body.size_hint().lower();
+    if announced > router.boot.body as u64 {
+        let text = format!("a body holds {} bytes at the most", router.boot.body);
+        return Err(Refusal::not_run(413, "long-body", text));
+    }
+    let rule = &view.program.routes[route];
+    let mut job = Job::new(rule.repeatable);
+    let asked = head.headers.get("x-deadline-ms").and_then(|v| v.to_str().ok()?.parse().ok());
+    let deadline = arrived + rule.deadline_ms.min(asked.unwrap_or(u64::MAX));
+
+    // The head alone may settle who calls, before a byte of body is read.
+    let mut held = BytesMut::new();
+    let mut is_ended = body.is_end_stream();
+    let mut extract = reader.extract(route, &held, is_ended);
+    let mut tenant = reader.tenant(&extract)?;
+    let door = &view.program.doors[rule.door];
+    if extract.tenant == Field::Missing && door.tenant.is_cheap() {
+        let text = format!("door {} finds no tenant key where it should stand", door.name);
+        return Err(Refusal::not_run(401, "no-key", text));
+    }
+    let until = tokio::time::Instant::now() + HEAD_PATIENCE;
+    while !extract.is_settled() && !is_ended && held.len() < BODY_CAP {
+        match tokio::time::timeout_at(until, body.frame()).await {
+            Err(_) => {
+                let text = "the part of the body that holds the key came too slowly";
+                return Err(Refusal::not_run(408, "slow-body", text));
+            }
+            Ok(None) => is_ended = true,
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    held.extend_from_slice(&data);
+                }
+                is_ended = body.is_end_stream();
+            }
+            Ok(Some(Err(error))) => {
+                let text = format!("the body can't be read: {error}");
+                return Err(Refusal::not_run(400, "broken-body", text));
+            }
+        }
+        extract = reader.extract(route, &held, is_ended);
+        if tenant.is_none() {
+            tenant = reader.tenant(&extract)?;
+        }
+    }
+    step(&mut job, Event::KeyRead);
+    let is_past_cap = !is_ended && held.len() >= BODY_CAP;
+    let rest = (!is_ended).then(|| rest_of(body, router.boot.body.saturating_sub(held.len())));
+    let mut carried = Carried::new(held.freeze(), rest);
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_string();
+    let parts = Parts {
+        id: id.into(),
+        method: head.method.clone(),
+        target,
+        headers: head.headers.clone(),
+        deadline,
+    };
+    let (tenant, service) = match (&tenant, &extract.service) {
+        (Some(tenant), Field::Known(service)) => (tenant.clone(), service.clone()),
+        _ if is_past_cap => return unkeyed(router, job, &parts, &mut carried, &view, tenant).await,
+        (None, _) => {
+            let text = format!("door {} finds no tenant key in this body", door.name);
+            return Err(Refusal::not_run(401, "no-key", text));
+        }
+        _ => {
+            let place = match (&rule.target, &door.model) {
+                (Target::Model, Some(Source::Body(path))) => {
+                    format!("body field {}", path.join("."))
+                }
+                _ => "where the door looks for it".to_string(),
+            };
+            let text = format!("no model is to be found: {place}");
+            return Err(Refusal::not_run(400, "no-model", text));
+        }
+    };
+    let keyed = Keyed { tenant, service, prefix: extract.prefix.unwrap_or(0) };
+    route_keyed(router, job, &parts, carried, &keyed).await
+}
+
+/// The rest of a caller's body, with a bound on its length.
+fn rest_of(body: Body, left: usize) -> Rest {
+    let limited = http_body_util::Limited::new(body, left);
+    limited.map_err(|error| anyhow::anyhow!("{error}")).boxed_unsync()
+}
+
+struct Keyed {
+    tenant: String,
+    service: String,
+    prefix: u64,
+}
+
+/// A job whose key lies past the cap: the whole of it goes to a directory node
+/// that may see its body.
+async fn unkeyed(
+    router: &Arc<Router>,
+    mut job: Job,
+    parts: &Parts,
+    carried: &mut Carried,
+    view: &View,
+    tenant: Option<String>,
+) -> Result<Response, Refusal> {
+    router.counters.one("unkeyed");
+    let terms = tenant.and_then(|tenant| view.tenants.get(&tenant));
+    let homes = terms.map_or(&[][..], |terms| &terms.homes[..]);
+    let nodes = forward::permitted(router, homes);
+    match forward::hand(router, &mut job, parts, carried, &nodes, None).await {
+        Handed::Answer(response) => Ok(response),
+        Handed::Refused(refusal) => Err(refusal),
+        Handed::Mapped(_) | Handed::Nobody => {
+            let text = "its key is not to be found early enough, and no directory node may see it";
+            Err(Refusal::not_run(503, "no-directory", text).retry(2_000))
+        }
+    }
+}
+
+async fn route_keyed(
+    router: &Arc<Router>,
+    mut job: Job,
+    parts: &Parts,
+    mut carried: Carried,
+    keyed: &Keyed,
+) -> Result<Response, Refusal> {
+    let key = residency::key(&keyed.tenant, &keyed.service);
+    for _ in 0..3 {
+        let mapping = match known(router, &key, keyed).await {
+            Some(mapping) => mapping,
+            None => match missed(router, &mut job, parts, &mut carried, &key, keyed).await? {
+                Missed::Mapping(mapping) => mapping,
+                Missed::Answer(response) => return Ok(response),
+            },
+        };
+        let mut chart = job;
+        step(&mut chart, Event::MappingFound);
+        let work =
+            router.dispatcher.dispatch(&mut chart, parts, &mut carried, &mapping, keyed.prefix);
+        match work.await {
+            Ok(answer) => {
+                let mut response = hyper::Response::new(Body::wrap(answer.body));
+                *response.status_mut() = answer.status;
+                *response.headers_mut() = answer.headers;
+                return Ok(response);
+            }
+            // Looked up anew while nothing has been sent.
+            Err(refusal) if refusal.code == "mapping-void" && carried.is_whole() => {}
+            Err(refusal) => return Err(refusal),
+        }
+    }
+    let text = "where this job may go keeps changing";
+    Err(Refusal::not_run(503, "mapping-void", text).retry(1_000))
+}
+
+/// What the two layers hold. A stale hit is used at once and refreshed behind.
+async fn known(router: &Arc<Router>, key: &str, keyed: &Keyed) -> Option<Mapping> {
+    let count = |name| router.counters.one(name);
+    match router.layers.own(key) {
+        Hit::Fresh(mapping) => {
+            count("own-fresh");
+            return Some(mapping);
+        }
+        Hit::Stale(mapping) => {
+            count("own-stale");
+            refresh(router, key, keyed);
+            return Some(mapping);
+        }
+        Hit::Miss => {}
+    }
+    match company::look(router, key).await {
+        Hit::Fresh(mapping) => {
+            count("shared-fresh");
+            router.layers.keep_own(&mapping);
+            Some(mapping)
+        }
+        Hit::Stale(mapping) => {
+            count("shared-stale");
+            refresh(router, key, keyed);
+            Some(mapping)
+        }
+        Hit::Miss => {
+            count("misses");
+            None
+        }
+    }
+}
+
+/// Asks for a key behind the job that used its stale mapping.
+fn refresh(router: &Arc<Router>, key: &str, keyed: &Keyed) {
+    let Ok(asker) = router.layers.ask(key) else { return };
+    let (router, tenant, service) =
+        (Arc::clone(router), keyed.tenant.clone(), keyed.service.clone());
+    tokio::spawn(async move {
+        tokio::time::sleep(yard::jitter(20)).await;
+        router.counters.one("refreshes");
+        let region = &router.boot.region;
+        let answer = router.questions.resolve(&tenant, &service, region, RESOLVE_PATIENCE).await;
+        if let Answer::Mapping(mapping) = answer {
+            company::keep(&router, &mapping);
+            asker.bring(&mapping);
+        }
+    });
+}
+
+enum Missed {
+    Mapping(Mapping),
+    Answer(Response),
+}
+
+/// A miss: one job per key goes to a directory node, the others wait for the
+/// mapping that it brings.
+async fn missed(
+    router: &Arc<Router>,
+    job: &mut Job,
+    parts: &Parts,
+    carried: &mut Carried,
+    key: &str,
+    keyed: &Keyed,
+) -> Result<Missed, Refusal> {
+    let asker = loop {
+        match router.layers.ask(key) {
+            Ok(asker) => break asker,
+            Err(mut brought) => {
+                router.counters.one("joined");
+                let wait = brought.wait_for(|mapping| mapping.is_some());
+                match tokio::time::timeout(JOIN_PATIENCE, wait).await {
+                    Ok(Ok(mapping)) => {
+                        let mapping = mapping.clone().expect("waited for");
+                        if !router.layers.is_void(&mapping) {
+                            return Ok(Missed::Mapping(mapping));
+                        }
+                    }
+                    // The asker went without a mapping; become the asker.
+                    Ok(Err(_)) => {}
+                    Err(_) => {
+                        let text = "the mapping of this key did not come in time";
+                        return Err(Refusal::not_run(503, "no-mapping", text).retry(1_000));
+                    }
+                }
+            }
+        }
+        if now() >= parts.deadline {
+            return Err(Refusal::not_run(504, "deadline", "the job's deadline passed"));
+        }
+    };
+    let view = router.view.borrow().clone();
+    let terms = view.tenants.get(&keyed.tenant);
+    let nodes = forward::permitted(router, terms.map_or(&[], |terms| &terms.homes));
+    match forward::hand(router, job, parts, carried, &nodes, Some(&asker)).await {
+        Handed::Answer(response) => return Ok(Missed::Answer(response)),
+        Handed::Mapped(mapping) => return Ok(Missed::Mapping(mapping)),
+        Handed::Refused(refusal) => return Err(refusal),
+        Handed::Nobody => {}
+    }
+    // No node may see the body: the key alone, to whichever holds the session.
+    router.counters.one("key-only");
+    let region = &router.boot.region;
+    match router.questions.resolve(&keyed.tenant, &keyed.service, region, RESOLVE_PATIENCE).await {
+        Answer::Mapping(mapping) => {
+            company::keep(router, &mapping);
+            asker.bring(&mapping);
+            Ok(Missed::Mapping(mapping))
+        }
+        Answer::None { code, text } => Err(web::no_place(&code.0, text.0)),
+        Answer::Later => {
+            let text = "no directory node can answer for this key now";
+            Err(Refusal::not_run(503, "no-directory", text).retry(1_000))
+        }
+    }
+}
+
+/// Which routers a caller may use, the nearest first.
+fn whereabouts(router: &Router, request: &Request) -> Result<Response, Refusal> {
+    router.leave()?;
+    let view = router.view.borrow().clone();
+    let headers = request.headers();
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let bearer = text("authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let Some(key) = text("x-tenant-key").or(bearer) else {
+        let text = "the tenant key stands in x-tenant-key or as a bearer token";
+        return Err(Refusal::not_run(401, "no-key", text));
+    };
+    let Some(tenant) = view.keys.get(&language::fingerprint(key)) else {
+        return Err(Refusal::not_run(401, "unknown-key", "this tenant key is not known"));
+    };
+    let zone = web::query(request.uri(), "zone").unwrap_or(router.boot.zone.clone());
+    let Some(region) = view.zones.get(&zone) else {
+        return Err(Refusal::not_run(400, "unknown-zone", format!("there is no zone {zone}")));
+    };
+    // A body may be seen in the caller's own region and in its homes.
+    let homes: Vec<&str> = view
+        .tenants
+        .get(tenant)
+        .map_or(Vec::new(), |terms| terms.homes.iter().map(|home| home.0.as_str()).collect());
+    let company = router.company.read();
+    let mut fronts: Vec<(u8, usize, u32, &wire::Front)> = company
+        .fronts
+        .iter()
+        .filter(|front| front.is_leaving == 0 && !view.evacuated.contains(&front.zone))
+        .filter_map(|front| {
+            let home = homes.iter().position(|home| *home == front.region);
+            let is_allowed = homes.is_empty() || home.is_some() || front.region == *region;
+            let far = match () {
+                _ if front.zone == zone => 0,
+                _ if front.region == *region => 1,
+                _ => 2,
+            };
+            is_allowed.then_some((far, home.unwrap_or(0), rand::random(), front))
+        })
+        .collect();
+    fronts.sort_by_key(|(far, home, draw, _)| (*far, *home, *draw));
+    if fronts.is_empty() {
+        let text = "no router that this caller may use is in sight";
+        return Err(Refusal::not_run(503, "no-router", text).retry(2_000));
+    }
+    let routers: Vec<simd_json::OwnedValue> = fronts
+        .iter()
+        .map(|(_, _, _, front)| {
+            simd_json::json!({
+                "name": front.name.clone(),
+                "zone": front.zone.clone(),
+                "region": front.region.clone(),
+                "door": front.door.clone(),
+            })
+        })
+        .collect();
+    Ok(web::json(200, &simd_json::json!({ "zone": zone, "routers": routers })))
+}
--- /dev/null
+++ b/router/src/forward.rs
@@ -0,0 +1,240 @@
+//! The miss path: a job handed to a directory node of the caller's own region
+//! or of a home region, over a connection of its own.
+
+use crate::{company, layers::Asker, Router};
+use bytes::Bytes;
+use dropshot::Body;
+use http_body_util::BodyExt;
+use placement::{Event, Job, Outcome};
+use residency::Mapping;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use wire::{Frame, JobHead, Kind};
+use yard::dispatch::{clean, headers_of, headers_to, step, Carried, Parts, Piped, Rest, IDLE};
+use yard::roster::Aborting;
+use yard::web::{Refusal, Response};
+use yard::{link, now};
+
+/// What came of handing a job on.
+pub enum Handed {
+    Answer(Response),
+    /// The node left the dispatch to this router, which has the mapping now.
+    Mapped(Mapping),
+    /// No node could be reached; nothing was sent.
+    Nobody,
+    Refused(Refusal),
+}
+
+/// Directory nodes that may see the body: of this region, then of the homes.
+pub fn permitted(router: &Router, homes: &[residency::Name]) -> Vec<SocketAddr> {
+    let company = router.company.read();
+    let place = |region: &str| match region == router.boot.region {
+        true => Some(0),
+        false => homes.iter().position(|home| home.0 == region).map(|at| at + 1),
+    };
+    let mut nodes: Vec<(usize, u32, SocketAddr)> = company
+        .directories
+        .iter()
+        .filter_map(|member| {
+            Some((place(&member.region)?, rand::random(), member.address.parse().ok()?))
+        })
+        .collect();
+    nodes.sort();
+    nodes.into_iter().map(|(_, _, address)| address).collect()
+}
+
+/// Hands a job in state `Keyed` to the first of `nodes` that can be reached.
+pub async fn hand(
+    router: &Arc<Router>,
+    job: &mut Job,
+    parts: &Parts,
+    carried: &mut Carried,
+    nodes: &[SocketAddr],
+    asker: Option<&Asker>,
+) -> Handed {
+    for node in nodes {
+        let name = &router.boot.name;
+        match link::dial(router.boot.address, *node, Kind::Job, name).await {
+            Ok(stream) => {
+                let (reader, writer) = stream.into_split();
+                if let Err(refusal) = router.leave() {
+                    return Handed::Refused(refusal);
+                }
+                step(job, Event::HandedOn);
+                router.counters.one("forwards");
+                log::info!(job = parts.id.as_str(), directory = node.to_string(); "handed on");
+                let conversation = converse(router, job, parts, carried, asker, reader, writer);
+                let left = Duration::from_millis(parts.deadline.saturating_sub(now()));
+                return match tokio::time::timeout(left, conversation).await {
+                    Ok(Ok(handed)) => handed,
+                    Ok(Err(error)) => {
+                        log::info!(job = parts.id.as_str(); "lost at {node}: {error:#}");
+                        lost(502, "directory-lost", "the directory node broke off")
+                    }
+                    Err(_) => lost(504, "deadline", "the job's deadline passed"),
+                };
+            }
+            Err(error) => log::info!(job = parts.id.as_str(); "{error:#}"),
+        }
+    }
+    Handed::Nobody
+}
+
+fn lost(status: u16, code: &'static str, text: &str) -> Handed {
+    let refusal = Refusal::not_run(status, code, text);
+    Handed::Refused(Refusal { outcome: Outcome::Unknown, ..refusal })
+}
+
+async fn converse(
+    router: &Arc<Router>,
+    job: &mut Job,
+    parts: &Parts,
+    carried: &mut Carried,
+    asker: Option<&Asker>,
+    mut reader: OwnedReadHalf,
+    mut writer: OwnedWriteHalf,
+) -> anyhow::Result<Handed> {
+    let mut headers = parts.headers.clone();
+    clean(&mut headers);
+    let head = JobHead {
+        id: parts.id.clone(),
+        method: parts.method.to_string(),
+        target: parts.target.clone(),
+        headers: headers_to(&headers),
+        region: router.boot.region.clone(),
+        epoch: router.view.borrow().epoch,
+        left_ms: parts.deadline.saturating_sub(now()),
+    };
+    link::send(&mut writer, &Frame::Job(head)).await?;
+    link::send(&mut writer, &Frame::Body(carried.held.to_vec())).await?;
+    // A job whose key this router read waits for the node's word before the
+    // rest follows; one whose key is still to be found is sent on whole.
+    let mut way = Some(writer);
+    let mut upload = None;
+    match (carried.rest.take(), asker) {
+        (None, _) => send_end(&mut way).await?,
+        (Some(rest), Some(_)) => carried.rest = Some(rest),
+        (Some(rest), None) => upload = way.take().map(|writer| send_rest(rest, writer)),
+    }
+    let mut mapping: Option<Mapping> = None;
+    loop {
+        match link::receive(&mut reader, wire::CAP).await? {
+            Some(Frame::Mapped(found)) => {
+                company::keep(router, &found);
+                if let Some(asker) = asker {
+                    anyhow::ensure!(found.key() == asker.key(), "it mapped another key");
+                    asker.bring(&found);
+                }
+                mapping = Some(found);
+            }
+            Some(Frame::Go) => {
+                if let Some(rest) = carried.rest.take() {
+                    upload = way.take().map(|writer| send_rest(rest, writer));
+                }
+            }
+            Some(Frame::Declined { not_run: true, code, .. })
+                if code == "directory-full" && upload.is_none() && mapping.is_some() =>
+            {
+                step(job, Event::HandedBack);
+                router.counters.one("handed-back");
+                return Ok(Handed::Mapped(mapping.expect("looked at above")));
+            }
+            Some(Frame::Declined { not_run, status, code, text, retry_after_ms }) => {
+                let mut refusal = Refusal::not_run(status, &code, text);
+                if !not_run {
+                    refusal.outcome = Outcome::Unknown;
+                }
+                refusal.retry_after_ms = Some(retry_after_ms).filter(|ms| *ms > 0);
+                return Ok(Handed::Refused(refusal));
+            }
+            Some(Frame::AnswerHead { status, headers }) => {
+                step(job, Event::AnswerBegan);
+                let (pieces, body) = mpsc::channel(8);
+                let relay = Relay { reader, pieces, _way: way, _upload: upload };
+                let (id, counters) = (parts.id.clone(), Arc::clone(&router.counters));
+                tokio::spawn(async move {
+                    match relay.run().await {
+                        Ok(()) => counters.one("relays-whole"),
+                        Err(error) => {
+                            counters.one("relays-broken");
+                            log::info!(job = id.as_str(); "the relay broke: {error:#}");
+                        }
+                    }
+                });
+                let mut response = hyper::Response::new(Body::wrap(Piped(body)));
+                *response.status_mut() = http::StatusCode::from_u16(status)?;
+                *response.headers_mut() = headers_of(&headers)?;
+                return Ok(Handed::Answer(response));
+            }
+            Some(other) => anyhow::bail!("an unexpected frame: {other:?}"),
+            None => anyhow::bail!("it closed"),
+        }
+    }
+}
+
+async fn send_end(way: &mut Option<OwnedWriteHalf>) -> anyhow::Result<()> {
+    match way {
+        Some(writer) => link::send(writer, &Frame::BodyEnd).await,
+        None => Ok(()),
+    }
+}
+
+/// Sends the rest of a body, then keeps the way open: its closing would say
+/// that this router is gone.
+fn send_rest(mut rest: Rest, mut writer: OwnedWriteHalf) -> Aborting {
+    let task = tokio::spawn(async move {
+        let done = async {
+            while let Some(frame) = rest.frame().await {
+                if let Ok(data) = frame?.into_data() {
+                    for piece in data.chunks(512 << 10) {
+                        link::send(&mut writer, &Frame::Body(piece.to_vec())).await?;
+                    }
+                }
+            }
+            link::send(&mut writer, &Frame::BodyEnd).await
+        };
+        // A body that broke off closes the way without its end.
+        if done.await.is_ok() {
+            std::future::pending::<()>().await;
+        }
+    });
+    Aborting(task.abort_handle())
+}
+
+/// An answer on its way through a directory node. Invariant: the caller's body
+/// ends well only after the end frame.
+struct Relay {
+    reader: OwnedReadHalf,
+    pieces: mpsc::Sender<anyhow::Result<Bytes>>,
+    _way: Option<OwnedWriteHalf>,
+    _upload: Option<Aborting>,
+}
+
+impl Relay {
+    async fn run(mut self) -> anyhow::Result<()> {
+        let end = loop {
+            let frame = tokio::select! {
+                frame = tokio::time::timeout(IDLE, link::receive(&mut self.reader, wire::CAP)) => frame,
+                () = self.pieces.closed() => anyhow::bail!("the caller left"),
+            };
+            match frame {
+                Ok(Ok(Some(Frame::AnswerBody(bytes)))) => {
+                    if self.pieces.send(Ok(bytes.into())).await.is_err() {
+                        anyhow::bail!("the caller left");
+                    }
+                }
+                Ok(Ok(Some(Frame::AnswerEnd))) => return Ok(()),
+                Ok(Ok(Some(other))) => break anyhow::anyhow!("an unexpected frame: {other:?}"),
+                Ok(Ok(None)) => break anyhow::anyhow!("it closed before the end"),
+                Ok(Err(error)) => break error,
+                Err(_) => break anyhow::anyhow!("it fell silent"),
+            }
+        };
+        let text = end.to_string();
+        drop(self.pieces.send(Err(end)).await);
+        anyhow::bail!(text)
+    }
+}
--- a/router/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Not there yet.
--- /dev/null
+++ b/router/src/main.rs
@@ -0,0 +1,222 @@
+//! A router: a front door. It takes callers' jobs, reads the routing key,
+//! looks it up in its own cache and the region's, and streams to an engine; a
+//! miss goes to a directory node.
+
+mod company;
+mod door;
+mod forward;
+mod layers;
+mod session;
+
+use anyhow::Context;
+use parking_lot::{Mutex, RwLock};
+use residency::View;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use yard::boot::{setting, Boot, Setting};
+use yard::counters::Counters;
+use yard::dispatch::Dispatcher;
+use yard::now;
+use yard::roster::Roster;
+use yard::web::{self, Refusal};
+
+const SETTINGS: &[Setting] = &[
+    setting("name", "NAME", "this router's name, unique in the cluster", None),
+    setting("region", "NAME", "the region it stands in", None),
+    setting("zone", "NAME", "the zone it stands in", None),
+    setting("door", "IP:PORT", "where callers reach it", None),
+    setting("address", "IP:PORT", "where the routers of its region reach it", None),
+    setting("desk", "IP:PORT", "where operators reach it", None),
+    setting("seeds", "IP:PORT,...", "addresses of directory nodes", None),
+    setting("own-cache", "COUNT", "mappings in its own cache, at the most", Some("512")),
+    setting("share", "COUNT", "mappings in its share of the region's cache", Some("16384")),
+    setting("body", "BYTES", "the longest body that is taken", Some("16777216")),
+    setting("stop-ms", "MS", "how long streams may finish in when it stops", Some("20000")),
+    setting("level", "LEVEL", "log level: error, warn, info, debug", Some("info")),
+];
+
+pub struct Settings {
+    pub name: String,
+    pub region: String,
+    pub zone: String,
+    pub door: SocketAddr,
+    pub address: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    pub body: usize,
+}
+
+/// What every part of the router holds on to. Invariants: the view's epoch
+/// only rises; `licence` is the time, on this process's clock, until which it
+/// may dispatch.
+pub struct Router {
+    pub boot: Settings,
+    pub view: watch::Sender<Arc<View>>,
+    pub licence: AtomicU64,
+    pub is_leaving: AtomicBool,
+    pub company: RwLock<company::Company>,
+    pub layers: layers::Layers,
+    pub questions: session::Questions,
+    pub dispatcher: Dispatcher,
+    pub counters: Arc<Counters>,
+    /// Held by every job that is under way.
+    pub under_way: Arc<()>,
+}
+
+impl Router {
+    /// Whether new work may be taken and dispatched now.
+    pub fn leave(&self) -> Result<(), Refusal> {
+        if now() >= self.licence.load(Ordering::Relaxed) {
+            let text = "this router has no recent licence; ask another";
+            return Err(Refusal::not_run(503, "no-licence", text).retry(1_000));
+        }
+        Ok(())
+    }
+}
+
+fn main() {
+    let mut boot = Boot::read(
+        "router",
+        "A rushport router: takes callers' jobs and streams them to engines.",
+        SETTINGS,
+    );
+    let settings = Settings {
+        name: boot.name("name"),
+        region: boot.name("region"),
+        zone: boot.name("zone"),
+        door: boot.address("door"),
+        address: boot.address("address"),
+        seeds: boot.addresses("seeds"),
+        body: boot.count("body", 1 << 10, 1 << 30) as usize,
+    };
+    let desk = boot.address("desk");
+    let own = boot.count("own-cache", 1, 1 << 20) as usize;
+    let share = boot.count("share", 1, 1 << 24) as usize;
+    let stop = Duration::from_millis(boot.count("stop-ms", 0, 600_000));
+    let level = boot.text("level");
+    if settings.seeds.is_empty() {
+        boot.complain("seeds", "a router needs the address of a directory node at least");
+    }
+    if settings.door == settings.address || settings.door == desk || settings.address == desk {
+        boot.complain("door", "door, address and desk can't be the same");
+    }
+    boot.finish();
+    let run = || -> anyhow::Result<()> {
+        yard::logs::start("router", &settings.name, &level)?;
+        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+        runtime.block_on(serve(settings, desk, own, share, stop))?;
+        runtime.shutdown_timeout(Duration::from_millis(200));
+        Ok(())
+    };
+    if let Err(error) = run() {
+        eprintln!("router: {error:#}");
+        std::process::exit(1);
+    }
+}
+
+async fn serve(
+    settings: Settings,
+    desk: SocketAddr,
+    own: usize,
+    share: usize,
+    stop: Duration,
+) -> anyhow::Result<()> {
+    let counters = Arc::new(Counters::default());
+    let (view, view_out) = watch::channel(Arc::new(View::default()));
+    let roster = Roster::new(settings.address);
+    tokio::spawn(Arc::clone(&roster).run(view_out.clone()));
+    let router = Arc::new_cyclic(|router: &std::sync::Weak<Router>| {
+        let router = router.clone();
+        let dispatcher = Dispatcher {
+            source: settings.address,
+            roster,
+            view: view_out,
+            counters: Arc::clone(&counters),
+            retries: Mutex::default(),
+            leave: Box::new(move |mapping| match router.upgrade() {
+                Some(router) if router.layers.is_void(mapping) => {
+                    let text = "the mapping changed meanwhile";
+                    Err(Refusal::not_run(503, "mapping-void", text).retry(1_000))
+                }
+                Some(router) => router.leave(),
+                None => Err(Refusal::not_run(503, "leaving", "this router is stopping")),
+            }),
+        };
+        Router {
+            view,
+            licence: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
+            company: Default::default(),
+            layers: layers::Layers::new(own, share),
+            questions: Default::default(),
+            dispatcher,
+            counters,
+            under_way: Arc::new(()),
+            boot: settings,
+        }
+    });
+    let listener = tokio::net::TcpListener::bind(router.boot.address)
+        .await
+        .with_context(|| format!("address {}", router.boot.address))?;
+    tokio::spawn(company::accept(Arc::clone(&router), listener));
+    tokio::spawn(session::run(Arc::clone(&router)));
+    let door = door::serve(Arc::clone(&router))?;
+    let desk = {
+        let router = Arc::clone(&router);
+        let handler: web::Handler = Arc::new(move |request, _| {
+            let response = desk_answer(&router, &request);
+            Box::pin(async move { response })
+        });
+        web::serve(desk, 1 << 16, handler)?
+    };
+    log::info!("router is up at {}", router.boot.door);
+    {
+        use tokio::signal::unix::{signal, SignalKind};
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    }
+    log::info!("stopping: no new jobs are taken");
+    router.is_leaving.store(true, Ordering::Relaxed);
+    let until = tokio::time::Instant::now() + stop;
+    while Arc::strong_count(&router.under_way) > 1 && tokio::time::Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let left = Arc::strong_count(&router.under_way) - 1;
+    log::info!(left = left as u64; "stopped");
+    // Streams past the bound are cut off, visibly.
+    drop(tokio::time::timeout(Duration::from_millis(500), door.close()).await);
+    drop(tokio::time::timeout(Duration::from_millis(100), desk.close()).await);
+    Ok(())
+}
+
+fn desk_answer(router: &Router, request: &web::Request) -> web::Response {
+    let view = router.view.borrow().clone();
+    let is_well = router.leave().is_ok();
+    match (request.method().as_str(), request.uri().path()) {
+        ("GET", "/vitals") => {
+            let licence = router.licence.load(Ordering::Relaxed).saturating_sub(now());
+            let value = simd_json::json!({
+                "name": router.boot.name.clone(),
+                "well": is_well,
+                "licence_ms": licence,
+                "epoch": view.epoch,
+                "leaving": router.is_leaving.load(Ordering::Relaxed),
+                "under_way": Arc::strong_count(&router.under_way) - 1,
+                "session": router.questions.node(),
+                "engines": router.dispatcher.roster.value(),
+            });
+            web::json(if is_well { 200 } else { 503 }, &value)
+        }
+        ("GET", "/counters") => web::json(200, &router.counters.value()),
+        (_, path) => {
+            let text = format!("there is no {path} for this method");
+            web::json(404, &simd_json::json!({ "code": "no-such-page", "text": text }))
+        }
+    }
+}
--- /dev/null
+++ b/router/src/session.rs
@@ -0,0 +1,216 @@
+//! The session with a directory node: beats up; pictures, changes, licences
+//! and company down; and the key-only questions.
+
+use crate::Router;
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use wire::{Answer, Frame, Front, Kind};
+use yard::{link, now};
+
+/// How long a confirmation by a majority is a licence. The directory nodes
+/// hold the same length.
+const LICENCE_MS: u64 = 2_000;
+const BEAT_MS: u64 = 350;
+/// Without a licence from a node for this long, the next one is tried.
+const PATIENCE_MS: u64 = 900;
+
+/// Questions under way, and the way out while there is a session.
+#[derive(Default)]
+pub struct Questions {
+    open: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    out: Mutex<Option<(SocketAddr, mpsc::Sender<Frame>)>>,
+    next: AtomicU64,
+}
+
+impl Questions {
+    /// The directory node of the session.
+    pub fn node(&self) -> Option<String> {
+        self.out.lock().as_ref().map(|(address, _)| address.to_string())
+    }
+
+    /// Asks for a key's mapping, by the key alone.
+    pub async fn resolve(
+        &self,
+        tenant: &str,
+        service: &str,
+        region: &str,
+        patience: Duration,
+    ) -> Answer {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        let out = self.out.lock().as_ref().map(|(_, out)| out.clone());
+        let Some(out) = out else { return Answer::Later };
+        self.open.lock().insert(number, sender);
+        let frame = Frame::Resolve {
+            number,
+            tenant: tenant.into(),
+            service: service.into(),
+            region: region.into(),
+        };
+        drop(out.try_send(frame));
+        let answer = tokio::time::timeout(patience, receiver).await;
+        self.open.lock().remove(&number);
+        answer.ok().and_then(|answer| answer.ok()).unwrap_or(Answer::Later)
+    }
+}
+
+/// Where to find a directory node, the nearest first.
+fn ways(router: &Router) -> Vec<SocketAddr> {
+    let company = router.company.read();
+    let mut ways: Vec<(u8, u32, SocketAddr)> = company
+        .directories
+        .iter()
+        .filter_map(|member| {
+            let far = match () {
+                _ if member.zone == router.boot.zone => 0,
+                _ if member.region == router.boot.region => 1,
+                _ => 2,
+            };
+            Some((far, rand::random(), member.address.parse().ok()?))
+        })
+        .collect();
+    ways.extend(router.boot.seeds.iter().map(|seed| (3, rand::random(), *seed)));
+    ways.sort();
+    let mut ways: Vec<SocketAddr> = ways.into_iter().map(|(_, _, address)| address).collect();
+    let mut seen = Vec::new();
+    ways.retain(|way| {
+        !seen.contains(way) && {
+            seen.push(*way);
+            true
+        }
+    });
+    ways
+}
+
+pub async fn run(router: Arc<Router>) {
+    loop {
+        for way in ways(&router) {
+            let had_licence = router.licence.load(Ordering::Relaxed);
+            if let Err(error) = hold(&router, way).await {
+                log::info!("session with {way} ended: {error:#}");
+            }
+            *router.questions.out.lock() = None;
+            router.questions.open.lock().clear();
+            // A session that served begins the search anew, the nearest first.
+            if router.licence.load(Ordering::Relaxed) > had_licence {
+                break;
+            }
+        }
+        tokio::time::sleep(yard::jitter(100)).await;
+    }
+}
+
+async fn hold(router: &Arc<Router>, way: SocketAddr) -> anyhow::Result<()> {
+    let boot = &router.boot;
+    let stream = link::dial(boot.address, way, Kind::Router, &boot.name).await?;
+    let (mut reader, mut writer) = stream.into_split();
+    let (out, mut queue) = mpsc::channel(256);
+    *router.questions.out.lock() = Some((way, out));
+    router.counters.one("sessions");
+    let (frames, mut incoming) = mpsc::channel(64);
+    let reading = tokio::spawn(async move {
+        loop {
+            let frame = link::receive(&mut reader, wire::CAP).await;
+            let is_last = !matches!(frame, Ok(Some(_)));
+            if frames.send(frame).await.is_err() || is_last {
+                return;
+            }
+        }
+    });
+    let _reading = yard::roster::Aborting(reading.abort_handle());
+    let mut beat = tokio::time::interval(Duration::from_millis(BEAT_MS));
+    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut sent: HashMap<u64, u64> = HashMap::new();
+    let mut number = 0;
+    let mut licensed = now();
+    loop {
+        tokio::select! {
+            _ = beat.tick() => {
+                anyhow::ensure!(now() < licensed + PATIENCE_MS, "no licence comes from it");
+                number += 1;
+                sent.insert(number, now());
+                let front = Front {
+                    name: boot.name.clone(),
+                    region: boot.region.clone(),
+                    zone: boot.zone.clone(),
+                    door: boot.door.to_string(),
+                    address: boot.address.to_string(),
+                    epoch: router.view.borrow().epoch,
+                    age_ms: 0,
+                    is_leaving: router.is_leaving.load(Ordering::Relaxed).into(),
+                };
+                let frame = Frame::Beat { number, front, demands: Vec::new() };
+                tokio::time::timeout(link::PATIENCE, link::send(&mut writer, &frame)).await??;
+            }
+            frame = queue.recv() => {
+                let Some(frame) = frame else { anyhow::bail!("the way out was closed") };
+                tokio::time::timeout(link::PATIENCE, link::send(&mut writer, &frame)).await??;
+            }
+            frame = incoming.recv() => {
+                let frame = frame.unwrap_or(Ok(None))?;
+                let Some(frame) = frame else { anyhow::bail!("it closed") };
+                if let Frame::Licence { number, epoch, .. } = &frame {
+                    let asked = sent.remove(number);
+                    sent.retain(|other, _| other > number);
+                    if let Some(asked) = asked.filter(|_| router.view.borrow().epoch >= *epoch) {
+                        licensed = now();
+                        router.licence.fetch_max(asked + LICENCE_MS, Ordering::Relaxed);
+                    }
+                    continue;
+                }
+                take(router, frame)?;
+            }
+        }
+    }
+}
+
+fn take(router: &Arc<Router>, frame: Frame) -> anyhow::Result<()> {
+    match frame {
+        Frame::Picture { epoch, events } => {
+            let known = router.view.borrow().epoch;
+            anyhow::ensure!(epoch >= known, "its picture is of epoch {epoch}, {known} is in force");
+            let mut view = residency::View::default();
+            events.iter().for_each(|event| view.take(event));
+            view.epoch = epoch;
+            if epoch > known {
+                router.layers.touch_all(epoch);
+            }
+            router.view.send_replace(Arc::new(view));
+            router.counters.one("pictures");
+        }
+        Frame::Change { prior, epoch, events } => {
+            let known = router.view.borrow().clone();
+            anyhow::ensure!(
+                prior == known.epoch,
+                "a change builds on {prior}, {} is in force",
+                known.epoch
+            );
+            let mut view = (*known).clone();
+            events.iter().for_each(|event| view.take(event));
+            view.epoch = epoch;
+            // The caches first: whoever sees the new view finds nothing void.
+            router.layers.touch(epoch, &events);
+            router.view.send_replace(Arc::new(view));
+            router.counters.one("changes");
+            log::info!(epoch = epoch; "in force");
+        }
+        Frame::Company { fronts, directories } => {
+            let mut company = router.company.write();
+            company.fronts = fronts;
+            company.directories = directories;
+        }
+        Frame::Resolved { number, answer } => {
+            if let Some(sender) = router.questions.open.lock().remove(&number) {
+                drop(sender.send(answer));
+            }
+        }
+        Frame::Refused { text } => anyhow::bail!("it refuses: {text}"),
+        other => anyhow::bail!("an unexpected frame: {other:?}"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/stand/src/bin/fleet.rs
@@ -0,0 +1,36 @@
+//! Starts a whole deployment on this machine and keeps it until it is told to
+//! stop.
+
+use std::path::PathBuf;
+use yard::boot::{setting, Boot, Setting};
+
+const SETTINGS: &[Setting] = &[
+    setting("shape", "FILE", "the deployment's shape", None),
+    setting("folder", "FOLDER", "where data, logs and journals go", None),
+];
+
+fn main() {
+    let mut boot = Boot::read("fleet", "A whole deployment on one machine.", SETTINGS);
+    let (shape, folder) = (boot.text("shape"), PathBuf::from(boot.text("folder")));
+    boot.finish();
+    let run = || -> anyhow::Result<()> {
+        let shape = stand::fleet::Shape::read(shape.as_ref())?;
+        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+        runtime.block_on(async {
+            let mut fleet = stand::fleet::Fleet::lay(shape, &folder)?;
+            fleet.up().await?;
+            for process in fleet.processes.values() {
+                println!("{:<14} {:<14} {}", process.name, process.zone, process.ip);
+            }
+            let desks: Vec<String> = fleet.desks().iter().map(|desk| desk.to_string()).collect();
+            let desks = desks.join(",");
+            std::fs::write(folder.join("desks"), &desks)?;
+            println!("desks: {desks}\nup; ends with Ctrl-C");
+            Ok(tokio::signal::ctrl_c().await?)
+        })
+    };
+    if let Err(error) = run() {
+        eprintln!("fleet: {error:#}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/stand/src/engine.rs
@@ -0,0 +1,221 @@
+//! A stand-in engine, or plain web service: it speaks the engines' published
+//! protocol, takes its time, and writes down every job it gets and runs.
+//!
+//! An answer names the engine, the run and the digest of the body that it is
+//! an answer to, in numbered pieces, so that a caller can tell an answer that
+//! is whole and its own from any other.
+
+use crate::journal::Journal;
+use bytes::Bytes;
+use dropshot::Body;
+use http_body_util::BodyExt;
+use parking_lot::Mutex;
+use simd_json::json;
+use simd_json::prelude::*;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, Semaphore};
+use yard::dispatch::Piped;
+use yard::web::{self, Request, Response};
+
+pub struct Settings {
+    pub name: String,
+    pub address: SocketAddr,
+    pub slots: u32,
+    /// Pieces in an answer, and the time between two.
+    pub pieces: u32,
+    pub piece_ms: u64,
+    /// What a prompt costs whose prefix is not warm.
+    pub prefill_ms: u64,
+    pub is_cold: bool,
+    pub journal: std::path::PathBuf,
+}
+
+/// Invariant: a run's number is its own, over the engine's life.
+struct Engine {
+    settings: Settings,
+    journal: Journal,
+    running: AtomicU32,
+    waiting: AtomicU32,
+    runs: AtomicU64,
+    served: AtomicU32,
+    is_draining: AtomicBool,
+    slots: Arc<Semaphore>,
+    warm: Mutex<VecDeque<String>>,
+}
+
+const WARM_KEPT: usize = 64;
+
+pub fn serve(settings: Settings) -> anyhow::Result<dropshot::HttpServer<web::Handler>> {
+    let engine = Arc::new(Engine {
+        journal: Journal::open(&settings.journal)?,
+        running: AtomicU32::new(0),
+        waiting: AtomicU32::new(0),
+        runs: AtomicU64::new(0),
+        served: AtomicU32::new(if settings.is_cold { 0 } else { 1000 }),
+        is_draining: AtomicBool::new(false),
+        slots: Arc::new(Semaphore::new(settings.slots as usize)),
+        warm: Mutex::default(),
+        settings,
+    });
+    let address = engine.settings.address;
+    let handler: web::Handler = Arc::new(move |request, _| {
+        let engine = Arc::clone(&engine);
+        Box::pin(async move {
+            match request.uri().path() {
+                "/vitals" => vitals(&engine),
+                _ => job(&engine, request).await,
+            }
+        })
+    });
+    web::serve(address, 64 << 20, handler)
+}
+
+fn vitals(engine: &Arc<Engine>) -> Response {
+    let (sender, receiver) = mpsc::channel(2);
+    let engine = Arc::clone(engine);
+    tokio::spawn(async move {
+        loop {
+            let line = json!({
+                "running": engine.running.load(Ordering::Relaxed),
+                "queue": engine.waiting.load(Ordering::Relaxed),
+                "slots": engine.settings.slots,
+                "warm": engine.served.load(Ordering::Relaxed) >= 24,
+                "draining": engine.is_draining.load(Ordering::Relaxed),
+            });
+            if sender.send(Ok(Bytes::from(line.encode() + "\n"))).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    hyper::Response::new(Body::wrap(Piped(receiver)))
+}
+
+/// Counts a job while it waits or runs, however it ends.
+struct Counted<'a>(&'a AtomicU32);
+
+impl<'a> Counted<'a> {
+    fn new(counter: &'a AtomicU32) -> Counted<'a> {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Counted(counter)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn job(engine: &Arc<Engine>, request: Request) -> Response {
+    let id = header(&request, web::JOB);
+    let note = |event: &str, run: u64| {
+        engine.journal.note(json!({
+            "engine": engine.settings.name.clone(), "job": id.clone(), "event": event, "run": run,
+        }));
+    };
+    note("received", 0);
+    let slot = {
+        let _waiting = Counted::new(&engine.waiting);
+        let is_full = engine.waiting.load(Ordering::Relaxed) > engine.settings.slots * 2;
+        if is_full || engine.is_draining.load(Ordering::Relaxed) {
+            note("declined", 0);
+            return hyper::Response::builder()
+                .status(503)
+                .header(yard::dispatch::ENGINE_OUTCOME, "not-run")
+                .body(Body::empty())
+                .expect("fixed headers make an answer");
+        }
+        let Ok(slot) = Arc::clone(&engine.slots).acquire_owned().await else {
+            unreachable!("the slots are never closed")
+        };
+        slot
+    };
+    let Ok(body) = request.into_body().collect().await else {
+        note("broken-body", 0);
+        return hyper::Response::builder().status(400).body(Body::empty()).expect("an answer");
+    };
+    let body = body.to_bytes();
+    let run = engine.runs.fetch_add(1, Ordering::Relaxed) + 1;
+    let is_warm = warm_up(engine, &body);
+    note(if is_warm { "begun-warm" } else { "begun-cold" }, run);
+    let sum = language::fingerprint(&String::from_utf8_lossy(&body));
+    let (sender, receiver) = mpsc::channel(4);
+    let (engine, job) = (Arc::clone(engine), id.clone());
+    let settings_name = engine.settings.name.clone();
+    tokio::spawn(async move {
+        let _slot = slot;
+        let _running = Counted::new(&engine.running);
+        let event = match answer(&engine, &job, run, &sum, is_warm, &sender).await {
+            true => "ended",
+            false => "cancelled",
+        };
+        engine.served.fetch_add(1, Ordering::Relaxed);
+        engine.journal.note(json!({
+            "engine": engine.settings.name.clone(), "job": job, "event": event, "run": run,
+        }));
+    });
+    hyper::Response::builder()
+        .header("content-type", "application/x-ndjson")
+        .header("x-engine", settings_name)
+        .header("x-prefix", if is_warm { "warm" } else { "cold" })
+        .body(Body::wrap(Piped(receiver)))
+        .expect("fixed headers make an answer")
+}
+
+fn header(request: &Request, name: &str) -> String {
+    request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or("").into()
+}
+
+/// Whether the prompt's beginning was seen lately; from now on it was.
+fn warm_up(engine: &Engine, body: &[u8]) -> bool {
+    let prefix = match language::find(body, &["prompt".into()], true) {
+        language::Find::Found { raw, .. } => {
+            String::from_utf8_lossy(&raw[..raw.len().min(256)]).into_owned()
+        }
+        _ => return true,
+    };
+    let mut warm = engine.warm.lock();
+    let known = warm.iter().position(|seen| *seen == prefix);
+    if let Some(at) = known {
+        warm.remove(at);
+    }
+    warm.push_back(prefix);
+    if warm.len() > WARM_KEPT {
+        warm.pop_front();
+    }
+    known.is_some()
+}
+
+/// Streams the answer. False: the caller went away.
+async fn answer(
+    engine: &Engine,
+    job: &str,
+    run: u64,
+    sum: &str,
+    is_warm: bool,
+    sender: &mpsc::Sender<anyhow::Result<Bytes>>,
+) -> bool {
+    let settings = &engine.settings;
+    let prefill = if is_warm { settings.prefill_ms / 8 } else { settings.prefill_ms };
+    let mut wait = prefill;
+    for piece in 0..settings.pieces {
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(wait)) => {}
+            () = sender.closed() => return false,
+        }
+        wait = settings.piece_ms;
+        let line = json!({
+            "piece": piece, "of": settings.pieces, "engine": settings.name.clone(), "run": run,
+            "job": job, "sum": sum,
+        });
+        if sender.send(Ok(Bytes::from(line.encode() + "\n"))).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -157,6 +157,10 @@
         #[bw(write_with = write_text)]
         text: String,
     },
+    /// Who speaks on a link, so that answers find their way to a node that is
+    /// in no membership known here yet.
+    #[brw(magic = 16u8)]
+    Introduce(Member),
 
     // Router and directory node, one session.
     #[brw(magic = 20u8)]
@@ -232,6 +236,9 @@
     ),
     #[brw(magic = 32u8)]
     BodyEnd,
+    /// The node has what it needs to know; the rest of the body may follow.
+    #[brw(magic = 38u8)]
+    Go,
     /// Ahead of the engine's answer, so that caches fill before it ends.
     #[brw(magic = 33u8)]
     Mapped(Mapping),
--- /dev/null
+++ b/yard/src/dispatch.rs
@@ -0,0 +1,502 @@
+//! Carrying a job to an engine and its answer back.
+
+use crate::counters::Counters;
+use crate::roster::{Aborting, Elected, Roster, Seat};
+use crate::web::{Refusal, JOB};
+use crate::{link, now};
+use bytes::Bytes;
+use http::HeaderMap;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use placement::{Event, Job, Outcome, Retries, State};
+use residency::{Mapping, View};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// A stream that gives nothing for this long is broken.
+pub const IDLE: Duration = Duration::from_secs(20);
+/// How long a job may wait for room at an engine, at the most.
+const ROOM_WAIT_MS: u64 = 3_000;
+/// How long it may wait for any engine to be in sight.
+const SIGHT_WAIT_MS: u64 = 500;
+/// What an engine says with a 503 where it did not run the job.
+pub const ENGINE_OUTCOME: &str = "x-engine-outcome";
+
+pub type Rest = UnsyncBoxBody<Bytes, anyhow::Error>;
+
+/// A job's body: what was held back while its key was read, then the rest.
+/// Invariant: it can be sent again exactly while `rest` was never there.
+pub struct Carried {
+    pub held: Bytes,
+    pub rest: Option<Rest>,
+    is_spent: bool,
+}
+
+impl Carried {
+    pub fn new(held: Bytes, rest: Option<Rest>) -> Carried {
+        Carried { held, rest, is_spent: false }
+    }
+
+    /// Whether the whole body is still here to be sent.
+    pub fn is_whole(&self) -> bool {
+        !self.is_spent
+    }
+
+    /// Takes back what was not sent after all.
+    fn restore(&mut self, request: hyper::Request<Flow>) {
+        self.rest = request.into_body().rest;
+        self.is_spent = false;
+    }
+
+    fn take(&mut self) -> Flow {
+        self.is_spent = self.rest.is_some();
+        Flow {
+            held: Some(self.held.clone()).filter(|held| !held.is_empty()),
+            rest: self.rest.take(),
+        }
+    }
+}
+
+struct Flow {
+    held: Option<Bytes>,
+    rest: Option<Rest>,
+}
+
+impl Body for Flow {
+    type Data = Bytes;
+    type Error = anyhow::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        if let Some(held) = self.held.take() {
+            return Poll::Ready(Some(Ok(Frame::data(held))));
+        }
+        match &mut self.rest {
+            Some(rest) => Pin::new(rest).poll_frame(context),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.held.is_none() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.rest {
+            Some(_) => SizeHint::default(),
+            None => SizeHint::with_exact(self.held.as_ref().map_or(0, |held| held.len() as u64)),
+        }
+    }
+}
+
+/// A body whose pieces another task hands over. Where that task hands over an
+/// error, the body breaks.
+pub struct Piped(pub tokio::sync::mpsc::Receiver<anyhow::Result<Bytes>>);
+
+impl Body for Piped {
+    type Data = Bytes;
+    type Error = anyhow::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        self.0.poll_recv(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+    }
+}
+
+/// Headers as they came over a link.
+pub fn headers_of(list: &[wire::Header]) -> anyhow::Result<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    for header in list {
+        headers.append(
+            http::HeaderName::from_bytes(header.name.as_bytes())?,
+            http::HeaderValue::from_bytes(&header.value)?,
+        );
+    }
+    Ok(headers)
+}
+
+/// The same, the other way.
+pub fn headers_to(headers: &HeaderMap) -> Vec<wire::Header> {
+    let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| wire::Header {
+        name: name.as_str().into(),
+        value: value.as_bytes().to_vec(),
+    };
+    headers.iter().map(header).collect()
+}
+
+/// What is sent on of a job, and what the logs say of it.
+pub struct Parts {
+    pub id: String,
+    pub method: http::Method,
+    pub target: String,
+    pub headers: HeaderMap,
+    /// On this process's clock.
+    pub deadline: u64,
+}
+
+/// An engine's answer, being relayed.
+pub struct Answer {
+    pub status: http::StatusCode,
+    pub headers: HeaderMap,
+    pub body: Relay,
+}
+
+/// Leave to dispatch, asked for in the last moment before the first byte.
+pub type Leave = Box<dyn Fn(&Mapping) -> Result<(), Refusal> + Send + Sync>;
+
+pub struct Dispatcher {
+    pub source: SocketAddr,
+    pub roster: Arc<Roster>,
+    pub view: watch::Receiver<Arc<View>>,
+    pub counters: Arc<Counters>,
+    pub retries: Mutex<Retries>,
+    pub leave: Leave,
+}
+
+const HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+];
+
+/// Takes away what belongs to one connection, and what only rushport may say.
+pub fn clean(headers: &mut HeaderMap) {
+    let listed: Vec<String> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    for name in HOP.iter().map(|name| name.to_string()).chain(listed) {
+        headers.remove(name.as_str());
+    }
+    let ours: Vec<_> =
+        headers.keys().filter(|name| name.as_str().starts_with("x-rushport-")).cloned().collect();
+    for name in ours {
+        headers.remove(name);
+    }
+}
+
+fn unknown(status: u16, code: &str, text: &str) -> Refusal {
+    Refusal { outcome: Outcome::Unknown, ..Refusal::not_run(status, code, text) }
+}
+
+/// Invariant: the events that a process hands to a job's chart are ones that
+/// the chart allows there.
+pub fn step(job: &mut Job, event: Event) {
+    if let Err(misstep) = job.step(event) {
+        panic!("a job left its chart: {misstep}");
+    }
+}
+
+impl Dispatcher {
+    /// Sends a job in state `Mapped` to an engine. A refusal says the job's
+    /// true outcome.
+    pub async fn dispatch(
+        &self,
+        job: &mut Job,
+        parts: &Parts,
+        carried: &mut Carried,
+        mapping: &Mapping,
+        prefix: u64,
+    ) -> Result<Answer, Refusal> {
+        let points = self.view.borrow().program.points;
+        self.retries.lock().earn(points.retries);
+        let asked = now();
+        loop {
+            if carried.is_spent {
+                return Err(self.give_up(job, "its body is spent"));
+            }
+            let mut has_budget = || {
+                let has_budget = self.retries.lock().spend();
+                self.counters.one(if has_budget { "retries" } else { "retries-refused" });
+                has_budget
+            };
+            if !job.may_go_on(&mut has_budget) {
+                return Err(self.give_up(job, "no further round is allowed"));
+            }
+            let seat = match self.seat(mapping, prefix, asked, parts.deadline).await {
+                Ok(seat) => seat,
+                Err(refusal) if job.outcome() == Outcome::NotRun => return Err(refusal),
+                Err(refusal) => return Err(Refusal { outcome: Outcome::Unknown, ..refusal }),
+            };
+            step(job, Event::EngineElected);
+            let stream = match link::connect(self.source, seat.address).await {
+                Ok(stream) => stream,
+                Err(error) => {
+                    log::info!(job = parts.id.as_str(), engine = seat.name.as_str();
+                        "engine can't be reached: {error}");
+                    self.counters.one("connect-failed");
+                    seat.suspect();
+                    step(job, Event::ConnectFailed);
+                    continue;
+                }
+            };
+            let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+            let Ok((mut sender, connection)) = handshake else {
+                step(job, Event::ConnectFailed);
+                continue;
+            };
+            let driver = Aborting(tokio::spawn(connection).abort_handle());
+            let request = request(parts, seat.address, carried);
+            // The last look before the first byte: a process that froze here
+            // and woke later sends nothing.
+            let view = self.view.borrow().clone();
+            let is_open = view.engines.get(&seat.name).is_some_and(|engine| view.is_open(engine));
+            if now() >= parts.deadline {
+                return Err(self.late(job));
+            }
+            if let Err(refusal) = (self.leave)(mapping) {
+                step(job, Event::ConnectFailed);
+                carried.restore(request);
+                return Err(Refusal { outcome: job.outcome(), ..refusal });
+            }
+            if !is_open {
+                step(job, Event::ConnectFailed);
+                carried.restore(request);
+                continue;
+            }
+            step(job, Event::BytesLeave);
+            self.counters.one("dispatches");
+            log::info!(job = parts.id.as_str(), engine = seat.name.as_str(),
+                tenant = mapping.tenant.as_str(), service = mapping.service.as_str(),
+                round = job.rounds(); "dispatched");
+            let left = Duration::from_millis(parts.deadline.saturating_sub(now()));
+            match tokio::time::timeout(left, sender.send_request(request)).await {
+                Ok(Ok(answer)) if is_declined(&answer) => {
+                    self.counters.one("declined");
+                    step(job, Event::Declined);
+                }
+                Ok(Ok(answer)) if has_end(&answer, &parts.method) => {
+                    step(job, Event::AnswerBegan);
+                    return Ok(self.relay(*job, parts, answer, seat, driver));
+                }
+                Ok(Ok(_)) => {
+                    log::warn!(job = parts.id.as_str(), engine = seat.name.as_str();
+                        "its answer has no way to tell its end");
+                    step(job, Event::AnswerLost);
+                    return Err(unknown(
+                        502,
+                        "engine-answer",
+                        "the engine's answer has no end mark",
+                    ));
+                }
+                Ok(Err(error)) => {
+                    log::info!(job = parts.id.as_str(), engine = seat.name.as_str();
+                        "the answer was lost: {error}");
+                    self.counters.one("answers-lost");
+                    seat.suspect();
+                    step(job, Event::AnswerLost);
+                    if job.state() == State::Broken {
+                        return Err(unknown(
+                            502,
+                            "engine-lost",
+                            "the engine broke off before it answered",
+                        ));
+                    }
+                }
+                Err(_) => return Err(self.late(job)),
+            }
+        }
+    }
+
+    fn late(&self, job: &Job) -> Refusal {
+        let refusal = Refusal::not_run(504, "deadline", "the job's deadline passed");
+        Refusal { outcome: job.outcome(), ..refusal }
+    }
+
+    fn give_up(&self, job: &Job, why: &str) -> Refusal {
+        match job.outcome() {
+            Outcome::NotRun => Refusal::not_run(
+                503,
+                "engines-unreachable",
+                format!("no engine took the job and {why}"),
+            )
+            .retry(1_000),
+            _ => unknown(502, "engine-lost", "the engine broke off before it answered"),
+        }
+    }
+
+    /// Elects an engine, waiting a little for room where there is none.
+    async fn seat(
+        &self,
+        mapping: &Mapping,
+        prefix: u64,
+        asked: u64,
+        deadline: u64,
+    ) -> Result<Seat, Refusal> {
+        loop {
+            let room = self.roster.room.notified();
+            tokio::pin!(room);
+            room.as_mut().enable();
+            let view = self.view.borrow().clone();
+            let (until, refusal) = match self.roster.elect(&view, mapping, prefix) {
+                Elected::Engine(seat) => return Ok(seat),
+                Elected::Full => (
+                    (asked + ROOM_WAIT_MS).min(deadline),
+                    Refusal::not_run(503, "engines-full", "every engine allowed is at its limit"),
+                ),
+                Elected::Nobody => (
+                    (asked + SIGHT_WAIT_MS).min(deadline),
+                    Refusal::not_run(503, "no-engine", "no engine allowed is in sight"),
+                ),
+            };
+            let left = until.saturating_sub(now());
+            if left == 0 {
+                self.counters.one("refused-no-room");
+                return Err(refusal.retry(1_000));
+            }
+            // The end of the wait is looked at above, with one more election.
+            let _ = tokio::time::timeout(Duration::from_millis(left), room).await;
+        }
+    }
+
+    fn relay(
+        &self,
+        job: Job,
+        parts: &Parts,
+        answer: hyper::Response<Incoming>,
+        seat: Seat,
+        driver: Aborting,
+    ) -> Answer {
+        let (head, body) = answer.into_parts();
+        let mut headers = head.headers;
+        clean(&mut headers);
+        let relay = Relay {
+            body,
+            job,
+            id: parts.id.clone(),
+            seat,
+            counters: Arc::clone(&self.counters),
+            idle: Box::pin(tokio::time::sleep(IDLE)),
+            _driver: driver,
+        };
+        Answer { status: head.status, headers, body: relay }
+    }
+}
+
+fn request(parts: &Parts, to: SocketAddr, carried: &mut Carried) -> hyper::Request<Flow> {
+    let mut headers = parts.headers.clone();
+    clean(&mut headers);
+    let value = |text: &str| text.parse().expect("an address or an id is a header's value");
+    headers.insert("host", value(&to.to_string()));
+    headers.insert(JOB, value(&parts.id));
+    let mut request = hyper::Request::new(carried.take());
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = parts.target.parse().expect("the target was a uri when it came in");
+    *request.headers_mut() = headers;
+    request
+}
+
+fn is_declined(answer: &hyper::Response<Incoming>) -> bool {
+    answer.status() == 503
+        && answer.headers().get(ENGINE_OUTCOME).is_some_and(|value| value == "not-run")
+}
+
+/// Whether the end of an answer can be told from a break: it has a length, or
+/// comes in chunks with a last one.
+fn has_end(answer: &hyper::Response<Incoming>, method: &http::Method) -> bool {
+    method == http::Method::HEAD
+        || answer.body().size_hint().exact().is_some()
+        || answer.headers().contains_key("transfer-encoding")
+}
+
+/// An answer on its way. What the engine breaks off, this breaks off.
+pub struct Relay {
+    body: Incoming,
+    job: Job,
+    id: String,
+    seat: Seat,
+    counters: Arc<Counters>,
+    idle: Pin<Box<tokio::time::Sleep>>,
+    _driver: Aborting,
+}
+
+impl Relay {
+    pub fn engine(&self) -> &str {
+        &self.seat.name
+    }
+
+    fn end(&mut self, event: Event) {
+        if self.job.state() == State::Answering {
+            step(&mut self.job, event);
+            match event {
+                Event::AnswerEnded => {
+                    self.seat.complete();
+                    self.counters.one("answers-whole");
+                }
+                Event::StreamBroke => self.counters.one("answers-broken"),
+                _ => self.counters.one("callers-left"),
+            }
+            log::info!(job = self.id.as_str(), engine = self.seat.name.as_str();
+                "{:?}", self.job.state());
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        // hyper drops a body without a last poll where its length is reached.
+        let event = match self.body.is_end_stream() {
+            true => Event::AnswerEnded,
+            false => Event::CallerLeft,
+        };
+        self.end(event);
+    }
+}
+
+impl Body for Relay {
+    type Data = Bytes;
+    type Error = anyhow::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.idle.as_mut().reset(tokio::time::Instant::now() + IDLE);
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.end(Event::StreamBroke);
+                Poll::Ready(Some(Err(error.into())))
+            }
+            Poll::Ready(None) => {
+                self.end(Event::AnswerEnded);
+                Poll::Ready(None)
+            }
+            Poll::Pending => match std::future::Future::poll(self.idle.as_mut(), context) {
+                Poll::Ready(()) => {
+                    self.end(Event::StreamBroke);
+                    Poll::Ready(Some(Err(anyhow::anyhow!("the engine fell silent"))))
+                }
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/yard/src/link.rs
@@ -0,0 +1,89 @@
+//! Framed TCP links between rushport's own processes.
+
+use anyhow::{anyhow, bail, Context};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use wire::{Frame, Kind};
+
+/// How long connecting may take, and how long a first frame.
+pub const PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// Dials out from `source`'s address, so that a cut between two machines is
+/// a cut in both directions.
+pub async fn connect(source: SocketAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match to.is_ipv4() {
+        true => TcpSocket::new_v4()?,
+        false => TcpSocket::new_v6()?,
+    };
+    if source.is_ipv4() == to.is_ipv4() && !source.ip().is_unspecified() {
+        socket.bind(SocketAddr::new(source.ip(), 0))?;
+    }
+    let stream = tokio::time::timeout(PATIENCE, socket.connect(to))
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Dials and says hello.
+pub async fn dial(
+    source: SocketAddr,
+    to: SocketAddr,
+    kind: Kind,
+    name: &str,
+) -> anyhow::Result<TcpStream> {
+    let mut stream = connect(source, to).await.with_context(|| format!("dialling {to}"))?;
+    let hello = Frame::Hello { epoch: wire::EPOCH, kind, name: name.into() };
+    send(&mut stream, &hello).await?;
+    Ok(stream)
+}
+
+pub async fn send(to: &mut (impl AsyncWrite + Unpin), frame: &Frame) -> anyhow::Result<()> {
+    Ok(to.write_all(&wire::encode(frame)).await?)
+}
+
+/// Reads one frame. `None`: the other side closed between frames.
+pub async fn receive(
+    from: &mut (impl AsyncRead + Unpin),
+    cap: usize,
+) -> anyhow::Result<Option<Frame>> {
+    let mut length = [0; 4];
+    if let Err(error) = from.read_exact(&mut length).await {
+        return match error.kind() {
+            std::io::ErrorKind::UnexpectedEof => Ok(None),
+            _ => Err(error.into()),
+        };
+    }
+    let length = u32::from_be_bytes(length) as usize;
+    if length > cap {
+        bail!("a frame of {length} bytes is over the cap of {cap}");
+    }
+    let mut bytes = Vec::with_capacity(length.min(1 << 16));
+    let read = from.take(length as u64).read_to_end(&mut bytes).await?;
+    if read < length {
+        bail!("the connection ended within a frame");
+    }
+    wire::decode(&bytes).map(Some).map_err(|text| anyhow!("an unreadable frame: {text}"))
+}
+
+/// Reads the hello of an accepted connection. Another epoch is refused in
+/// words, and the reason returned for the log.
+pub async fn greet(stream: &mut TcpStream) -> anyhow::Result<(Kind, String)> {
+    stream.set_nodelay(true)?;
+    let frame = tokio::time::timeout(PATIENCE * 5, receive(stream, wire::HELLO_CAP))
+        .await
+        .map_err(|_| anyhow!("no hello came"))??;
+    match frame {
+        Some(Frame::Hello { epoch: wire::EPOCH, kind, name }) => Ok((kind, name)),
+        Some(Frame::Hello { epoch, name, .. }) => {
+            let text =
+                format!("{name} speaks wire epoch {epoch}, this build speaks {} only", wire::EPOCH);
+            send(stream, &Frame::Refused { text: text.clone() }).await?;
+            Err(anyhow!(text))
+        }
+        Some(_) => Err(anyhow!("the first frame is no hello")),
+        None => Err(anyhow!("closed before a hello")),
+    }
+}
