--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -34,6 +34,16 @@
     looks: Looks,
 }
 
+/// Other routers of the region that share its cache.
+pub fn neighbours(router: &Router) -> usize {
+    let is_one = |front: &&Front| {
+        front.region == router.boot.region
+            && front.is_leaving == 0
+            && front.name != router.boot.name
+    };
+    router.company.read().fronts.iter().filter(is_one).count()
+}
+
 /// The router that holds a key's share of the region's cache, by rendezvous
 /// over those of the region. `None`: this one.
 fn owner(router: &Router, key: &str) -> Option<SocketAddr> {
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -209,6 +209,9 @@
                 "leaving": router.is_leaving.load(Ordering::Relaxed),
                 "under_way": Arc::strong_count(&router.under_way) - 1,
                 "session": router.questions.node(),
+                "neighbours": company::neighbours(router),
+                "cached": router.layers.sizes().0,
+                "cached_share": router.layers.sizes().1,
                 "engines": router.dispatcher.roster.value(),
             });
             web::json(if is_well { 200 } else { 503 }, &value)
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -377,7 +377,8 @@
         self.in_force(epoch, Duration::from_secs(30)).await
     }
 
-    /// Waits until every running router has an epoch and sees its engines.
+    /// Waits until every running router has an epoch, and sees its engines and
+    /// its neighbours.
     pub async fn in_force(&self, epoch: u64, patience: Duration) -> anyhow::Result<()> {
         for router in self.of(Kind::Router).iter().filter(|router| router.child.is_some()) {
             wait(patience, &format!("epoch {epoch} at {}", router.name), async || {
@@ -388,8 +389,12 @@
                 let silent = engines.map_or(0, |list| {
                     list.iter().filter(|e| e.get("running").is_none_or(|v| v.is_null())).count()
                 });
-                let running = self.of(Kind::Engine).iter().filter(|e| e.child.is_none()).count();
-                anyhow::ensure!(silent <= running, "{silent} engines are not heard");
+                let down = self.of(Kind::Engine).iter().filter(|e| e.child.is_none()).count();
+                anyhow::ensure!(silent <= down, "{silent} engines are not heard");
+                let near = self.of(Kind::Router);
+                let near = near.iter().filter(|r| r.child.is_some() && r.region == router.region);
+                let known = vitals.get("neighbours").and_then(|v| v.as_u64()).unwrap_or(0);
+                anyhow::ensure!(known + 1 >= near.count() as u64, "{known} neighbours are known");
                 Ok(())
             })
             .await?;
@@ -397,6 +402,20 @@
         Ok(())
     }
 
+    /// Waits until the running routers' shares hold so many mappings together.
+    pub async fn shared(&self, wanted: u64) -> anyhow::Result<()> {
+        wait(Duration::from_secs(20), "the shared layer", async || {
+            let mut sum = 0;
+            for router in self.of(Kind::Router).iter().filter(|router| router.child.is_some()) {
+                let vitals = ask(router.desk(), "GET", "/vitals", &OwnedValue::null()).await?;
+                sum += vitals.get("cached_share").and_then(|v| v.as_u64()).unwrap_or(0);
+            }
+            anyhow::ensure!(sum >= wanted, "they hold {sum}");
+            Ok(())
+        })
+        .await
+    }
+
     /// The sum of one counter over all running processes of a kind.
     pub async fn count(&self, kind: Kind, name: &str) -> anyhow::Result<u64> {
         let mut sum = 0;
--- a/stand/tests/fleet.rs
+++ b/stand/tests/fleet.rs
@@ -94,6 +94,7 @@
     assert_eq!(count(Kind::Directory, "resolves").await, resolves, "nor a question");
 
     // The other router of the region has it from the shared layer.
+    fleet.shared(1).await.expect("the mapping is in the shared layer");
     let other = fleet.get("router-2").door();
     whole(other, &prompt("j-20", "ana-key-0001", "once upon a time")).await;
     assert_eq!(count(Kind::Router, "shared-fresh").await, 1);
