Events make void only what they change; tables for residency and language

Cause: every revision and evacuation dropped every mapping. A revision now touches the tenants that it changes, an evacuation the keys at home there; cells of an evacuated zone stay on mappings, behind the others. What is left is the cold start and the never-fresh keys of the evacuated zone.

--- a/language/src/lib.rs
+++ b/language/src/lib.rs
@@ -63,7 +63,7 @@
 }
 
 /// The values that the controllers steer by.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq)]
 pub struct SetPoints {
     pub fill: f64,
     pub retries: f64,
--- a/residency/src/book.rs
+++ b/residency/src/book.rs
@@ -1,6 +1,7 @@
 //! The home book: where each tenant and service may live. Read from simd-json
 //! values and checked whole, with the place of everything that is wrong.
 
+use crate::{Name, Touch};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::collections::BTreeMap;
@@ -18,11 +19,13 @@
     pub points: language::SetPoints,
 }
 
+#[derive(PartialEq)]
 pub struct Service {
     /// Empty stands for any region.
     pub homes: Vec<String>,
 }
 
+#[derive(PartialEq)]
 pub struct Tenant {
     /// Empty stands for any region.
     pub homes: Vec<String>,
@@ -178,6 +181,22 @@
         regions
     }
 
+    /// Which mappings another book in place of this one makes void.
+    pub fn touched_by(&self, next: &Book) -> Vec<Touch> {
+        let is_same_ground = self.zones == next.zones
+            && self.cells == next.cells
+            && self.services == next.services
+            && self.points == next.points;
+        if !is_same_ground {
+            return vec![Touch::All];
+        }
+        // A tenant that is new has no mapping yet.
+        let has_changed =
+            |(name, tenant): &(&String, &Tenant)| next.tenants.get(*name) != Some(*tenant);
+        let touch = |(name, _): (&String, &Tenant)| Touch::Tenant(Name(name.clone()));
+        self.tenants.iter().filter(has_changed).map(touch).collect()
+    }
+
     /// Reads and checks a whole book. Either all of it holds, or everything
     /// that is wrong is returned.
     pub fn read(value: &OwnedValue) -> Result<Book, Vec<String>> {
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -288,7 +288,7 @@
                     homes: tenant.homes.iter().cloned().map(Name).collect(),
                 };
                 events.push(Event::Tenants(book.tenants.iter().map(terms).collect()));
-                events.push(Event::Touched(Touch::All));
+                events.extend(self.book.touched_by(&book).into_iter().map(Event::Touched));
                 Ok(events)
             }
             Command::Key(place) => {
@@ -345,16 +345,16 @@
                 None => Err(format!("there is no engine {name}")),
             },
             Command::Evacuate(zone) | Command::GiveBack(zone) => {
-                if !self.book.zones.contains_key(&zone.0) {
+                let Some(region) = self.book.zones.get(&zone.0) else {
                     return Err(format!("there is no zone {zone}"));
-                }
+                };
+                // Routers leave an evacuated zone's engines out by themselves;
+                // what changes is how long a key at home there stays fresh.
+                let touched = Event::Touched(Touch::Home(Name(region.clone())));
                 Ok(match command {
-                    Command::Evacuate(_) => vec![Event::Evacuated(zone.clone())],
-                    _ => vec![Event::GivenBack(zone.clone())],
-                }
-                .into_iter()
-                .chain([Event::Touched(Touch::All)])
-                .collect())
+                    Command::Evacuate(_) => vec![Event::Evacuated(zone.clone()), touched],
+                    _ => vec![Event::GivenBack(zone.clone()), touched],
+                })
             }
             Command::Move { tenant, service, cell } => {
                 let key = known_pair(tenant, service)?;
@@ -471,7 +471,9 @@
             engine.state != EngineState::Draining
                 && engine.services.iter().any(|name| name.0 == service)
         };
-        let mut cells: Vec<(bool, usize, u32, String)> = Vec::new();
+        // Cells of evacuated zones stay on the list, behind the others, so that
+        // a mapping outlives an evacuation.
+        let mut cells: Vec<(bool, bool, usize, u32, String)> = Vec::new();
         for engine in self.view.engines.values().filter(serves) {
             let Some(zone) = self.book.cells.get(&engine.cell) else { continue };
             let rank = self
@@ -480,15 +482,16 @@
                 .get(zone)
                 .and_then(|home| regions.iter().position(|region| region == home));
             let Some(rank) = rank else { continue };
-            if self.view.evacuated.contains(zone) || cells.iter().any(|c| c.3 == engine.cell) {
+            if cells.iter().any(|cell| cell.4 == engine.cell) {
                 continue;
             }
+            let is_shut = self.view.evacuated.contains(zone);
             let is_pinned = pin.is_some_and(|pin| pin.cell.0 == engine.cell);
             let draw = draw(&format!("{key}@{}", engine.cell));
-            cells.push((!is_pinned, rank, draw, engine.cell.clone()));
+            cells.push((is_shut, !is_pinned, rank, draw, engine.cell.clone()));
         }
         cells.sort();
-        if cells.is_empty() {
+        if cells.iter().all(|cell| cell.0) {
             let text = format!("no place that {tenant} allows has an engine for {service} now");
             return Err(("no-place", text));
         }
@@ -504,7 +507,7 @@
             tenant: tenant.into(),
             service: service.into(),
             regions: regions.into_iter().map(Name).collect(),
-            cells: cells.into_iter().map(|cell| Name(cell.3)).collect(),
+            cells: cells.into_iter().map(|cell| Name(cell.4)).collect(),
             fresh_ms: match is_moving || is_emptied {
                 true => 0,
                 false => entry.fresh_ms.unwrap_or(points.fresh_ms),
--- a/residency/src/view.rs
+++ b/residency/src/view.rs
@@ -70,6 +70,9 @@
     Tenant(crate::Name),
     #[brw(magic = 2u8)]
     Key(crate::Name),
+    /// Mappings whose first region this is.
+    #[brw(magic = 3u8)]
+    Home(crate::Name),
 }
 
 impl Touch {
@@ -78,6 +81,7 @@
             Touch::All => true,
             Touch::Tenant(name) => mapping.tenant == name.0,
             Touch::Key(name) => mapping.key() == name.0,
+            Touch::Home(region) => mapping.regions.first() == Some(region),
         }
     }
 }
--- /dev/null
+++ b/residency/tests/state.rs
@@ -0,0 +1,273 @@
+//! Tables of what each command does to the state, and what it refuses.
+
+use residency::{
+    Command, Engine, EngineState, Event, Name, Outcome, Place, State, Submission, Touch,
+};
+
+const BOOK: &str = r#"{
+  "zones": { "n-a": { "region": "north" }, "s-a": { "region": "south" }, "w-a": { "region": "west" } },
+  "cells": { "n-1": { "zone": "n-a" }, "n-2": { "zone": "n-a" }, "s-1": { "zone": "s-a" }, "w-1": { "zone": "w-a" } },
+  "services": { "writer": {}, "tight": { "homes": ["west"] } },
+  "tenants": { "ana": { "homes": ["north", "south"], "fresh": "10s" }, "ben": { "homes": ["south"] }, "any": {} },
+  "rules": "door app at \"/app/\" tenant header \"k\" model header \"m\"\nroute w on app POST \"/app/w\" to model once"
+}"#;
+
+fn revise(whole: bool, text: &str) -> Command {
+    Command::Revise { whole, text: text.into() }
+}
+
+fn engine(name: &str, cell: &str, state: EngineState) -> Command {
+    let number: u32 = name.bytes().map(u32::from).sum();
+    Command::Engine(Engine {
+        name: name.into(),
+        address: format!("127.0.0.1:{}", 1000 + number),
+        cell: cell.into(),
+        services: vec!["writer".into()],
+        slots: 4,
+        state,
+    })
+}
+
+/// Invariant: `epoch` is the index of the entry applied last.
+struct Bench {
+    state: State,
+    epoch: u64,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let mut bench = Bench { state: State::default(), epoch: 0 };
+        bench.must(revise(true, BOOK));
+        for (name, cell) in [("e-n1", "n-1"), ("e-n2", "n-2"), ("e-s1", "s-1"), ("e-w1", "w-1")] {
+            bench.must(engine(name, cell, EngineState::Serving));
+        }
+        bench
+    }
+
+    fn submit(&mut self, id: &str, base: u64, command: Command) -> (Outcome, Vec<Event>) {
+        self.epoch += 1;
+        self.state.apply(self.epoch, &Submission { id: id.into(), base, command })
+    }
+
+    fn must(&mut self, command: Command) -> Vec<Event> {
+        let id = format!("id-{}", self.epoch);
+        match self.submit(&id, 0, command) {
+            (Outcome::Applied { .. }, events) => events,
+            (other, _) => panic!("{other:?}"),
+        }
+    }
+
+    fn refused(&mut self, command: Command) -> String {
+        let before = self.state.picture();
+        let id = format!("id-{}", self.epoch);
+        let (outcome, events) = self.submit(&id, 0, command);
+        assert!(events.is_empty());
+        let sizes = (before.len(), self.state.picture().len());
+        assert_eq!(sizes.0, sizes.1, "a refused change changes nothing");
+        match outcome {
+            Outcome::Refused(text) => text,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn cells(&self, tenant: &str, asker: &str) -> Vec<String> {
+        let mapping = self.state.resolve(tenant, "writer", asker).expect("it resolves");
+        mapping.cells.iter().map(|cell| cell.0.clone()).collect()
+    }
+}
+
+#[test]
+fn bad_revisions_say_every_fault_and_its_place() {
+    let cases: Vec<(&str, Vec<&str>)> = vec![
+        ("{", vec!["line 1, column"]),
+        ("[]", vec!["an object should stand here"]),
+        (r#"{"zons":{}}"#, vec!["zons: no such field"]),
+        (r#"{"zones":{"a":{}}}"#, vec!["zones.a.region: a text"]),
+        (r#"{"cells":{"c":{"zone":"nowhere"}}}"#, vec!["cells.c.zone: there is no zone nowhere"]),
+        (
+            r#"{"tenants":{"t":{"homes":["mars"],"pace":-1,"fresh":"soon"}}}"#,
+            vec![
+                "tenants.t.homes[0]: no zone",
+                "tenants.t.pace: a whole",
+                "tenants.t.fresh: a time",
+            ],
+        ),
+        (r#"{"tenants":{"t":{"homes":[]}}}"#, vec!["tenants.t.homes: an empty list"]),
+        (r#"{"tenants":{"a b":{}}}"#, vec!["tenants.a b: a name is"]),
+        (r#"{"rules":"door"}"#, vec!["rules: line 1, column 5: the line ends"]),
+        (
+            r#"{"rules":"door a at \"/a/\" tenant bearer\nroute r on a GET \"/a/x\" to service ghost once"}"#,
+            vec!["rules: route r names no known service"],
+        ),
+    ];
+    for (text, wanted) in cases {
+        let mut bench = Bench { state: State::default(), epoch: 0 };
+        let found = bench.refused(revise(true, text));
+        for wanted in wanted {
+            assert!(found.contains(wanted), "{text}: {found:?} lacks {wanted:?}");
+        }
+    }
+}
+
+#[test]
+fn what_is_refused_and_why() {
+    let key =
+        |name: &str, within: &str| Command::Key(Place { name: name.into(), within: within.into() });
+    let pair = |tenant: &str, cell: &str| Command::Move {
+        tenant: tenant.into(),
+        service: "writer".into(),
+        cell: cell.into(),
+    };
+    let cases = [
+        (key("short", "ana"), "64 hexadecimal digits"),
+        (key(&"a".repeat(64), "nobody"), "no tenant nobody"),
+        (Command::KeyGone("b".into()), "no such key"),
+        (engine("x", "nowhere", EngineState::Serving), "no cell nowhere"),
+        (Command::EngineGone("x".into()), "no engine x"),
+        (Command::EngineState { name: "x".into(), state: EngineState::Draining }, "no engine x"),
+        (Command::Evacuate("mars".into()), "no zone mars"),
+        (pair("ana", "w-1"), "outside the homes"),
+        (pair("ana", "mars"), "no cell mars"),
+        (Command::Settle { tenant: "ana".into(), service: "writer".into() }, "is not moved"),
+        (revise(false, r#"{"cells":{"n-1":null}}"#), "engine e-n1 is listed in cell n-1"),
+    ];
+    for (command, wanted) in cases {
+        let mut bench = Bench::new();
+        let found = bench.refused(command.clone());
+        assert!(found.contains(wanted), "{command:?}: {found}");
+    }
+}
+
+/// Guards: a repeat is applied once; colliding changes are refused, not mixed.
+#[test]
+fn repeats_and_collisions() {
+    let mut bench = Bench::new();
+    let evacuate = || Command::Evacuate("n-a".into());
+    let (first, _) = bench.submit("one", 0, evacuate());
+    let Outcome::Applied { epoch } = first else { panic!("{first:?}") };
+    assert_eq!(bench.submit("one", 0, evacuate()).0, Outcome::Repeated { epoch });
+    let (other, _) = bench.submit("one", 0, Command::GiveBack("n-a".into()));
+    assert!(matches!(other, Outcome::Refused(_)), "one id stands for one change");
+    let (late, _) = bench.submit("two", epoch - 1, Command::GiveBack("n-a".into()));
+    assert_eq!(late, Outcome::Conflict { epoch });
+    let (based, _) = bench.submit("three", epoch, Command::GiveBack("n-a".into()));
+    assert!(matches!(based, Outcome::Applied { .. }));
+    // Another kind's change in between is no collision.
+    let mark = bench.epoch;
+    bench.must(engine("e-n3", "n-1", EngineState::Coming));
+    let (based, _) = bench.submit("four", mark, evacuate());
+    assert!(matches!(based, Outcome::Applied { .. }));
+}
+
+/// Guards: nothing ever widens homes.
+#[test]
+fn resolving_keeps_to_homes() {
+    let mut bench = Bench::new();
+    assert_eq!(bench.cells("ben", "north"), ["s-1"]);
+    let ana = bench.cells("ana", "west");
+    assert_eq!(ana.len(), 3);
+    assert!(ana[0].starts_with("n-") && ana[1].starts_with("n-") && ana[2] == "s-1");
+    assert_eq!(bench.cells("any", "west")[0], "w-1", "without a home the caller's region is first");
+    assert_eq!(
+        bench.state.resolve("ben", "tight", "west").expect_err("no common region").0,
+        "no-place"
+    );
+
+    bench.must(Command::Evacuate("s-a".into()));
+    assert_eq!(
+        bench.state.resolve("ben", "writer", "south").expect_err("its home is empty").0,
+        "no-place"
+    );
+    assert_eq!(bench.cells("ana", "south").len(), 3, "an evacuated spill cell keeps its place");
+    bench.must(Command::GiveBack("s-a".into()));
+    bench.must(Command::Evacuate("n-a".into()));
+    let mapping = bench.state.resolve("ana", "writer", "north").expect("the south is left");
+    assert_eq!(mapping.cells[0].0, "s-1");
+    assert_eq!(mapping.fresh_ms, 0, "never fresh while its home is drained");
+    bench.must(Command::GiveBack("n-a".into()));
+    assert_eq!(
+        bench.state.resolve("ana", "writer", "north").expect("it resolves").fresh_ms,
+        10_000
+    );
+}
+
+#[test]
+fn a_move_is_never_fresh_until_settled() {
+    let mut bench = Bench::new();
+    let (tenant, service) = (Name::from("ana"), Name::from("writer"));
+    let fresh = |bench: &Bench| {
+        bench.state.resolve("ana", "writer", "north").expect("it resolves").fresh_ms
+    };
+    let first = bench.cells("ana", "north")[0].clone();
+    bench.must(Command::Move {
+        tenant: tenant.clone(),
+        service: service.clone(),
+        cell: "s-1".into(),
+    });
+    assert_eq!((bench.cells("ana", "north")[0].as_str(), fresh(&bench)), ("s-1", 0));
+    let events = bench.must(Command::Settle { tenant: tenant.clone(), service: service.clone() });
+    assert_eq!(events, [Event::Touched(Touch::Key("ana/writer".into()))]);
+    assert_eq!((bench.cells("ana", "north")[0].as_str(), fresh(&bench)), ("s-1", 10_000));
+    bench.must(Command::Unpin { tenant, service });
+    assert_eq!(bench.cells("ana", "north")[0], first);
+}
+
+#[test]
+fn only_what_changed_is_touched() {
+    let touches = |events: Vec<Event>| -> Vec<Touch> {
+        let touch = |event| match event {
+            Event::Touched(touch) => Some(touch),
+            _ => None,
+        };
+        events.into_iter().filter_map(touch).collect()
+    };
+    let cases: Vec<(Command, Vec<Touch>)> = vec![
+        (
+            revise(false, r#"{"tenants":{"ben":{"homes":["south","north"]}}}"#),
+            vec![Touch::Tenant("ben".into())],
+        ),
+        (revise(false, r#"{"tenants":{"new":{}}}"#), vec![]),
+        (revise(false, r#"{"tenants":{"ben":null}}"#), vec![Touch::Tenant("ben".into())]),
+        (revise(false, r#"{"cells":{"w-2":{"zone":"w-a"}}}"#), vec![Touch::All]),
+        (engine("e-n4", "n-1", EngineState::Serving), vec![]),
+        (engine("e-n1", "n-1", EngineState::Draining), vec![Touch::All]),
+        (Command::Evacuate("w-a".into()), vec![Touch::Home("west".into())]),
+    ];
+    for (command, wanted) in cases {
+        let mut bench = Bench::new();
+        assert_eq!(touches(bench.must(command.clone())), wanted, "{command:?}");
+    }
+}
+
+#[test]
+fn a_tenant_that_goes_takes_its_keys_along() {
+    let mut bench = Bench::new();
+    let digest = language::fingerprint("a key of ben's");
+    bench.must(Command::Key(Place { name: digest.clone(), within: "ben".into() }));
+    assert!(bench.state.view.keys.contains_key(&digest));
+    bench.must(revise(false, r#"{"tenants":{"ben":null}}"#));
+    assert!(bench.state.view.keys.is_empty());
+}
+
+/// A picture holds everything: it continues as the state that it was taken of.
+#[test]
+fn a_picture_goes_on_like_its_original() {
+    let mut bench = Bench::new();
+    bench.must(Command::Evacuate("s-a".into()));
+    bench.must(Command::Move {
+        tenant: "any".into(),
+        service: "writer".into(),
+        cell: "w-1".into(),
+    });
+    let mut copy = State::restore(&bench.state.picture()).expect("a picture reads back");
+    assert_eq!(copy.epoch(), bench.state.epoch());
+    assert_eq!(copy.view.picture(), bench.state.view.picture());
+    let again = Submission { id: "id-0".into(), base: 0, command: revise(true, BOOK) };
+    assert_eq!(copy.apply(99, &again).0, Outcome::Repeated { epoch: 1 });
+    for tenant in ["ana", "ben", "any"] {
+        let ask = |state: &State| state.resolve(tenant, "writer", "west").ok();
+        assert_eq!(ask(&copy), ask(&bench.state));
+    }
+    let damaged = &bench.state.picture()[..40];
+    assert!(State::restore(damaged).is_err());
+}
--- a/router/src/layers.rs
+++ b/router/src/layers.rs
@@ -8,13 +8,11 @@
 use tokio::sync::watch;
 use yard::now;
 
-/// The epochs at which mappings were last made void. A mapping that was
-/// resolved before is not to be used or kept, whichever way it came.
+/// What events made void, each with the epoch of the last time. A mapping that
+/// was resolved before is not to be used or kept, whichever way it came.
+/// Invariant: no touch stands twice.
 #[derive(Default)]
-struct Touches {
-    all: u64,
-    some: HashMap<String, u64>,
-}
+struct Touches(Vec<(Touch, u64)>);
 
 /// Invariants: neither layer holds a mapping that an applied event has made
 /// void; at most one asker per key is in `asking`.
@@ -54,11 +52,7 @@
 
     pub fn is_void(&self, mapping: &Mapping) -> bool {
         let touches = self.touches.lock();
-        let last = [&mapping.tenant, &mapping.key()]
-            .iter()
-            .filter_map(|name| touches.some.get(name.as_str()))
-            .fold(touches.all, |last, epoch| last.max(*epoch));
-        mapping.epoch < last
+        touches.0.iter().any(|(touch, epoch)| mapping.epoch < *epoch && touch.covers(mapping))
     }
 
     /// Drops what the events of an entry make void.
@@ -66,15 +60,8 @@
         for event in events {
             let Event::Touched(touch) = event else { continue };
             let mut touches = self.touches.lock();
-            match touch {
-                Touch::All => {
-                    touches.all = epoch;
-                    touches.some.clear();
-                }
-                Touch::Tenant(name) | Touch::Key(name) => {
-                    touches.some.insert(name.0.clone(), epoch);
-                }
-            }
+            touches.0.retain(|(known, _)| *touch != Touch::All && known != touch);
+            touches.0.push((touch.clone(), epoch));
             drop(touches);
             self.own.lock().drop_where(|mapping| touch.covers(mapping));
             self.share.lock().drop_where(|mapping| touch.covers(mapping));
