The simulator crashes nodes just after their word, and asks frozen leaders

Now who acknowledged crashes at once with another node, slow disks and freezes meet the leader as often as not, and a question waits at a frozen node ahead of its clock.

--- a/stand/src/simulator.rs
+++ b/stand/src/simulator.rs
@@ -141,6 +141,9 @@
     pub lost_disks: u64,
     pub freezes: u64,
     pub all_down: u64,
+    /// Of an acknowledgement, in thousandths: who gave it crashes at once, and
+    /// another node with it.
+    pub after_word: u64,
 }
 
 pub const CALM: Weather = Weather {
@@ -155,6 +158,7 @@
     lost_disks: 0,
     freezes: 0,
     all_down: 0,
+    after_word: 0,
 };
 
 pub const STORM: Weather = Weather {
@@ -169,6 +173,7 @@
     lost_disks: 40,
     freezes: 100,
     all_down: 60,
+    after_word: 10,
 };
 
 enum Due {
@@ -178,6 +183,8 @@
     Restart(usize),
     /// Whoever looks after a machine made room on its disk, and restarts it.
     Emptied(usize, u64),
+    /// A question that waited at a frozen node, before its clock goes on.
+    Question(usize, u64),
     Heal,
 }
 
@@ -226,6 +233,7 @@
     ids: BTreeMap<String, Index>,
     report: Report,
     acknowledged_at: u64,
+    doomed: Option<usize>,
 }
 
 fn draw(seed: &mut u64, below: u64) -> u64 {
@@ -255,6 +263,7 @@
             ids: BTreeMap::new(),
             report: Report::default(),
             acknowledged_at: 1_000_000,
+            doomed: None,
         };
         for at in 0..nodes {
             let identity = simulation.draw(u64::MAX) | 1;
@@ -458,6 +467,9 @@
             self.report.acknowledged += 1;
             self.report.gap_ms = self.report.gap_ms.max(now - self.acknowledged_at);
             self.acknowledged_at = now;
+            if self.chance(self.weather.after_word) {
+                self.doomed = Some(at);
+            }
         }
         let live = self.machines[at].live.as_mut().expect("it just stepped");
         if entry.index >= live.picture_at + PICTURE_EVERY {
@@ -557,9 +569,27 @@
                     self.crash(at);
                     self.start(at)?;
                 }
-                Due::Beat(..) | Due::DiskDone(..) | Due::Restart(_) | Due::Emptied(..) => {}
+                Due::Question(at, life) if self.machines[at].life == life => {
+                    self.tokens += 1;
+                    let token = self.tokens;
+                    self.asked.insert(token, self.acknowledged);
+                    self.step(at, Input::Confirm(token))?;
+                }
+                Due::Beat(..)
+                | Due::DiskDone(..)
+                | Due::Restart(_)
+                | Due::Emptied(..)
+                | Due::Question(..) => {}
                 Due::Heal => self.cuts.clear(),
             }
+            if let Some(at) = self.doomed.take() {
+                let other = self.draw(self.machines.len() as u64) as usize;
+                for at in [at, other] {
+                    self.crash(at);
+                    let wait = 100 + self.draw(1_500);
+                    self.due(wait, Due::Restart(at));
+                }
+            }
         }
         self.now = end;
         Ok(())
@@ -663,6 +693,8 @@
             self.due(wait, Due::Heal);
         }
         if let Some(at) = each(self, weather.slow_disks) {
+            // As often as not the one whose disk matters most.
+            let at = self.leader().filter(|_| self.tokens.is_multiple_of(2)).unwrap_or(at);
             self.machines[at].slow_until = self.now + 500 + self.draw(3_000);
         }
         if let Some(at) = each(self, weather.full_disks) {
@@ -674,7 +706,11 @@
             }
         }
         if let Some(at) = each(self, weather.freezes) {
-            self.machines[at].frozen_until = self.now + 200 + self.draw(4_000);
+            let at = self.leader().filter(|_| self.tokens.is_multiple_of(2)).unwrap_or(at);
+            let time = 200 + self.draw(4_000);
+            self.machines[at].frozen_until = self.now + time;
+            let life = self.machines[at].life;
+            self.due(time, Due::Question(at, life));
         }
         if let Some(at) = each(self, weather.lost_disks) {
             self.lose_disk(at);
