--- a/placement/src/control.rs
+++ b/placement/src/control.rs
@@ -35,10 +35,8 @@
         // begins with half a second's worth.
         let start = (pace * 500).clamp(1000, most);
         let since = self.since;
-        let bucket = self
-            .buckets
-            .entry(tenant.to_string())
-            .or_insert(Bucket { held: start, filled: since });
+        let bucket =
+            self.buckets.entry(tenant.to_string()).or_insert(Bucket { held: start, filled: since });
         let elapsed = now.saturating_sub(bucket.filled);
         bucket.held = (bucket.held + elapsed * pace + returned * 1000).min(most);
         bucket.filled = now;
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -51,6 +51,7 @@
     pub shape: Shape,
     pub folder: PathBuf,
     pub processes: BTreeMap<String, Process>,
+    _mark: std::net::TcpListener,
 }
 
 fn counts(value: &OwnedValue, name: &str) -> anyhow::Result<BTreeMap<String, u64>> {
@@ -121,14 +122,14 @@
     Ok(path)
 }
 
-/// A second octet under which this process's fleet has its ports to itself.
-fn free_octet() -> anyhow::Result<u8> {
+/// A second octet that is this fleet's alone, for as long as the listener
+/// that marks it as taken is kept.
+fn free_octet() -> anyhow::Result<(u8, std::net::TcpListener)> {
     let start = std::process::id() as usize;
     for step in 0..200 {
         let octet = 20 + ((start + step) % 200) as u8;
-        let ip = Ipv4Addr::new(127, octet, 1, 1);
-        if std::net::TcpListener::bind((ip, ADDRESS)).is_ok() {
-            return Ok(octet);
+        if let Ok(mark) = std::net::TcpListener::bind((Ipv4Addr::new(127, octet, 0, 1), ADDRESS)) {
+            return Ok((octet, mark));
         }
     }
     bail!("no free loopback addresses")
@@ -137,9 +138,10 @@
 impl Fleet {
     /// Lays a fleet out, starting nothing.
     pub fn lay(shape: Shape, folder: &Path) -> anyhow::Result<Fleet> {
-        let octet = free_octet()?;
+        let (octet, mark) = free_octet()?;
         let book = residency::Book::read(&shape.book).map_err(|all| anyhow!(all.join("\n")))?;
-        let mut fleet = Fleet { shape, folder: folder.to_path_buf(), processes: BTreeMap::new() };
+        let mut fleet =
+            Fleet { shape, folder: folder.to_path_buf(), processes: BTreeMap::new(), _mark: mark };
         std::fs::create_dir_all(folder.join("logs"))?;
         let mut next = 0u8;
         let mut ip = |row: u8| {
--- /dev/null
+++ b/stand/tests/common/mod.rs
@@ -0,0 +1,109 @@
+//! A small fleet of real processes for tests. Nothing here judges a time.
+#![allow(dead_code)] // Each test program uses its own part.
+
+use simd_json::prelude::*;
+use stand::caller::{call, Call, Seen};
+use stand::fleet::{Fleet, Kind, Shape};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+pub const SHAPE: &str = r#"{
+  "name": "small",
+  "routers": { "north-a": 2, "south-a": 1 },
+  "directories": { "north-a": 1, "south-a": 1, "west-a": 1 },
+  "engines": {
+    "north-1": [{ "count": 2, "services": ["writer"], "slots": 4, "pieces": 3, "piece_ms": 5, "prefill_ms": 20 }],
+    "south-1": [{ "count": 1, "services": ["writer", "pictures"], "slots": 4, "pieces": 3, "piece_ms": 5, "prefill_ms": 20 }]
+  },
+  "keys": { "ana": "ana-key-0001", "ben": "ben-key-0002" },
+  "book": {
+    "zones": { "north-a": { "region": "north" }, "south-a": { "region": "south" }, "west-a": { "region": "west" } },
+    "cells": { "north-1": { "zone": "north-a" }, "south-1": { "zone": "south-a" } },
+    "services": { "writer": {}, "pictures": {} },
+    "tenants": { "ana": { "homes": ["north"] }, "ben": { "homes": ["south", "north"] } },
+    "rules": [
+      "door app  at \"/app/\"  tenant header \"x-tenant-key\" model header \"x-model\"",
+      "door form at \"/form/\" tenant body \"key\" model body \"model\"",
+      "door shop at \"/shop/\" tenant segment 2",
+      "route write on app  POST \"/app/write\" to model once deadline 30s prefix body \"prompt\" 64",
+      "route form  on form POST \"/form/write\" to model repeatable deadline 30s prefix body \"prompt\" 64",
+      "route thumb on shop GET \"/shop/*\" to service pictures repeatable deadline 5s"
+    ]
+  }
+}"#;
+
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        let name = format!("rushport-{name}-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        drop(std::fs::remove_dir_all(&path));
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // Kept for a look where the test failed.
+        if !std::thread::panicking() {
+            drop(std::fs::remove_dir_all(&self.0));
+        }
+    }
+}
+
+pub fn prompt(id: &str, key: &str, text: &str) -> Call {
+    Call {
+        id: id.into(),
+        method: "POST".into(),
+        target: "/app/write".into(),
+        headers: vec![("x-tenant-key".into(), key.into()), ("x-model".into(), "writer".into())],
+        body: format!(r#"{{"prompt":"{text}"}}"#).into_bytes(),
+    }
+}
+
+pub async fn whole(door: SocketAddr, job: &Call) -> (String, bool) {
+    match call(door, job, Duration::from_secs(20)).await {
+        Seen::Whole { engine, is_warm, .. } => (engine, is_warm),
+        other => panic!("{}: {other:?}", job.id),
+    }
+}
+
+pub async fn up(name: &str) -> (Folder, Fleet) {
+    let folder = Folder::new(name);
+    let shape = Shape::parse(SHAPE).expect("the shape reads");
+    let mut fleet = Fleet::lay(shape, &folder.0).expect("a fleet is laid out");
+    fleet.up().await.expect("the fleet comes up");
+    (folder, fleet)
+}
+
+/// A refusal's status, outcome and code.
+pub async fn refused(door: SocketAddr, job: &Call) -> (u16, String, String) {
+    match call(door, job, Duration::from_secs(20)).await {
+        Seen::Refused { status, outcome, code } => (status, outcome, code),
+        other => panic!("{}: {other:?}", job.id),
+    }
+}
+
+pub fn not_run(status: u16, code: &str) -> (u16, String, String) {
+    (status, "not-run".into(), code.into())
+}
+
+/// The events that the engines wrote of one job, in the order of their times.
+pub fn events_of(fleet: &Fleet, job: &str) -> Vec<String> {
+    let mut events = Vec::new();
+    for engine in fleet.of(Kind::Engine) {
+        let path = fleet.journals().join(format!("{}.jsonl", engine.name));
+        for line in stand::journal::read(&path).expect("a journal reads") {
+            let text =
+                |name: &str| line.get(name).and_then(|v| v.as_str()).unwrap_or("").to_string();
+            if text("job") == job {
+                let at = line.get("at").and_then(|v| v.as_u64()).unwrap_or(0);
+                events.push((at, text("event")));
+            }
+        }
+    }
+    events.sort();
+    events.into_iter().map(|(_, event)| event).collect()
+}
--- /dev/null
+++ b/stand/tests/failures.rs
@@ -0,0 +1,282 @@
+//! Failures of real processes: kills, freezes, lost disks, garbage, broken
+//! streams. Each test waits on events; none sleeps, and none judges a time.
+
+mod common;
+
+use common::*;
+use nix::sys::signal::Signal;
+use simd_json::json;
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+use stand::caller::{call, Seen};
+use stand::fleet::{ask, wait, Fleet, Kind};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const PATIENCE: Duration = Duration::from_secs(40);
+
+async fn served(door: SocketAddr, id: &str) {
+    let mut round = 0;
+    wait(PATIENCE, "service", async || {
+        round += 1;
+        let job = prompt(&format!("{id}-{round}"), "ana-key-0001", "once upon a time");
+        match call(door, &job, Duration::from_secs(10)).await {
+            Seen::Whole { .. } => Ok(()),
+            Seen::Refused { outcome, .. } if outcome == "not-run" => anyhow::bail!("refused"),
+            other => panic!("{other:?}"),
+        }
+    })
+    .await
+    .expect("service comes back");
+}
+
+async fn is_refused(door: SocketAddr, id: &str, wanted: &str) {
+    let mut round = 0;
+    wait(PATIENCE, "a refusal", async || {
+        round += 1;
+        let job = prompt(&format!("{id}-{round}"), "ana-key-0001", "once upon a time");
+        match call(door, &job, Duration::from_secs(10)).await {
+            Seen::Refused { code, outcome, .. } if code == wanted && outcome == "not-run" => Ok(()),
+            other => anyhow::bail!("{other:?}"),
+        }
+    })
+    .await
+    .expect("the router refuses");
+}
+
+async fn voters(fleet: &Fleet, at: SocketAddr) -> anyhow::Result<Vec<(String, String)>> {
+    let status = ask(at, "GET", "/status", &OwnedValue::null()).await?;
+    let text = |value: &OwnedValue, name: &str| {
+        value.get(name).and_then(|v| v.as_str()).unwrap_or("").to_string()
+    };
+    let members = status.get("members").and_then(|v| v.as_array()).cloned().unwrap_or_default();
+    anyhow::ensure!(members.len() <= fleet.of(Kind::Directory).len(), "one too many");
+    let is_voter = |member: &&OwnedValue| text(member, "kind") == "voter";
+    Ok(members.iter().filter(is_voter).map(|m| (text(m, "name"), text(m, "identity"))).collect())
+}
+
+/// Guards: an acknowledged revision or evacuation is never lost; after
+/// everything stops, service returns.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_and_then_all_nodes_are_killed() {
+    let (_folder, mut fleet) = up("killed").await;
+    let door = fleet.get("router-1").door();
+    served(door, "before").await;
+    let leader = fleet.leader().await.expect("somebody leads");
+    let evacuate = json!({ "do": "evacuate", "zone": "south-a", "id": "evacuation" });
+    let epoch = fleet.submit(evacuate.clone()).await.expect("it is acknowledged");
+    fleet.kill(&leader);
+    // The same submission again, to whoever leads now, is known.
+    assert_eq!(fleet.submit(evacuate.clone()).await.expect("known"), epoch);
+    served(door, "led-anew").await;
+
+    let nodes: Vec<String> = fleet.of(Kind::Directory).iter().map(|n| n.name.clone()).collect();
+    nodes.iter().for_each(|node| fleet.kill(node));
+    // Guards: a router without a recent licence refuses, and says not-run.
+    is_refused(door, "cut", "no-licence").await;
+    nodes.iter().for_each(|node| fleet.start(node).expect("it starts"));
+    served(door, "back").await;
+    assert_eq!(fleet.submit(evacuate).await.expect("still known"), epoch);
+    let status = ask(fleet.desks()[0], "GET", "/status", &OwnedValue::null()).await.expect("told");
+    let evacuated = status.get("evacuated").map(|list| list.encode());
+    assert_eq!(evacuated.as_deref(), Some(r#"["south-a"]"#));
+}
+
+/// A node that lost its disk comes back as a new one, and its old identity is
+/// retired. A minority refuses changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_disk_is_lost_and_a_minority_is_left() {
+    let (_folder, mut fleet) = up("disk").await;
+    let leader = fleet.leader().await.expect("somebody leads");
+    let names: Vec<String> = fleet.of(Kind::Directory).iter().map(|n| n.name.clone()).collect();
+    let lost = names.iter().find(|name| **name != leader).expect("three nodes").clone();
+    let desk = fleet.get(&leader).desk();
+    let before = voters(&fleet, desk).await.expect("told");
+    fleet.kill(&lost);
+    fleet.wipe(&lost).expect("its folder goes");
+    fleet.start(&lost).expect("it starts");
+    wait(PATIENCE, "the new voter", async || {
+        let after = voters(&fleet, desk).await?;
+        anyhow::ensure!(after.len() == 3 && after != before, "{after:?}");
+        Ok(())
+    })
+    .await
+    .expect("it is a voter again");
+    let after = voters(&fleet, desk).await.expect("told");
+    let identity = |list: &[(String, String)]| {
+        list.iter().find(|(name, _)| *name == lost).map(|(_, identity)| identity.clone())
+    };
+    assert_ne!(identity(&before), identity(&after), "it came back under a new identity");
+
+    let others: Vec<&String> = names.iter().filter(|name| **name != lost).collect();
+    others.iter().for_each(|name| fleet.kill(name));
+    let alone = fleet.get(&lost).desk();
+    let change = json!({ "do": "evacuate", "zone": "south-a", "id": "minority" });
+    let error = ask(alone, "POST", "/submit", &change).await.expect_err("a minority refuses");
+    assert!(error.to_string().contains("503"), "{error}");
+    let others: Vec<String> = others.into_iter().cloned().collect();
+    others.iter().for_each(|name| fleet.start(name).expect("it starts"));
+    fleet.submit(change).await.expect("a majority takes it");
+    served(fleet.get("router-1").door(), "after").await;
+}
+
+/// Guards: what froze and woke sends nothing late, and never falls back to an
+/// older epoch.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_freezes_and_wakes_to_a_key_that_is_gone() {
+    let (_folder, fleet) = up("frozen").await;
+    let door = fleet.get("router-1").door();
+    served(door, "before").await;
+    fleet.signal("router-1", Signal::SIGSTOP).expect("it freezes");
+    // A job waits in the frozen router's socket.
+    let waiting = tokio::spawn(async move {
+        let job = prompt("late", "ana-key-0001", "once upon a time");
+        call(door, &job, Duration::from_secs(60)).await
+    });
+    fleet.submit(json!({ "do": "key-gone", "key": "ana-key-0001" })).await.expect("taken");
+    wait(PATIENCE, "its absence", async || {
+        let status = ask(fleet.desks()[0], "GET", "/status", &OwnedValue::null()).await?;
+        anyhow::ensure!(!status.encode().contains("router-1"), "it is still counted");
+        Ok(())
+    })
+    .await
+    .expect("the frozen router is missed");
+    fleet.signal("router-1", Signal::SIGCONT).expect("it wakes");
+    let seen = waiting.await.expect("the caller ends");
+    assert!(matches!(&seen, Seen::Refused { outcome, .. } if outcome == "not-run"), "{seen:?}");
+    assert!(events_of(&fleet, "late").is_empty(), "nothing reached an engine");
+    is_refused(door, "after", "unknown-key").await;
+}
+
+/// Guards: a stream never looks finished when it is not; nothing that is not
+/// repeatable runs twice; who leaves cancels its job.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_die_within_answers_and_callers_leave() {
+    let (_folder, mut fleet) = up("engines").await;
+    let door = fleet.get("router-1").door();
+    // Slow engines in place of the quick ones.
+    for name in ["engine-1", "engine-2"] {
+        fleet.kill(name);
+        fleet.processes.get_mut(name).expect("there").args[4] = "300".into();
+        fleet.start(name).expect("it starts");
+    }
+    served(door, "before").await;
+    let job = prompt("broken", "ana-key-0001", "a long story");
+    let caller = tokio::spawn(async move { call(door, &job, Duration::from_secs(30)).await });
+    wait(PATIENCE, "the run", async || {
+        anyhow::ensure!(
+            events_of(&fleet, "broken").iter().any(|e| e.starts_with("begun")),
+            "not yet"
+        );
+        Ok(())
+    })
+    .await
+    .expect("it runs");
+    for name in ["engine-1", "engine-2"] {
+        fleet.kill(name);
+    }
+    let seen = caller.await.expect("the caller ends");
+    let is_visible = match &seen {
+        Seen::Broken | Seen::Lost(_) => true,
+        Seen::Refused { outcome, .. } => outcome == "unknown",
+        _ => false,
+    };
+    assert!(is_visible, "{seen:?}");
+    assert_eq!(events_of(&fleet, "broken").iter().filter(|e| e.starts_with("begun")).count(), 1);
+    // With all engines of the only home gone, refusals are not-run.
+    is_refused(door, "none", "no-engine").await;
+    for name in ["engine-1", "engine-2"] {
+        fleet.start(name).expect("it starts");
+    }
+    served(door, "again").await;
+
+    let job = prompt("left", "ana-key-0001", "a long story");
+    let leaving = tokio::spawn(async move { call(door, &job, Duration::from_secs(30)).await });
+    wait(PATIENCE, "the run", async || {
+        anyhow::ensure!(
+            events_of(&fleet, "left").iter().any(|e| e.starts_with("begun")),
+            "not yet"
+        );
+        Ok(())
+    })
+    .await
+    .expect("it runs");
+    leaving.abort();
+    wait(PATIENCE, "the cancelling", async || {
+        anyhow::ensure!(events_of(&fleet, "left").contains(&"cancelled".to_string()), "not yet");
+        Ok(())
+    })
+    .await
+    .expect("the engine's job is cancelled");
+}
+
+/// A port that is fed garbage, or another epoch, closes that connection only.
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_closes_its_own_connection_only() {
+    let (_folder, fleet) = up("garbage").await;
+    let (router, node) = (fleet.get("router-1"), fleet.get("directory-1"));
+    let mut hello = wire::encode(&wire::Frame::Hello {
+        epoch: wire::EPOCH,
+        kind: wire::Kind::Directory,
+        name: "stranger".into(),
+    });
+    hello.extend([0, 0, 0, 9, 13, 1, 2, 3, 4, 255, 255, 255, 255]);
+    let other = wire::encode(&wire::Frame::Hello {
+        epoch: wire::EPOCH + 1,
+        kind: wire::Kind::Router,
+        name: "from-tomorrow".into(),
+    });
+    for to in [router.address(), node.address()] {
+        for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[255; 64], &[0, 0, 0, 0], &hello, &other] {
+            let mut stream = tokio::net::TcpStream::connect(to).await.expect("it listens");
+            stream.write_all(bytes).await.expect("it is sent");
+            let mut answer = Vec::new();
+            // The other side closes, in peace or with a reset.
+            let closed = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+            assert!(closed.is_ok(), "the connection is closed");
+            if bytes == other {
+                let frame = wire::decode(&answer[4..]).expect("a frame");
+                assert!(
+                    matches!(&frame, wire::Frame::Refused { text } if text.contains("wire epoch")),
+                    "{frame:?}"
+                );
+            }
+        }
+    }
+    for to in [router.door(), node.desk(), router.desk()] {
+        let mut stream = tokio::net::TcpStream::connect(to).await.expect("it listens");
+        stream.write_all(&[0, 159, 146, 150, b'\n', b'\n']).await.expect("it is sent");
+        let mut answer = Vec::new();
+        drop(
+            tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await.expect("closed"),
+        );
+    }
+    served(router.door(), "after").await;
+}
+
+/// Orderly stop: what runs is finished, new jobs are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_is_asked_to_stop_finishes_its_streams() {
+    let (_folder, mut fleet) = up("stop").await;
+    let door = fleet.get("router-1").door();
+    served(door, "before").await;
+    let job = prompt("running", "ana-key-0001", "once upon a time");
+    let caller = tokio::spawn(async move { call(door, &job, Duration::from_secs(30)).await });
+    wait(PATIENCE, "the run", async || {
+        anyhow::ensure!(
+            events_of(&fleet, "running").iter().any(|e| e.starts_with("begun")),
+            "not yet"
+        );
+        Ok(())
+    })
+    .await
+    .expect("it runs");
+    let status = fleet.stop("router-1").expect("it stops");
+    assert!(status.success(), "{status}");
+    let seen = caller.await.expect("the caller ends");
+    assert!(matches!(seen, Seen::Whole { .. }), "{seen:?}");
+    let status = fleet.stop("directory-1").expect("it stops");
+    assert!(status.success(), "{status}");
+    served(fleet.get("router-2").door(), "after").await;
+}
--- a/stand/tests/fleet.rs
+++ b/stand/tests/fleet.rs
@@ -1,81 +1,17 @@
-//! A fleet of real processes, small. Everything waits on events, and nothing
-//! judges a time.
+//! The ordinary path, by a small fleet of real processes.
 
+mod common;
+
+use common::*;
 use simd_json::json;
-use stand::caller::{call, Call, Seen};
-use stand::fleet::{Fleet, Kind, Shape};
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use stand::caller::Call;
+use stand::fleet::Kind;
 use std::time::Duration;
-
-const SHAPE: &str = r#"{
-  "name": "small",
-  "routers": { "north-a": 2, "south-a": 1 },
-  "directories": { "north-a": 1, "south-a": 1, "west-a": 1 },
-  "engines": {
-    "north-1": [{ "count": 2, "services": ["writer"], "slots": 4, "pieces": 3, "piece_ms": 5, "prefill_ms": 20 }],
-    "south-1": [{ "count": 1, "services": ["writer", "pictures"], "slots": 4, "pieces": 3, "piece_ms": 5, "prefill_ms": 20 }]
-  },
-  "keys": { "ana": "ana-key-0001", "ben": "ben-key-0002" },
-  "book": {
-    "zones": { "north-a": { "region": "north" }, "south-a": { "region": "south" }, "west-a": { "region": "west" } },
-    "cells": { "north-1": { "zone": "north-a" }, "south-1": { "zone": "south-a" } },
-    "services": { "writer": {}, "pictures": {} },
-    "tenants": { "ana": { "homes": ["north"] }, "ben": { "homes": ["south", "north"] } },
-    "rules": [
-      "door app  at \"/app/\"  tenant header \"x-tenant-key\" model header \"x-model\"",
-      "door form at \"/form/\" tenant body \"key\" model body \"model\"",
-      "door shop at \"/shop/\" tenant segment 2",
-      "route write on app  POST \"/app/write\" to model once deadline 30s prefix body \"prompt\" 64",
-      "route form  on form POST \"/form/write\" to model repeatable deadline 30s prefix body \"prompt\" 64",
-      "route thumb on shop GET \"/shop/*\" to service pictures repeatable deadline 5s"
-    ]
-  }
-}"#;
-
-pub struct Folder(pub PathBuf);
-
-impl Folder {
-    pub fn new(name: &str) -> Folder {
-        let name = format!("rushport-{name}-{}", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        drop(std::fs::remove_dir_all(&path));
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        // Kept for a look where the test failed.
-        if !std::thread::panicking() {
-            drop(std::fs::remove_dir_all(&self.0));
-        }
-    }
-}
-
-fn prompt(id: &str, key: &str, text: &str) -> Call {
-    Call {
-        id: id.into(),
-        method: "POST".into(),
-        target: "/app/write".into(),
-        headers: vec![("x-tenant-key".into(), key.into()), ("x-model".into(), "writer".into())],
-        body: format!(r#"{{"prompt":"{text}"}}"#).into_bytes(),
-    }
-}
-
-async fn whole(door: SocketAddr, job: &Call) -> (String, bool) {
-    match call(door, job, Duration::from_secs(20)).await {
-        Seen::Whole { engine, is_warm, .. } => (engine, is_warm),
-        other => panic!("{}: {other:?}", job.id),
-    }
-}
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_miss_goes_through_the_directory_and_a_fresh_hit_does_not() {
-    let folder = Folder::new("path");
-    let shape = Shape::parse(SHAPE).expect("the shape reads");
-    let mut fleet = Fleet::lay(shape, &folder.0).expect("a fleet is laid out");
-    fleet.up().await.expect("the fleet comes up");
+    let (_folder, fleet) = up("path").await;
     let door = fleet.get("router-1").door();
     let count = async |kind, name: &str| fleet.count(kind, name).await.expect("counters are told");
 
@@ -120,23 +56,58 @@
     };
     whole(door, &thumb).await;
 
-    let refused = async |job: Call| match call(door, &job, Duration::from_secs(20)).await {
-        Seen::Refused { status, outcome, code } => (status, outcome, code),
-        other => panic!("{}: {other:?}", job.id),
-    };
-    let not_run = |status, code: &str| (status, "not-run".to_string(), code.to_string());
-    assert_eq!(refused(prompt("j-40", "nobody", "x")).await, not_run(401, "unknown-key"));
+    assert_eq!(refused(door, &prompt("j-40", "nobody", "x")).await, not_run(401, "unknown-key"));
     // Guards: a prompt with a home never leaves it. Pictures are served in the
     // south alone, and ana lives in the north.
     let away = Call { target: "/shop/ana-key-0001/p.png".into(), id: "j-41".into(), ..thumb };
-    assert_eq!(refused(away).await, not_run(503, "no-place"));
+    assert_eq!(refused(door, &away).await, not_run(503, "no-place"));
 
     // Evacuating the only home leaves nowhere to go.
     let epoch = fleet.submit(json!({ "do": "evacuate", "zone": "north-a" })).await.expect("taken");
     fleet.in_force(epoch, Duration::from_secs(20)).await.expect("in force");
-    let (status, outcome, _) = refused(prompt("j-50", "ana-key-0001", "x")).await;
+    let (status, outcome, _) = refused(door, &prompt("j-50", "ana-key-0001", "x")).await;
     assert_eq!((status, outcome.as_str()), (503, "not-run"));
     let epoch = fleet.submit(json!({ "do": "give-back", "zone": "north-a" })).await.expect("taken");
     fleet.in_force(epoch, Duration::from_secs(20)).await.expect("in force");
     whole(door, &prompt("j-51", "ana-key-0001", "once upon a time")).await;
 }
+
+/// A key past the cap: the whole job goes to a directory node, which looks
+/// further. A body past its bound goes nowhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_bodies() {
+    let (_folder, fleet) = up("long").await;
+    let door = fleet.get("router-1").door();
+    let form = |id: &str, length: usize| Call {
+        id: id.into(),
+        method: "POST".into(),
+        target: "/form/write".into(),
+        headers: Vec::new(),
+        body: format!(
+            r#"{{"prompt":"{}","key":"ana-key-0001","model":"writer"}}"#,
+            "x".repeat(length)
+        )
+        .into_bytes(),
+    };
+    whole(door, &form("j-1", 200_000)).await;
+    assert_eq!(fleet.count(Kind::Router, "unkeyed").await.expect("counters"), 1);
+    assert_eq!(refused(door, &form("j-2", 1_200_000)).await, not_run(401, "no-key"));
+    // Announced as too long, it is refused before a byte of it is read.
+    let mut stream = tokio::net::TcpStream::connect(door).await.expect("it listens");
+    let head = "POST /form/write HTTP/1.1\r\nhost: x\r\ncontent-length: 17000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    let mut answer = vec![0; 1024];
+    let length = stream.read(&mut answer).await.expect("it answers");
+    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 413") && answer.contains("not-run"), "{answer}");
+    // A key in the head: the rest of a long body streams by.
+    let mut long = prompt("j-4", "ana-key-0001", &"y".repeat(3_000_000));
+    whole(door, &long).await;
+    long.id = "j-5".into();
+    whole(door, &long).await;
+    let bad = Call { body: b"{\"key\": nonsense".to_vec(), ..form("j-6", 0) };
+    assert_eq!(refused(door, &bad).await, not_run(401, "no-key"));
+    for job in ["j-2", "j-6"] {
+        assert!(events_of(&fleet, job).is_empty(), "{job} reached an engine");
+    }
+}
