--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -111,7 +111,7 @@
 }
 
 /// The folder of this build's programs.
-fn program(name: &str) -> anyhow::Result<PathBuf> {
+pub fn program(name: &str) -> anyhow::Result<PathBuf> {
     let own = std::env::current_exe()?;
     let mut folder = own.parent().ok_or(anyhow!("no folder"))?;
     if folder.ends_with("deps") {
--- /dev/null
+++ b/stand/tests/commands.rs
@@ -0,0 +1,199 @@
+//! The command lines: what is refused, with which words and which exit code,
+//! and what an operator gets done.
+
+mod common;
+
+use common::*;
+use stand::fleet::{program, Kind};
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn run(name: &str, args: &[&str], input: &str) -> Output {
+    let mut child = Command::new(program(name).expect("it is built"))
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut stdin = child.stdin.take().expect("piped");
+    // A program that refuses its words does not read its input.
+    drop(stdin.write_all(input.as_bytes()));
+    drop(stdin);
+    child.wait_with_output().expect("it ends")
+}
+
+fn words(output: &Output) -> String {
+    let both = [&output.stdout[..], &output.stderr[..]].concat();
+    String::from_utf8_lossy(&both).into_owned()
+}
+
+#[test]
+fn wrong_words_end_with_2_and_say_everything_at_once() {
+    let folder = Folder::new("words");
+    std::fs::create_dir_all(&folder.0).expect("a folder");
+    let file = |name: &str, text: &str| {
+        let path = folder.0.join(name);
+        std::fs::write(&path, text).expect("it is written");
+        path.display().to_string()
+    };
+    let broken = file("broken.json", "{\n  \"name\": nope\n}");
+    let odd = file("odd.json", r#"{"nmae":"x","seeds":["127.0.0.1:1","nowhere"],"voters":{}}"#);
+    let book = file("book.json", r#"{"cells":{"c":{"zone":"z"}},"rules":["door"]}"#);
+    let rules = file("rules", "door a at \"/a/\" tenant bearer\nset fill much");
+    let day = file("day", "{\"at\":1}\nnot json");
+    let cases: Vec<(&str, Vec<&str>, i32, Vec<&str>)> = vec![
+        ("router", vec!["--help"], 0, vec!["--door IP:PORT", "Ends with 2"]),
+        ("directory", vec!["--version"], 0, vec!["directory 0.1.0"]),
+        (
+            "router",
+            vec!["--name", "a b", "--door", "here", "stray"],
+            2,
+            vec![
+                "stray: nothing is known",
+                "name: a name is",
+                "door: \"here\" is no IP",
+                "region: this setting is missing",
+                "seeds: ",
+            ],
+        ),
+        ("router", vec!["--dor", "x"], 2, vec!["dor"]),
+        ("directory", vec!["--boot", &broken], 2, vec!["line 2, column"]),
+        (
+            "directory",
+            vec!["--boot", &odd],
+            2,
+            vec![
+                "nmae: no such setting",
+                "voters: a text",
+                "seeds: \"nowhere\"",
+                "data: this setting is missing",
+            ],
+        ),
+        ("directory", vec!["--voters", "0"], 2, vec!["no whole number from 1 to 9"]),
+        ("operator", vec![], 2, vec!["a command is missing"]),
+        ("operator", vec!["--help"], 0, vec!["evacuate ZONE", "--wait SECONDS"]),
+        ("operator", vec!["--help", "revise"], 0, vec!["operator revise FILE", "--partial"]),
+        ("operator", vec!["frobnicate"], 2, vec!["no such command"]),
+        ("operator", vec!["evacuate"], 2, vec!["usage: operator evacuate ZONE"]),
+        ("operator", vec!["status", "--wait", "3"], 2, vec!["status knows no --wait"]),
+        ("operator", vec!["--desk", "x", "status"], 2, vec!["x: no IP number and port"]),
+        ("operator", vec!["--desk", "127.0.0.1:1", "status"], 1, vec!["asking 127.0.0.1:1"]),
+        (
+            "operator",
+            vec!["check", &book],
+            1,
+            vec!["cells.c.zone: there is no zone z", "rules: line 1, column 5"],
+        ),
+        (
+            "operator",
+            vec!["check", &book, "--rules", &rules],
+            1,
+            vec!["line 2, column 10: a percentage"],
+        ),
+        (
+            "replay",
+            vec!["--day", &day, "--shape", "x", "--folder", "y"],
+            2,
+            vec!["line 1: zone: a text", "line 2: column"],
+        ),
+        ("day", vec!["--shape", &broken], 1, vec!["line 2, column"]),
+    ];
+    for (name, args, code, wanted) in cases {
+        let output = run(name, &args, "");
+        let found = words(&output);
+        assert_eq!(output.status.code(), Some(code), "{name} {args:?}: {found}");
+        for wanted in wanted {
+            assert!(found.contains(wanted), "{name} {args:?} lacks {wanted:?}: {found}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_changes_things_and_sees_them_in_force() {
+    let (folder, fleet) = up("operator").await;
+    let desks: Vec<String> = fleet.desks().iter().map(|desk| desk.to_string()).collect();
+    let desks = desks.join(",");
+    let operator = |args: &[&str], input: &str| {
+        let mut all = vec!["--desk", &desks];
+        all.extend(args);
+        let output = run("operator", &all, input);
+        (output.status.code(), words(&output))
+    };
+    let part = folder.0.join("part.json");
+    std::fs::write(&part, r#"{"tenants":{"cleo":{"homes":["north"]}}}"#).expect("written");
+    let part = part.display().to_string();
+    let door = fleet.get("router-2").door();
+
+    let cases: Vec<(Vec<&str>, &str, i32, Vec<&str>)> = vec![
+        (vec!["found"], "", 1, vec!["founded-already (409)"]),
+        (vec!["key-add", "cleo", "--wait", "20"], "cleo-key-0003\n", 1, vec!["no tenant cleo"]),
+        (
+            vec!["revise", "--partial", &part, "--wait", "20", "--id", "r-1"],
+            "",
+            0,
+            vec!["in force everywhere"],
+        ),
+        (vec!["revise", "--partial", &part, "--id", "r-1"], "", 0, vec!["a repeat"]),
+        (vec!["revise", "--partial", &part, "--base", "1"], "", 1, vec!["conflict (409)"]),
+        (vec!["key-add", "cleo", "--wait", "20"], "short\n", 1, vec!["8 to 256 characters"]),
+        (
+            vec!["key-add", "cleo", "--wait", "20"],
+            "cleo-key-0003\n",
+            0,
+            vec!["in force everywhere"],
+        ),
+        (
+            vec!["explain", "cleo", "writer", "south"],
+            "",
+            0,
+            vec!["\"engine\": \"engine-", "ranks first"],
+        ),
+        (vec!["explain", "cleo", "pictures"], "", 1, vec!["no-place"]),
+        (vec!["members"], "", 0, vec!["directory-3", "leads"]),
+        (vec!["book"], "", 0, vec!["cleo"]),
+        (vec!["engine-drain", "engine-1", "--wait", "20"], "", 0, vec!["acknowledged"]),
+        (vec!["move", "ben", "writer", "north-1", "--wait", "20"], "", 0, vec!["acknowledged"]),
+        (vec!["evacuate", "south-a", "--wait", "20"], "", 0, vec!["acknowledged"]),
+        (
+            vec!["status"],
+            "",
+            0,
+            vec!["draining", "evacuated: south-a", "moving: ben/writer to north-1", "router-3"],
+        ),
+        (vec!["retire", "zz"], "", 1, vec!["16 hexadecimal digits"]),
+    ];
+    for (args, input, code, wanted) in cases {
+        let (found_code, found) = operator(&args, input);
+        assert_eq!(found_code, Some(code), "{args:?}: {found}");
+        for wanted in wanted {
+            assert!(found.contains(wanted), "{args:?} lacks {wanted:?}: {found}");
+        }
+    }
+    let (engine, _) = whole(door, &prompt("j-1", "cleo-key-0003", "hello")).await;
+    assert_eq!(engine, "engine-2", "the other engine of the cell is drained");
+    let (code, found) = operator(&["key-drop", "--wait", "20"], "cleo-key-0003\n");
+    assert_eq!(code, Some(0), "{found}");
+    assert_eq!(
+        refused(door, &prompt("j-2", "cleo-key-0003", "x")).await,
+        not_run(401, "unknown-key")
+    );
+    // A key that is moving is never fresh: each of its jobs reaches a
+    // directory node, until the move is settled.
+    let forwards = async || fleet.count(Kind::Router, "forwards").await.expect("told");
+    let before = forwards().await;
+    for n in 0..3 {
+        let (engine, _) = whole(door, &prompt(&format!("m-{n}"), "ben-key-0002", "x")).await;
+        assert_eq!(engine, "engine-2");
+    }
+    assert_eq!(forwards().await, before + 3);
+    // Nor while a zone of its first home is evacuated.
+    let (code, found) = operator(&["give-back", "south-a", "--wait", "20"], "");
+    assert_eq!(code, Some(0), "{found}");
+    let (code, found) = operator(&["settle", "ben", "writer", "--wait", "20"], "");
+    assert_eq!(code, Some(0), "{found}");
+    for n in 3..6 {
+        whole(door, &prompt(&format!("m-{n}"), "ben-key-0002", "x")).await;
+    }
+    assert_eq!(forwards().await, before + 4, "settled, it is cached again");
+}
--- /dev/null
+++ b/stand/tests/day.rs
@@ -0,0 +1,47 @@
+//! A short recorded day through a small fleet, with everything that operators
+//! and machines do in one, judged by the rules.
+
+mod common;
+
+use common::*;
+use simd_json::prelude::*;
+use stand::{day, replay};
+
+const MIX: &str = r#","mix":[
+  {"per_second":30,"service":"writer","method":"POST","target":"/app/write","once":true,
+   "headers":{"x-tenant-key":"@tenant","x-model":"writer"},"body":{},"shortest":50,"longest":4000,"prefixes":5},
+  {"per_second":30,"service":"writer","method":"POST","target":"/form/write","once":false,
+   "body":{"key":"@tenant","model":"writer"},"shortest":50,"longest":90000,"prefixes":5},
+  {"per_second":20,"service":"pictures","method":"GET","target":"/shop/@tenant/p.png","once":false}
+],"events":[
+  {"share":0.1,"operator":{"do":"revise","whole":false,"book":{"tenants":{"dora":{}}}}},
+  {"share":0.2,"operator":{"do":"engine-state","name":"engine-1","state":"draining"}},
+  {"share":0.3,"operator":{"do":"evacuate","zone":"south-a"}},
+  {"share":0.4,"machine":"kill","name":"leader"},
+  {"share":0.5,"operator":{"do":"give-back","zone":"south-a"}},
+  {"share":0.6,"machine":"start","name":"killed"},
+  {"share":0.7,"operator":{"do":"engine-state","name":"engine-1","state":"serving"}},
+  {"share":0.8,"operator":{"do":"key-gone","tenant":"ben","key":"ben-key-0002"}},
+  {"share":0.9,"machine":"kill","name":"engine-2"}
+]}"#;
+
+/// Guards: every rule that the checker knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_day_breaks_no_rule() {
+    let (folder, mut fleet) = up("day").await;
+    let shape = SHAPE.trim_end().trim_end_matches('}').to_string() + "}" + MIX;
+    let moments = day::make(&shape, 8, 1.0, 11).expect("the mix reads");
+    let ends = replay::Ends::of(&fleet);
+    replay::play(ends, Some(&mut fleet), moments, &folder.0).await.expect("it is played");
+    let (journals, findings) = replay::judge(&fleet, &folder.0).expect("the journals read");
+    let summary = replay::summary(&fleet, &journals).await.expect("counters are told");
+    assert!(findings.is_empty(), "{findings:#?}\n{summary}");
+    let acknowledged = |line: &&simd_json::OwnedValue| line.get("acknowledged").is_some();
+    assert_eq!(journals.operators.iter().filter(acknowledged).count(), 6, "{summary}");
+    let whole = journals
+        .callers
+        .iter()
+        .filter(|line| line.get("seen").and_then(|seen| seen.as_str()) == Some("whole"));
+    // A checker that is handed nothing finds nothing.
+    assert!(whole.count() * 2 > journals.callers.len(), "{summary}");
+}
