--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -16,13 +16,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use wire::{Demand, Frame, FrontDemand, Question, Reply};
+use wire::{Demand, Frame, FrontDemand, Question, Reply, LICENCE_MS};
 use yard::counters::Counters;
 use yard::now;
 use yard::web::Refusal;
 
-/// How long a confirmation by a majority holds: the licence's length.
-pub const LICENCE_MS: u64 = 2_000;
 const RING: usize = 4096;
 const ASK_PATIENCE_MS: u64 = 1_500;
 
@@ -510,6 +508,10 @@
             self.paces = Paces::new(now());
         }
         if before.leader != standing.leader {
+            // What was asked of the former leader is asked again elsewhere.
+            for (_, (_, sender)) in std::mem::take(&mut self.asked) {
+                drop(sender.send(Reply::Lost));
+            }
             log::info!(term = standing.term; "leader is {}",
                 standing.leader.and_then(|id| standing.members.get(id)).map_or("not known".into(), |m| m.to_string()));
         }
--- a/directory/src/jobs.rs
+++ b/directory/src/jobs.rs
@@ -42,7 +42,7 @@
         Ok(found) => found?,
         Err(_) => Err(Refusal::not_run(408, "slow-body", "the body came too slowly")),
     };
-    let (mapping, extract, held, is_ended, route) = match found {
+    let Found { mapping, extract, key, held, is_ended, route } = match found {
         Ok(found) => found,
         Err(refusal) => return link::send(&mut writer, &declined(&refusal)).await,
     };
@@ -71,6 +71,7 @@
         method: head.method.parse()?,
         target: head.target.clone(),
         headers: headers_of(&head.headers)?,
+        key,
         deadline: now() + head.left_ms,
     };
     let prefix = extract.prefix.unwrap_or(0);
@@ -146,7 +147,15 @@
     }
 }
 
-type Found = (Mapping, Extract, Bytes, bool, usize);
+/// A job whose key was found and resolved.
+struct Found {
+    mapping: Mapping,
+    extract: Extract,
+    key: String,
+    held: Bytes,
+    is_ended: bool,
+    route: usize,
+}
 
 /// Reads as much of the body as the key needs, and resolves it.
 async fn read_key(
@@ -204,7 +213,8 @@
     let Field::Known(key) = &extract.tenant else {
         return refuse(401, "no-key", "no tenant key is to be found in this job");
     };
-    let Some(tenant) = view.keys.get(&language::fingerprint(key)) else {
+    let key = language::fingerprint(key);
+    let Some(tenant) = view.keys.get(&key) else {
         return refuse(401, "unknown-key", "this tenant key is not known");
     };
     let Field::Known(service) = &extract.service else {
@@ -212,7 +222,7 @@
     };
     let resolved = desk.hub.state.read().resolve(tenant, service, &head.region);
     Ok(match resolved {
-        Ok(mapping) => Ok((mapping, extract, held.into(), is_ended, route)),
+        Ok(mapping) => Ok(Found { mapping, extract, key, held: held.into(), is_ended, route }),
         Err((code, text)) => Err(web::no_place(code, text)),
     })
 }
--- a/directory/src/sessions.rs
+++ b/directory/src/sessions.rs
@@ -1,13 +1,13 @@
 //! Routers' sessions: beats in; pictures, changes, licences and company out.
 
-use crate::hub::{Call, LICENCE_MS};
+use crate::hub::Call;
 use crate::Desk;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use wire::{Answer, Demand, Frame, Front, FrontDemand, Question, Reply};
+use wire::{Answer, Demand, Frame, Front, FrontDemand, Question, Reply, LICENCE_MS};
 use yard::{link, now};
 
 /// A router that was not heard of for this long is not counted as there.
@@ -68,14 +68,16 @@
         let text = "this node belongs to no cluster yet".into();
         return link::send(&mut writer, &Frame::Refused { text }).await;
     }
-    if !desk.hub.send(Call::Attach(out.clone())) {
+    // The ledger's thread holds the one lasting way out: when it lets go of the
+    // session, the session ends.
+    let way = out.downgrade();
+    if !desk.hub.send(Call::Attach(out)) {
         anyhow::bail!("the ledger's ring is full");
     }
     log::info!(router = name.as_str(); "router session begins");
-    let company = out.downgrade();
+    let company = way.clone();
     let teller = Arc::clone(&desk);
     let told = tokio::spawn(async move {
-        // Weak, so that the session ends when the ledger lets go of it.
         while let Some(out) = company.upgrade() {
             let frame = Frame::Company {
                 fronts: teller.fronts.lock().list(false),
@@ -95,10 +97,11 @@
     };
     let reading = async {
         while let Some(frame) = link::receive(&mut reader, 1 << 20).await? {
+            let Some(out) = way.upgrade() else { anyhow::bail!("it fell behind") };
             match frame {
                 Frame::Beat { number, front, demands } => {
                     let mut fronts = desk.fronts.lock();
-                    let (out, came, name) = (out.clone(), now(), front.name.clone());
+                    let (came, name) = (now(), front.name.clone());
                     fronts.beats.push(Beat { out, number, came, front: name, demands });
                     fronts.take(vec![front], true);
                 }
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -74,6 +74,13 @@
     }
 }
 
+/// Who calls, and the digest of the key that says so.
+#[derive(Clone)]
+struct Caller {
+    tenant: String,
+    key: String,
+}
+
 struct Reader<'a> {
     view: &'a View,
     parts: &'a http::request::Parts,
@@ -95,10 +102,11 @@
     }
 
     /// The tenant of a key that was read; an unknown key goes no further.
-    fn tenant(&self, extract: &Extract) -> Result<Option<String>, Refusal> {
+    fn tenant(&self, extract: &Extract) -> Result<Option<Caller>, Refusal> {
         let Field::Known(key) = &extract.tenant else { return Ok(None) };
-        match self.view.keys.get(&language::fingerprint(key)) {
-            Some(tenant) => Ok(Some(tenant.clone())),
+        let key = language::fingerprint(key);
+        match self.view.keys.get(&key) {
+            Some(tenant) => Ok(Some(Caller { tenant: tenant.clone(), key })),
             None => Err(Refusal::not_run(401, "unknown-key", "this tenant key is not known")),
         }
     }
@@ -131,7 +139,7 @@
     let mut held = BytesMut::new();
     let mut is_ended = body.is_end_stream();
     let mut extract = reader.extract(route, &held, is_ended);
-    let mut tenant = reader.tenant(&extract)?;
+    let mut caller = reader.tenant(&extract)?;
     let door = &view.program.doors[rule.door];
     if extract.tenant == Field::Missing && door.tenant.is_cheap() {
         let text = format!("door {} finds no tenant key where it should stand", door.name);
@@ -157,8 +165,8 @@
             }
         }
         extract = reader.extract(route, &held, is_ended);
-        if tenant.is_none() {
-            tenant = reader.tenant(&extract)?;
+        if caller.is_none() {
+            caller = reader.tenant(&extract)?;
         }
     }
     step(&mut job, Event::KeyRead);
@@ -171,8 +179,10 @@
         method: head.method.clone(),
         target,
         headers: head.headers.clone(),
+        key: caller.as_ref().map_or(String::new(), |caller| caller.key.clone()),
         deadline,
     };
+    let tenant = caller.map(|caller| caller.tenant);
     let (tenant, service) = match (&tenant, &extract.service) {
         (Some(tenant), Field::Known(service)) => (tenant.clone(), service.clone()),
         _ if is_past_cap => return unkeyed(router, job, &parts, &mut carried, &view, tenant).await,
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -9,12 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use wire::{Answer, Frame, Front, Kind};
+use wire::{Answer, Frame, Front, Kind, LICENCE_MS};
 use yard::{link, now};
 
-/// How long a confirmation by a majority is a licence. The directory nodes
-/// hold the same length.
-const LICENCE_MS: u64 = 2_000;
 const BEAT_MS: u64 = 350;
 /// Beats out of turn keep at least this distance.
 const URGENT_MS: u64 = 50;
--- a/stand/tests/failures.rs
+++ b/stand/tests/failures.rs
@@ -255,6 +255,37 @@
     served(router.door(), "after").await;
 }
 
+/// Guards: a revision that takes a key away holds also for a caller that was
+/// connected, and let in, before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_taken_from_a_caller_that_is_still_sending() {
+    let (_folder, fleet) = up("key").await;
+    let door = fleet.get("router-1").door();
+    served(door, "before").await;
+    let mut stream = tokio::net::TcpStream::connect(door).await.expect("it listens");
+    let head = "POST /app/write HTTP/1.1\r\nhost: x\r\nx-rushport-job: slow\r\n\
+                x-tenant-key: ana-key-0001\r\nx-model: writer\r\ncontent-length: 20\r\n\r\n{\"prompt\"";
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    wait(PATIENCE, "the job", async || {
+        let vitals =
+            ask(fleet.get("router-1").desk(), "GET", "/vitals", &OwnedValue::null()).await?;
+        let under_way = vitals.get("under_way").and_then(|v| v.as_u64());
+        anyhow::ensure!(under_way == Some(1), "{under_way:?}");
+        Ok(())
+    })
+    .await
+    .expect("the router has its head");
+    let gone = json!({ "do": "key-gone", "key": "ana-key-0001" });
+    let epoch = fleet.submit(gone).await.expect("taken");
+    fleet.in_force(epoch, PATIENCE).await.expect("in force");
+    stream.write_all(b":\"a word\"}").await.expect("it is sent");
+    let mut answer = vec![0; 1024];
+    let length = stream.read(&mut answer).await.expect("it answers");
+    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 401") && answer.contains("not-run"), "{answer}");
+    assert!(events_of(&fleet, "slow").is_empty(), "nothing reached an engine");
+}
+
 /// Orderly stop: what runs is finished, new jobs are refused.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_router_that_is_asked_to_stop_finishes_its_streams() {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -11,6 +11,10 @@
 
 /// The epoch of these frames. Changed whenever one of them changes.
 pub const EPOCH: u16 = 1;
+/// How long a confirmation by a majority is a licence, counted from when it
+/// was asked for. Invariant: shorter than any bound within which a change must
+/// be in force, and well longer than an election.
+pub const LICENCE_MS: u64 = 2_000;
 /// The most that one frame may hold.
 pub const CAP: usize = 64 << 20;
 /// The most that a frame may hold on a connection that has not said who it is.
--- a/yard/src/dispatch.rs
+++ b/yard/src/dispatch.rs
@@ -140,6 +140,8 @@
     pub method: http::Method,
     pub target: String,
     pub headers: HeaderMap,
+    /// The digest of the tenant key that let the job in.
+    pub key: String,
     /// On this process's clock.
     pub deadline: u64,
 }
@@ -262,6 +264,11 @@
             if now() >= parts.deadline {
                 return Err(self.late(job));
             }
+            if !view.keys.contains_key(&parts.key) {
+                let text = "this tenant key was taken away meanwhile";
+                let refusal = Refusal::not_run(401, "unknown-key", text);
+                return Err(Refusal { outcome: job.outcome(), ..refusal });
+            }
             if let Err(refusal) = (self.leave)(mapping) {
                 step(job, Event::ConnectFailed);
                 carried.restore(request);
