--- a/stand/tests/failures.rs
+++ b/stand/tests/failures.rs
@@ -264,7 +264,7 @@
     served(door, "before").await;
     let mut stream = tokio::net::TcpStream::connect(door).await.expect("it listens");
     let head = "POST /app/write HTTP/1.1\r\nhost: x\r\nx-rushport-job: slow\r\n\
-                x-tenant-key: ana-key-0001\r\nx-model: writer\r\ncontent-length: 20\r\n\r\n{\"prompt\"";
+                x-tenant-key: ana-key-0001\r\nx-model: writer\r\ncontent-length: 19\r\n\r\n{\"prompt\"";
     stream.write_all(head.as_bytes()).await.expect("it is sent");
     wait(PATIENCE, "the job", async || {
         let vitals =
