--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -173,7 +173,7 @@
             led = yard::now();
         }
         if is_blank || has_moved || yard::now() > led + ALONE_MS {
-            for seed in desk.seeds.iter().filter(|seed| **seed != desk.source) {
+            for seed in desk.seeds.iter().filter(|seed| seed.to_string() != desk.member.address) {
                 match ask_in(&desk, *seed).await {
                     Ok((true, _)) => break,
                     Ok((false, text)) if text != said => {
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -27,6 +27,7 @@
     setting("region", "NAME", "the region it stands in", None),
     setting("zone", "NAME", "the zone it stands in", None),
     setting("address", "IP:PORT", "where its own kind and the routers reach it", None),
+    setting("listen", "IP:PORT", "where it listens, if others reach it elsewhere", Some("")),
     setting("desk", "IP:PORT", "where operators reach it", None),
     setting("data", "FOLDER", "its data folder, its own alone", None),
     setting("seeds", "IP:PORT,...", "addresses of other directory nodes", None),
@@ -78,6 +79,7 @@
     );
     let (name, region, zone) = (boot.name("name"), boot.name("region"), boot.name("zone"));
     let (address, desk) = (boot.address("address"), boot.address("desk"));
+    let listen = boot.address_or("listen", address);
     let data = boot.text("data");
     let seeds = boot.addresses("seeds");
     let voters = boot.count("voters", 1, 9) as usize;
@@ -115,7 +117,7 @@
         let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
         runtime.block_on(async {
             let counters = Arc::new(Counters::default());
-            let links = links::Links::new(member.clone(), address);
+            let links = links::Links::new(member.clone(), listen);
             let pace = Pace { voters, ..Pace::default() };
             let hub = hub::start(
                 member.clone(),
@@ -126,11 +128,11 @@
                 Arc::clone(&links),
                 Arc::clone(&counters),
             )?;
-            let roster = Roster::new(address);
+            let roster = Roster::new(listen);
             tokio::spawn(Arc::clone(&roster).run(hub.view.clone()));
             let gate = Arc::clone(&hub);
             let dispatcher = Dispatcher {
-                source: address,
+                source: listen,
                 roster,
                 view: hub.view.clone(),
                 counters: Arc::clone(&counters),
@@ -140,7 +142,7 @@
             let node = Arc::new(Desk {
                 member,
                 seeds,
-                source: address,
+                source: listen,
                 hub,
                 links,
                 counters,
@@ -149,9 +151,9 @@
                 job_places: Arc::new(tokio::sync::Semaphore::new(jobs)),
                 job_bytes: Arc::new(tokio::sync::Semaphore::new(bytes)),
             });
-            let listener = tokio::net::TcpListener::bind(address)
+            let listener = tokio::net::TcpListener::bind(listen)
                 .await
-                .with_context(|| format!("address {address}"))?;
+                .with_context(|| format!("listening at {listen}"))?;
             let server = desk::serve(Arc::clone(&node), desk)?;
             tokio::spawn(links::accept(Arc::clone(&node), listener));
             tokio::spawn(links::join(Arc::clone(&node)));
--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -76,7 +76,7 @@
     let fresh = Neighbour { out, looks: Looks::default() };
     links.insert(to, fresh.clone());
     let (name, source, looks) =
-        (router.boot.name.clone(), router.boot.address, Arc::clone(&fresh.looks));
+        (router.boot.name.clone(), router.boot.listen, Arc::clone(&fresh.looks));
     tokio::spawn(async move {
         if let Err(error) = carry(source, to, &name, queue, looks).await {
             log::debug!("neighbour {to}: {error:#}");
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -18,8 +18,6 @@
 use yard::now;
 use yard::web::{self, Refusal, Request, Response, JOB};
 
-/// How long the part of a body that holds the key may take.
-const HEAD_PATIENCE: Duration = Duration::from_secs(10);
 /// How long a job waits for the mapping that another one asks for.
 const JOIN_PATIENCE: Duration = Duration::from_millis(1_500);
 const RESOLVE_PATIENCE: Duration = Duration::from_millis(1_000);
@@ -145,7 +143,7 @@
         let text = format!("door {} finds no tenant key where it should stand", door.name);
         return Err(Refusal::not_run(401, "no-key", text));
     }
-    let until = tokio::time::Instant::now() + HEAD_PATIENCE;
+    let until = tokio::time::Instant::now() + router.boot.head;
     while !extract.is_settled() && !is_ended && held.len() < BODY_CAP {
         match tokio::time::timeout_at(until, body.frame()).await {
             Err(_) => {
--- a/router/src/forward.rs
+++ b/router/src/forward.rs
@@ -57,7 +57,7 @@
 ) -> Handed {
     for node in nodes {
         let name = &router.boot.name;
-        match link::dial(router.boot.address, *node, Kind::Job, name).await {
+        match link::dial(router.boot.listen, *node, Kind::Job, name).await {
             Ok(stream) => {
                 let (reader, writer) = stream.into_split();
                 if let Err(refusal) = router.leave() {
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -30,12 +30,14 @@
     setting("zone", "NAME", "the zone it stands in", None),
     setting("door", "IP:PORT", "where callers reach it", None),
     setting("address", "IP:PORT", "where the routers of its region reach it", None),
+    setting("listen", "IP:PORT", "where it listens for them, if not there", Some("")),
     setting("desk", "IP:PORT", "where operators reach it", None),
     setting("seeds", "IP:PORT,...", "addresses of directory nodes", None),
     setting("own-cache", "COUNT", "mappings in its own cache, at the most", Some("512")),
     setting("share", "COUNT", "mappings in its share of the region's cache", Some("16384")),
     setting("body", "BYTES", "the longest body that is taken", Some("16777216")),
     setting("stop-ms", "MS", "how long streams may finish in when it stops", Some("20000")),
+    setting("head-ms", "MS", "how long the part of a body with the key may take", Some("10000")),
     setting("level", "LEVEL", "log level: error, warn, info, debug", Some("info")),
 ];
 
@@ -45,6 +47,9 @@
     pub zone: String,
     pub door: SocketAddr,
     pub address: SocketAddr,
+    /// Where it listens for its neighbours, and dials from.
+    pub listen: SocketAddr,
+    pub head: Duration,
     pub seeds: Vec<SocketAddr>,
     pub body: usize,
 }
@@ -84,12 +89,15 @@
         "A rushport router: takes callers' jobs and streams them to engines.",
         SETTINGS,
     );
+    let address = boot.address("address");
     let settings = Settings {
         name: boot.name("name"),
         region: boot.name("region"),
         zone: boot.name("zone"),
         door: boot.address("door"),
-        address: boot.address("address"),
+        address,
+        listen: boot.address_or("listen", address),
+        head: Duration::from_millis(boot.count("head-ms", 1, 600_000)),
         seeds: boot.addresses("seeds"),
         body: boot.count("body", 1 << 10, 1 << 30) as usize,
     };
@@ -127,12 +135,12 @@
 ) -> anyhow::Result<()> {
     let counters = Arc::new(Counters::default());
     let (view, view_out) = watch::channel(Arc::new(View::default()));
-    let roster = Roster::new(settings.address);
+    let roster = Roster::new(settings.listen);
     tokio::spawn(Arc::clone(&roster).run(view_out.clone()));
     let router = Arc::new_cyclic(|router: &std::sync::Weak<Router>| {
         let router = router.clone();
         let dispatcher = Dispatcher {
-            source: settings.address,
+            source: settings.listen,
             roster,
             view: view_out,
             counters: Arc::clone(&counters),
@@ -160,9 +168,9 @@
             boot: settings,
         }
     });
-    let listener = tokio::net::TcpListener::bind(router.boot.address)
+    let listener = tokio::net::TcpListener::bind(router.boot.listen)
         .await
-        .with_context(|| format!("address {}", router.boot.address))?;
+        .with_context(|| format!("listening at {}", router.boot.listen))?;
     tokio::spawn(company::accept(Arc::clone(&router), listener));
     tokio::spawn(session::run(Arc::clone(&router)));
     let door = door::serve(Arc::clone(&router))?;
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -119,7 +119,7 @@
 
 async fn hold(router: &Arc<Router>, way: SocketAddr) -> anyhow::Result<()> {
     let boot = &router.boot;
-    let stream = link::dial(boot.address, way, Kind::Router, &boot.name).await?;
+    let stream = link::dial(boot.listen, way, Kind::Router, &boot.name).await?;
     let (mut reader, mut writer) = stream.into_split();
     let (out, mut queue) = mpsc::channel(256);
     *router.questions.out.lock() = Some((way, out));
--- a/stand/src/bin/day.rs
+++ b/stand/src/bin/day.rs
@@ -19,7 +19,7 @@
     boot.finish();
     let run = || -> anyhow::Result<()> {
         let text = std::fs::read_to_string(&shape)?;
-        for moment in stand::day::make(&text, seconds, scale, seed)? {
+        for moment in stand::day::make(&text, None, seconds, scale, seed)? {
             println!("{}", moment.line());
         }
         Ok(())
--- a/stand/src/day.rs
+++ b/stand/src/day.rs
@@ -5,6 +5,40 @@
 use simd_json::{json, OwnedValue};
 use std::collections::BTreeMap;
 
+/// The scenarios of a text, each with the words for a shape's own names filled
+/// in: `@zone1` to `@zone3` the zones, those with more routers first; `@tenant1`
+/// to `@tenant8` the tenants by name, and `@key1` to `@key8` their keys.
+pub fn scenarios(text: &str, shape: &str) -> anyhow::Result<Vec<(String, OwnedValue)>> {
+    let missing = |name: &str| anyhow::anyhow!("{name}: it is missing or not what it should be");
+    let value = residency::parse_text(shape).map_err(|text| anyhow::anyhow!(text))?;
+    let object = |name: &str| value.get(name).and_then(|v| v.as_object()).ok_or(missing(name));
+    let mut zones: Vec<(u64, String)> = object("routers")?
+        .iter()
+        .map(|(zone, count)| (u64::MAX - count.as_u64().unwrap_or(0), zone.clone()))
+        .collect();
+    zones.sort();
+    let mut keys: Vec<(String, String)> = object("keys")?
+        .iter()
+        .map(|(tenant, key)| (tenant.clone(), key.as_str().unwrap_or("").to_string()))
+        .collect();
+    keys.sort();
+    let mut text = text.to_string();
+    for (at, (_, zone)) in zones.iter().enumerate() {
+        text = text.replace(&format!("@zone{}", at + 1), zone);
+    }
+    for (at, (tenant, key)) in keys.iter().enumerate() {
+        text = text.replace(&format!("@tenant{}", at + 1), tenant);
+        text = text.replace(&format!("@key{}", at + 1), key);
+    }
+    let list = residency::parse_text(&text).map_err(|text| anyhow::anyhow!(text))?;
+    let list = list.as_array().ok_or(missing("scenarios"))?;
+    let name =
+        |scenario: &OwnedValue| scenario.get("name").and_then(|v| v.as_str().map(String::from));
+    list.iter()
+        .map(|scenario| Ok((name(scenario).ok_or(missing("name"))?, scenario.clone())))
+        .collect()
+}
+
 /// One line of a day.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Moment {
@@ -40,7 +74,8 @@
     pub is_once: bool,
 }
 
-const ACTIONS: [&str; 6] = ["kill", "start", "freeze", "thaw", "stop", "wipe"];
+const ACTIONS: [&str; 10] =
+    ["kill", "start", "freeze", "thaw", "stop", "wipe", "cut", "cut-out", "cut-in", "heal"];
 
 /// Reads a day. Every bad line is said, with its number.
 pub fn parse(text: &str) -> Result<Vec<Moment>, Vec<String>> {
@@ -203,8 +238,15 @@
     (*seed >> 11) as f64 / (1u64 << 53) as f64
 }
 
-/// Makes a day of `seconds` from a shape's `mix` and `events`, by a seed.
-pub fn make(shape: &str, seconds: u64, scale: f64, seed: u64) -> anyhow::Result<Vec<Moment>> {
+/// Makes a day of `seconds` from a shape's `mix`, by a seed, with the events of
+/// a scenario, or the shape's own where none is given.
+pub fn make(
+    shape: &str,
+    scenario: Option<&OwnedValue>,
+    seconds: u64,
+    scale: f64,
+    seed: u64,
+) -> anyhow::Result<Vec<Moment>> {
     let value = residency::parse_text(shape).map_err(|text| anyhow::anyhow!(text))?;
     let missing = |name: &str| anyhow::anyhow!("{name}: it is missing or not what it should be");
     let mut seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
@@ -231,37 +273,60 @@
         });
         found.or(of.last()).map_or(String::new(), |(name, _)| name.clone())
     };
+    let events = scenario.unwrap_or(&value);
+    // The day itself, then the crowds that a scenario adds to it.
+    let mut windows = vec![(0.0, 1.0, 1.0, None, None, None)];
+    for crowd in events.get("crowds").and_then(|v| v.as_array()).map_or(&[][..], |list| &list[..]) {
+        let count = |name: &str| {
+            let found = crowd.get(name).and_then(|v| v.cast_f64());
+            found.ok_or(anyhow::anyhow!("crowds.{name}: a number should stand here"))
+        };
+        let word = |name: &str| crowd.get(name).and_then(|v| v.as_str()).map(String::from);
+        let (tenant, zone, service) = (word("tenant"), word("zone"), word("service"));
+        windows.push((count("from")?, count("to")?, count("times")?, tenant, zone, service));
+    }
     let mut moments = Vec::new();
     for kind in value.get("mix").and_then(|v| v.as_array()).ok_or(missing("mix"))? {
         let count =
             |name: &str, default: f64| kind.get(name).and_then(|v| v.cast_f64()).unwrap_or(default);
-        let rate = count("per_second", 1.0) * scale;
         let (least, most) = (count("shortest", 0.0), count("longest", 0.0));
         let prefixes = count("prefixes", 20.0);
-        let mut at = 0.0;
-        loop {
-            at += -(1.0 - draw(&mut seed)).ln() / rate * 1000.0;
-            if at >= seconds as f64 * 1000.0 {
-                break;
+        for (from, to, times, crowd_tenant, crowd_zone, service) in &windows {
+            let is_meant = |service: &String| {
+                kind.get("service").and_then(|v| v.as_str()) == Some(service.as_str())
+            };
+            if !service.as_ref().is_none_or(is_meant) {
+                continue;
             }
-            let tenant = elect(&weights, &mut seed);
-            let mut line = kind.clone();
-            for field in ["per_second", "shortest", "longest", "prefixes"] {
-                drop(line.remove(field));
-            }
-            line.insert("at", at as u64)?;
-            line.insert("zone", elect(&zones, &mut seed))?;
-            if most > 0.0 {
-                let who = tenants.iter().position(|t| *t == tenant).unwrap_or(0) as u64;
-                let beginning = who * 1000 + (draw(&mut seed).powi(2) * prefixes) as u64;
-                let length = (least + draw(&mut seed).powi(3) * (most - least)) as u64;
-                line.insert("prompt", vec![beginning, length])?;
+            let rate = count("per_second", 1.0) * scale * times;
+            let mut at = from * seconds as f64 * 1000.0;
+            loop {
+                at += -(1.0 - draw(&mut seed)).ln() / rate * 1000.0;
+                if at >= to * seconds as f64 * 1000.0 {
+                    break;
+                }
+                let tenant = elect(&weights, &mut seed);
+                let tenant = crowd_tenant.clone().unwrap_or(tenant);
+                let zone = elect(&zones, &mut seed);
+                let mut line = kind.clone();
+                for field in ["per_second", "shortest", "longest", "prefixes"] {
+                    drop(line.remove(field));
+                }
+                line.insert("at", at as u64)?;
+                line.insert("zone", crowd_zone.clone().unwrap_or(zone))?;
+                if most > 0.0 {
+                    let who = tenants.iter().position(|t| *t == tenant).unwrap_or(0) as u64;
+                    let beginning = who * 1000 + (draw(&mut seed).powi(2) * prefixes) as u64;
+                    let length = (least + draw(&mut seed).powi(3) * (most - least)) as u64;
+                    line.insert("prompt", vec![beginning, length])?;
+                }
+                line.insert("tenant", tenant)?;
+                moments
+                    .push(moment(&line.encode()).map_err(|text| anyhow::anyhow!("mix: {text}"))?);
             }
-            line.insert("tenant", tenant)?;
-            moments.push(moment(&line.encode()).map_err(|text| anyhow::anyhow!("mix: {text}"))?);
         }
     }
-    for event in value.get("events").and_then(|v| v.as_array()).map_or(&[][..], |list| &list[..]) {
+    for event in events.get("events").and_then(|v| v.as_array()).map_or(&[][..], |list| &list[..]) {
         let share = event.get("share").and_then(|v| v.cast_f64()).ok_or(missing("events.share"))?;
         let mut line = event.clone();
         drop(line.remove("share"));
@@ -303,11 +368,11 @@
         for shape in
             [include_str!("../shapes/haatbari.json"), include_str!("../shapes/turnos.json")]
         {
-            let day = make(shape, 5, 1.0, 7).expect("the sample shapes have a mix");
+            let day = make(shape, None, 5, 1.0, 7).expect("the sample shapes have a mix");
             let text: Vec<String> = day.iter().map(Moment::line).collect();
             assert!(day.len() > 50);
             assert_eq!(parse(&text.join("\n")).as_ref(), Ok(&day));
-            assert_eq!(make(shape, 5, 1.0, 7).ok(), Some(day));
+            assert_eq!(make(shape, None, 5, 1.0, 7).ok(), Some(day));
         }
     }
 }
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A whole fleet on one machine: real processes, each with a loopback address
 //! of its own, from which it also dials.
 
+use crate::relay::Network;
 use anyhow::{anyhow, bail, Context};
 use simd_json::prelude::*;
 use simd_json::{json, OwnedValue};
@@ -8,6 +9,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use yard::web;
 
@@ -28,7 +30,10 @@
     pub name: String,
     pub region: String,
     pub zone: String,
+    /// Where it really is, and dials from.
     pub ip: IpAddr,
+    /// Where the others find it.
+    known: IpAddr,
     pub args: Vec<String>,
     child: Option<Child>,
 }
@@ -51,6 +56,7 @@
     pub shape: Shape,
     pub folder: PathBuf,
     pub processes: BTreeMap<String, Process>,
+    pub network: Option<Arc<Network>>,
     _mark: std::net::TcpListener,
 }
 
@@ -140,8 +146,13 @@
     pub fn lay(shape: Shape, folder: &Path) -> anyhow::Result<Fleet> {
         let (octet, mark) = free_octet()?;
         let book = residency::Book::read(&shape.book).map_err(|all| anyhow!(all.join("\n")))?;
-        let mut fleet =
-            Fleet { shape, folder: folder.to_path_buf(), processes: BTreeMap::new(), _mark: mark };
+        let mut fleet = Fleet {
+            shape,
+            folder: folder.to_path_buf(),
+            processes: BTreeMap::new(),
+            network: None,
+            _mark: mark,
+        };
         std::fs::create_dir_all(folder.join("logs"))?;
         let mut next = 0u8;
         let mut ip = |row: u8| {
@@ -156,6 +167,7 @@
                 region,
                 zone: zone.into(),
                 ip,
+                known: ip,
                 args,
                 child: None,
             };
@@ -200,6 +212,50 @@
         Ok(fleet)
     }
 
+    /// Puts a relay before every process, so that the network can be cut. To
+    /// be done before anything is started.
+    pub async fn relay(&mut self) -> anyhow::Result<()> {
+        let network = Network::new();
+        for process in self.processes.values_mut() {
+            let IpAddr::V4(ip) = process.ip else { bail!("the fleet has addresses of version 4") };
+            let [first, second, row, last] = ip.octets();
+            process.known = IpAddr::V4(Ipv4Addr::new(first, second, row + 100, last));
+            let real = SocketAddr::new(process.ip, ADDRESS);
+            network.relay(process.address(), real).await?;
+        }
+        self.network = Some(network);
+        Ok(())
+    }
+
+    /// The processes that a word stands for: one by its name, those of a zone,
+    /// `core` the directory nodes, `fronts` the routers, `nodes` both.
+    pub fn named(&self, word: &str) -> anyhow::Result<Vec<String>> {
+        let fits = |process: &&Process| match word {
+            "core" => process.kind == Kind::Directory,
+            "fronts" => process.kind == Kind::Router,
+            "nodes" => process.kind != Kind::Engine,
+            word => process.name == word || process.zone == word,
+        };
+        let names: Vec<String> =
+            self.processes.values().filter(fits).map(|process| process.name.clone()).collect();
+        anyhow::ensure!(!names.is_empty(), "the fleet has no {word}");
+        Ok(names)
+    }
+
+    /// Cuts some processes off from all others, by what they send, by what
+    /// they are sent, or both.
+    pub fn cut(&self, names: &[String], outward: bool, inward: bool) -> anyhow::Result<()> {
+        let network = self.network.as_ref().ok_or(anyhow!("this fleet has no relays"))?;
+        let is_inside = |process: &Process| names.contains(&process.name);
+        for inside in self.processes.values().filter(|process| is_inside(process)) {
+            for outside in self.processes.values().filter(|process| !is_inside(process)) {
+                network.cut(outward.then_some((inside.ip, outside.ip)));
+                network.cut(inward.then_some((outside.ip, inside.ip)));
+            }
+        }
+        Ok(())
+    }
+
     pub fn get(&self, name: &str) -> &Process {
         self.processes.get(name).unwrap_or_else(|| panic!("the fleet has no {name}"))
     }
@@ -213,13 +269,14 @@
     }
 
     fn command(&self, process: &Process) -> anyhow::Result<Command> {
-        let address = SocketAddr::new(process.ip, ADDRESS).to_string();
+        let address = process.address().to_string();
+        let real = SocketAddr::new(process.ip, ADDRESS).to_string();
         let desk = SocketAddr::new(process.ip, DESK).to_string();
         let seeds: Vec<String> = self
             .of(Kind::Directory)
             .iter()
             .take(3)
-            .map(|seed| SocketAddr::new(seed.ip, ADDRESS).to_string())
+            .map(|seed| seed.address().to_string())
             .collect();
         let seeds = seeds.join(",");
         let place = ["--name", &process.name, "--region", &process.region, "--zone", &process.zone];
@@ -240,6 +297,7 @@
             }
             Kind::Router => {
                 command = Command::new(program("router")?);
+                command.args(&process.args);
                 let door = process.door().to_string();
                 command.args(place).args([
                     "--address",
@@ -256,7 +314,7 @@
                 let [_, _, slots, pieces, piece_ms, prefill_ms] = &process.args[..] else {
                     bail!("an engine has six settings")
                 };
-                command.args(["--name", &process.name, "--address", &address, "--slots", slots]);
+                command.args(["--name", &process.name, "--address", &real, "--slots", slots]);
                 command.args([
                     "--pieces",
                     pieces,
@@ -270,6 +328,9 @@
                     .arg(self.journals().join(format!("{}.jsonl", process.name)));
             }
         }
+        if process.kind != Kind::Engine && real != address {
+            command.args(["--listen", &real]);
+        }
         let log = std::fs::File::options()
             .create(true)
             .append(true)
@@ -459,7 +520,7 @@
     }
 
     pub fn address(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, ADDRESS)
+        SocketAddr::new(self.known, ADDRESS)
     }
 
     pub fn desk(&self) -> SocketAddr {
--- a/stand/src/lib.rs
+++ b/stand/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod fleet;
 pub mod journal;
+pub mod relay;
 pub mod replay;
 pub mod simulator;
--- /dev/null
+++ b/stand/src/relay.rs
@@ -0,0 +1,95 @@
+//! A network that can be cut: relays between loopback addresses. Processes
+//! know each other by the relays' addresses, and dial from their own, so a
+//! relay knows both ends of every connection.
+
+use parking_lot::Mutex;
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Invariant: what is sent from `a` to `b` waits while `(a, b)` is cut, as it
+/// would in a network that drops packets until it comes back.
+pub struct Network {
+    cuts: watch::Sender<BTreeSet<(IpAddr, IpAddr)>>,
+    relays: Mutex<Vec<tokio::task::AbortHandle>>,
+}
+
+impl Network {
+    pub fn new() -> Arc<Network> {
+        Arc::new(Network { cuts: watch::channel(BTreeSet::new()).0, relays: Mutex::default() })
+    }
+
+    pub fn cut(&self, pairs: impl IntoIterator<Item = (IpAddr, IpAddr)>) {
+        self.cuts.send_modify(|cuts| cuts.extend(pairs));
+    }
+
+    pub fn heal(&self) {
+        self.cuts.send_modify(|cuts| cuts.clear());
+    }
+
+    /// Relays what comes to `known` on to `real`.
+    pub async fn relay(
+        self: &Arc<Network>,
+        known: SocketAddr,
+        real: SocketAddr,
+    ) -> std::io::Result<()> {
+        let listener = TcpListener::bind(known).await?;
+        let network = Arc::clone(self);
+        let task = tokio::spawn(async move {
+            while let Ok((stream, from)) = listener.accept().await {
+                let network = Arc::clone(&network);
+                tokio::spawn(async move {
+                    // Either end's closing, or failing, closes the other.
+                    drop(network.join(stream, from.ip(), real).await);
+                });
+            }
+        });
+        self.relays.lock().push(task.abort_handle());
+        Ok(())
+    }
+
+    async fn join(&self, near: TcpStream, from: IpAddr, real: SocketAddr) -> std::io::Result<()> {
+        self.open(from, real.ip()).await;
+        let far = TcpStream::connect(real).await?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        let (mut near_in, mut near_out) = near.into_split();
+        let (mut far_in, mut far_out) = far.into_split();
+        let out = self.carry(&mut near_in, &mut far_out, from, real.ip());
+        let back = self.carry(&mut far_in, &mut near_out, real.ip(), from);
+        tokio::try_join!(out, back).map(|_| ())
+    }
+
+    /// Waits while a way is cut.
+    async fn open(&self, from: IpAddr, to: IpAddr) {
+        // The sender lives as long as the network itself.
+        let _ = self.cuts.subscribe().wait_for(|cuts| !cuts.contains(&(from, to))).await;
+    }
+
+    async fn carry(
+        &self,
+        reader: &mut tokio::net::tcp::OwnedReadHalf,
+        writer: &mut tokio::net::tcp::OwnedWriteHalf,
+        from: IpAddr,
+        to: IpAddr,
+    ) -> std::io::Result<()> {
+        let mut bytes = vec![0; 16 << 10];
+        loop {
+            let length = reader.read(&mut bytes).await?;
+            self.open(from, to).await;
+            match length {
+                0 => return writer.shutdown().await,
+                _ => writer.write_all(&bytes[..length]).await?,
+            }
+        }
+    }
+}
+
+impl Drop for Network {
+    fn drop(&mut self) {
+        self.relays.lock().iter().for_each(|relay| relay.abort());
+    }
+}
--- a/stand/src/replay.rs
+++ b/stand/src/replay.rs
@@ -203,32 +203,49 @@
     }
 }
 
-/// What is done to a machine by a day's line. `leader` stands for whoever
-/// leads, `killed` for whoever was killed last.
+/// What is done to machines or the network by a day's line. `leader` stands
+/// for whoever leads, `killed` for those killed last; the other words are those
+/// of `Fleet::named`.
 async fn machine(
     fleet: &mut Fleet,
-    killed: &mut Option<String>,
+    killed: &mut Vec<String>,
     action: &str,
-    name: &str,
+    word: &str,
 ) -> anyhow::Result<()> {
     use nix::sys::signal::Signal;
-    let name = match name {
-        "leader" => fleet.leader().await?,
-        "killed" => killed.take().ok_or(anyhow::anyhow!("nobody was killed"))?,
-        name => name.to_string(),
+    let names = match word {
+        "leader" => vec![fleet.leader().await?],
+        "killed" => killed.clone(),
+        "all" => fleet.processes.keys().cloned().collect(),
+        word => fleet.named(word)?,
     };
-    anyhow::ensure!(fleet.processes.contains_key(&name), "the fleet has no {name}");
     match action {
-        "kill" => {
-            fleet.kill(&name);
-            *killed = Some(name);
+        "cut" => return fleet.cut(&names, true, true),
+        "cut-out" => return fleet.cut(&names, true, false),
+        "cut-in" => return fleet.cut(&names, false, true),
+        "heal" => {
+            let network = fleet.network.as_ref();
+            network.ok_or(anyhow::anyhow!("this fleet has no relays"))?.heal();
+            return Ok(());
+        }
+        "kill" => *killed = names.clone(),
+        _ => {}
+    }
+    for name in &names {
+        match action {
+            "kill" => fleet.kill(name),
+            "start" => fleet.start(name)?,
+            "freeze" => fleet.signal(name, Signal::SIGSTOP)?,
+            "thaw" => fleet.signal(name, Signal::SIGCONT)?,
+            "stop" => {
+                // Not waited for here, so that the day goes on.
+                fleet.signal(name, Signal::SIGTERM)?;
+                *killed = names.clone();
+            }
+            "wipe" if fleet.get(name).kind == Kind::Directory => fleet.wipe(name)?,
+            "wipe" => {}
+            other => anyhow::bail!("{other} is nothing that can be done to a machine"),
         }
-        "start" => fleet.start(&name)?,
-        "freeze" => fleet.signal(&name, Signal::SIGSTOP)?,
-        "thaw" => fleet.signal(&name, Signal::SIGCONT)?,
-        "stop" => drop(fleet.stop(&name)?),
-        "wipe" => fleet.wipe(&name)?,
-        other => anyhow::bail!("{other} is nothing that can be done to a machine"),
     }
     Ok(())
 }
@@ -250,7 +267,7 @@
     let begun = tokio::time::Instant::now();
     let mark = rand::random::<u32>();
     let mut tasks = tokio::task::JoinSet::new();
-    let mut killed = None;
+    let mut killed = Vec::new();
     for (number, moment) in day.into_iter().enumerate() {
         tokio::time::sleep_until(begun + Duration::from_millis(moment.at_ms)).await;
         let stage = Arc::clone(&stage);
--- a/stand/tests/day.rs
+++ b/stand/tests/day.rs
@@ -30,7 +30,7 @@
 async fn a_short_day_breaks_no_rule() {
     let (folder, mut fleet) = up("day").await;
     let shape = SHAPE.trim_end().strip_suffix('}').expect("an object").to_string() + MIX;
-    let moments = day::make(&shape, 8, 1.0, 11).expect("the mix reads");
+    let moments = day::make(&shape, None, 8, 1.0, 11).expect("the mix reads");
     let ends = replay::Ends::of(&fleet);
     replay::play(ends, Some(&mut fleet), moments, &folder.0).await.expect("it is played");
     let (journals, findings) = replay::judge(&fleet, &folder.0).expect("the journals read");
--- a/yard/src/boot.rs
+++ b/yard/src/boot.rs
@@ -161,6 +161,15 @@
         }
     }
 
+    /// An address that may be left out, for another to stand in.
+    pub fn address_or(&mut self, name: &str, other: SocketAddr) -> SocketAddr {
+        let text = self.text(name);
+        match text.is_empty() {
+            true => other,
+            false => self.parsed(name, &text),
+        }
+    }
+
     pub fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
         let text = self.text(name);
         let items: Vec<String> = text.split(',').map(|item| item.trim().to_string()).collect();
