--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -98,22 +98,7 @@
 }
 
 pub async fn accept(desk: Arc<Desk>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let desk = Arc::clone(&desk);
-                tokio::spawn(async move {
-                    if let Err(error) = welcome(desk, stream).await {
-                        log::info!("a connection from {from} was closed: {error:#}");
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!("accepting failed: {error}");
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        }
-    }
+    link::accept(listener, |stream| welcome(Arc::clone(&desk), stream)).await;
 }
 
 async fn welcome(desk: Arc<Desk>, mut stream: TcpStream) -> anyhow::Result<()> {
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -160,7 +160,7 @@
             tokio::spawn(sessions::confirm(Arc::clone(&node)));
             tokio::spawn(sessions::gossip(Arc::clone(&node)));
             log::info!(identity = format!("{identity:016x}"); "directory node is up at {address}");
-            wait_for_end().await?;
+            yard::wait_for_end().await?;
             log::info!("stopping");
             node.hub.stop().await;
             // Jobs that are being relayed get a bounded time to finish.
@@ -181,13 +181,3 @@
         std::process::exit(1);
     }
 }
-
-async fn wait_for_end() -> anyhow::Result<()> {
-    use tokio::signal::unix::{signal, SignalKind};
-    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-    Ok(())
-}
--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -148,22 +148,7 @@
 }
 
 pub async fn accept(router: Arc<Router>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let router = Arc::clone(&router);
-                tokio::spawn(async move {
-                    if let Err(error) = serve(router, stream).await {
-                        log::info!("a connection from {from} was closed: {error:#}");
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!("accepting failed: {error}");
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        }
-    }
+    link::accept(listener, |stream| serve(Arc::clone(&router), stream)).await;
 }
 
 async fn serve(router: Arc<Router>, mut stream: TcpStream) -> anyhow::Result<()> {
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -183,15 +183,7 @@
         web::serve(desk, 1 << 16, handler)?
     };
     log::info!("router is up at {}", router.boot.door);
-    {
-        use tokio::signal::unix::{signal, SignalKind};
-        let mut term = signal(SignalKind::terminate())?;
-        let mut int = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-    }
+    yard::wait_for_end().await?;
     log::info!("stopping: no new jobs are taken");
     router.is_leaving.store(true, Ordering::Relaxed);
     let until = tokio::time::Instant::now() + stop;
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -293,7 +293,7 @@
                     "--seeds",
                     &seeds,
                 ]);
-                command.arg("--data").arg(data);
+                command.arg("--data").arg(data).args(&process.args);
             }
             Kind::Router => {
                 command = Command::new(program("router")?);
--- a/stand/tests/fleet.rs
+++ b/stand/tests/fleet.rs
@@ -4,8 +4,8 @@
 
 use common::*;
 use simd_json::json;
-use stand::caller::Call;
-use stand::fleet::Kind;
+use stand::caller::{call, Call, Seen};
+use stand::fleet::{wait, Fleet, Kind, Shape};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -111,3 +111,103 @@
         assert!(events_of(&fleet, job).is_empty(), "{job} reached an engine");
     }
 }
+
+/// The miss path at its edges, with one node that takes one job at a time, a
+/// router that is quick to give slow bodies up, and mappings that are stale at
+/// once.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_miss_path_at_its_edges() {
+    let folder = Folder::new("edges");
+    let text = SHAPE.replace(r#""ana": { "homes""#, r#""ana": { "fresh": "1ms", "homes""#);
+    let shape = Shape::parse(&text).expect("the shape reads");
+    let mut fleet = Fleet::lay(shape, &folder.0).expect("a fleet is laid out");
+    let set = |fleet: &mut Fleet, name: &str, args: &[&str]| {
+        let args = args.iter().map(|arg| arg.to_string()).collect();
+        fleet.processes.get_mut(name).expect("it is there").args = args;
+    };
+    set(&mut fleet, "directory-1", &["--jobs", "1"]);
+    set(&mut fleet, "router-2", &["--head-ms", "50"]);
+    for name in ["engine-1", "engine-2"] {
+        fleet.processes.get_mut(name).expect("it is there").args[4] = "120".into();
+    }
+    fleet.up().await.expect("the fleet comes up");
+    let door = fleet.get("router-1").door();
+    let count = async |name: &str| fleet.count(Kind::Router, name).await.expect("told");
+
+    // Stale at once: routed by what is known, refreshed behind, no forward.
+    for n in 0..3 {
+        whole(door, &prompt(&format!("s-{n}"), "ana-key-0001", "once upon a time")).await;
+    }
+    assert_eq!(count("forwards").await, 1);
+    wait(Duration::from_secs(20), "a refresh", async || {
+        anyhow::ensure!(fleet.count(Kind::Router, "refreshes").await? >= 1, "none yet");
+        Ok(())
+    })
+    .await
+    .expect("it is refreshed behind");
+
+    // Never fresh: every job is forwarded. A node at its budget hands back.
+    let change = json!({ "do": "move", "tenant": "ana", "service": "writer", "cell": "north-1" });
+    let epoch = fleet.submit(change).await.expect("taken");
+    fleet.in_force(epoch, Duration::from_secs(20)).await.expect("in force");
+    let jobs: Vec<_> = (0..4)
+        .map(|n| {
+            let job = prompt(&format!("m-{n}"), "ana-key-0001", &format!("a tale {n}"));
+            tokio::spawn(async move { whole(door, &job).await })
+        })
+        .collect();
+    for job in jobs {
+        job.await.expect("all are answered");
+    }
+    assert!(count("handed-back").await + count("joined").await >= 1);
+
+    // A deadline that passes at a frozen engine: it may have run. Where the
+    // engines' silence was noticed first, it has not.
+    for name in ["engine-1", "engine-2"] {
+        fleet.signal(name, nix::sys::signal::Signal::SIGSTOP).expect("it freezes");
+    }
+    let mut late = prompt("d-1", "ana-key-0001", "a long tale, with little time");
+    late.headers.push(("x-deadline-ms".into(), "300".into()));
+    let (status, outcome, code) = refused(door, &late).await;
+    assert!(
+        matches!((status, outcome.as_str()), (504, "unknown") | (503 | 504, "not-run")),
+        "{status} {outcome} {code}"
+    );
+    for name in ["engine-1", "engine-2"] {
+        fleet.signal(name, nix::sys::signal::Signal::SIGCONT).expect("it wakes");
+    }
+    served_again(door).await;
+    if outcome == "not-run" {
+        assert!(events_of(&fleet, "d-1").iter().all(|event| !event.starts_with("begun")));
+    }
+
+    // A body that does not come is given up, and reaches nobody.
+    let mut stream =
+        tokio::net::TcpStream::connect(fleet.get("router-2").door()).await.expect("up");
+    let head = "POST /form/write HTTP/1.1\r\nhost: x\r\ncontent-length: 99\r\n\r\n{\"prompt\":";
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    let mut answer = vec![0; 1024];
+    let length = stream.read(&mut answer).await.expect("it answers");
+    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408") && answer.contains("not-run"), "{answer}");
+
+    // With no node left that may see the body, the key goes alone.
+    fleet.kill("directory-1");
+    served_again(door).await;
+    assert!(fleet.count(Kind::Router, "key-only").await.expect("told") >= 1);
+}
+
+async fn served_again(door: std::net::SocketAddr) {
+    let mark = rand::random::<u32>();
+    let mut round = 0;
+    wait(Duration::from_secs(30), "an answer", async || {
+        round += 1;
+        let job = prompt(&format!("again-{mark}-{round}"), "ana-key-0001", "once upon a time");
+        match call(door, &job, Duration::from_secs(20)).await {
+            Seen::Whole { .. } => Ok(()),
+            other => anyhow::bail!("{other:?}"),
+        }
+    })
+    .await
+    .expect("it is served again");
+}
--- a/yard/src/lib.rs
+++ b/yard/src/lib.rs
@@ -19,6 +19,17 @@
     3_600_000 + START.get_or_init(Instant::now).elapsed().as_millis() as u64
 }
 
+/// Waits until the process is asked to stop.
+pub async fn wait_for_end() -> std::io::Result<()> {
+    use tokio::signal::unix::{signal, SignalKind};
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
+
 /// A time with up to a quarter of itself added, so that many don't act as one.
 pub fn jitter(ms: u64) -> std::time::Duration {
     std::time::Duration::from_millis(ms + rand::random_range(0..=ms / 4))
--- a/yard/src/link.rs
+++ b/yard/src/link.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use wire::{Frame, Kind};
 
 /// How long connecting may take, and how long a first frame.
@@ -68,6 +68,30 @@
     wire::decode(&bytes).map(Some).map_err(|text| anyhow!("an unreadable frame: {text}"))
 }
 
+/// Accepts connections for good, each served by a task of its own.
+pub async fn accept<F, W>(listener: TcpListener, serve: F)
+where
+    F: Fn(TcpStream) -> W,
+    W: std::future::Future<Output = anyhow::Result<()>> + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let work = serve(stream);
+                tokio::spawn(async move {
+                    if let Err(error) = work.await {
+                        log::info!("a connection from {from} was closed: {error:#}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("accepting failed: {error}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
 /// Reads the hello of an accepted connection. Another epoch is refused in
 /// words, and the reason returned for the log.
 pub async fn greet(stream: &mut TcpStream) -> anyhow::Result<(Kind, String)> {
