A directory node says that it is there before it is sent a job

Cause: a miss was handed to a node that was cut off or frozen, whose socket still accepted, and hung until the job's deadline; the outcome was unknown besides. Ruled out: the election, over within a second by the nodes' logs. Now a node answers the hello first, within 400 ms, and one that is in touch with no majority declines; until then not a byte of the job has left. The wire's epoch is 2.

--- a/directory/src/jobs.rs
+++ b/directory/src/jobs.rs
@@ -34,6 +34,11 @@
 
 pub async fn serve(desk: Arc<Desk>, stream: TcpStream) -> anyhow::Result<()> {
     let (mut reader, mut writer) = stream.into_split();
+    if !desk.hub.is_recent() {
+        let text = "this directory node is cut off from a majority".into();
+        return link::send(&mut writer, &Frame::Refused { text }).await;
+    }
+    link::send(&mut writer, &Frame::Welcome).await?;
     let first = tokio::time::timeout(link::PATIENCE, link::receive(&mut reader, 1 << 20)).await??;
     let Some(Frame::Job(head)) = first else { bail!("a job's connection begins with the job") };
     desk.counters.one("jobs-forwarded");
--- a/router/src/forward.rs
+++ b/router/src/forward.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use wire::{Frame, JobHead, Kind};
 use yard::dispatch::{clean, headers_of, headers_to, step, Carried, Parts, Piped, Rest, IDLE};
@@ -18,6 +19,9 @@
 use yard::web::{Refusal, Response};
 use yard::{link, now};
 
+/// How long a node has to say that it is there.
+const WELCOME_PATIENCE: Duration = Duration::from_millis(400);
+
 /// What came of handing a job on.
 pub enum Handed {
     Answer(Response),
@@ -56,8 +60,7 @@
     asker: Option<&Asker>,
 ) -> Handed {
     for node in nodes {
-        let name = &router.boot.name;
-        match link::dial(router.boot.listen, *node, Kind::Job, name).await {
+        match welcomed(router, *node).await {
             Ok(stream) => {
                 let (reader, writer) = stream.into_split();
                 if let Err(refusal) = router.leave() {
@@ -77,12 +80,30 @@
                     Err(_) => lost(504, "deadline", "the job's deadline passed"),
                 };
             }
-            Err(error) => log::info!(job = parts.id.as_str(); "{error:#}"),
+            Err(error) => {
+                router.counters.one("nodes-silent");
+                log::info!(job = parts.id.as_str(); "{error:#}");
+            }
         }
     }
     Handed::Nobody
 }
 
+/// A connection on which a node has said that it is there. Nothing of a job has
+/// been sent on it.
+async fn welcomed(router: &Router, node: SocketAddr) -> anyhow::Result<TcpStream> {
+    let name = &router.boot.name;
+    let mut stream = link::dial(router.boot.listen, node, Kind::Job, name).await?;
+    let answer = link::receive(&mut stream, wire::HELLO_CAP);
+    match tokio::time::timeout(WELCOME_PATIENCE, answer).await {
+        Ok(Ok(Some(Frame::Welcome))) => Ok(stream),
+        Ok(Ok(Some(Frame::Refused { text }))) => anyhow::bail!("{node} refuses: {text}"),
+        Ok(Ok(_)) => anyhow::bail!("{node} does not take a job"),
+        Ok(Err(error)) => Err(error.context(format!("asking {node}"))),
+        Err(_) => anyhow::bail!("{node} is silent"),
+    }
+}
+
 fn lost(status: u16, code: &'static str, text: &str) -> Handed {
     let refusal = Refusal::not_run(status, code, text);
     Handed::Refused(Refusal { outcome: Outcome::Unknown, ..refusal })
--- a/stand/tests/common/mod.rs
+++ b/stand/tests/common/mod.rs
@@ -78,6 +78,16 @@
     (folder, fleet)
 }
 
+/// The same, with a relay before every process, so that links can be cut.
+pub async fn up_with_relays(name: &str) -> (Folder, Fleet) {
+    let folder = Folder::new(name);
+    let shape = Shape::parse(SHAPE).expect("the shape reads");
+    let mut fleet = Fleet::lay(shape, &folder.0).expect("a fleet is laid out");
+    fleet.relay().await.expect("the relays listen");
+    fleet.up().await.expect("the fleet comes up");
+    (folder, fleet)
+}
+
 /// A refusal's status, outcome and code.
 pub async fn refused(door: SocketAddr, job: &Call) -> (u16, String, String) {
     match call(door, job, Duration::from_secs(20)).await {
--- /dev/null
+++ b/stand/tests/cuts.rs
@@ -0,0 +1,142 @@
+//! Cut links between real processes, by relays. Everything waits on events.
+
+mod common;
+
+use common::*;
+use simd_json::json;
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+use stand::caller::{call, Seen};
+use stand::fleet::{ask, wait, Fleet, Kind};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(40);
+
+async fn status(desk: SocketAddr) -> anyhow::Result<OwnedValue> {
+    ask(desk, "GET", "/status", &OwnedValue::null()).await
+}
+
+async fn served(door: SocketAddr, mark: &str) {
+    let mut round = 0;
+    wait(PATIENCE, "service", async || {
+        round += 1;
+        let job = prompt(&format!("{mark}-{round}"), "ben-key-0002", "once upon a time");
+        match call(door, &job, Duration::from_secs(10)).await {
+            Seen::Whole { .. } => Ok(()),
+            other => anyhow::bail!("{other:?}"),
+        }
+    })
+    .await
+    .expect("service comes back");
+}
+
+/// A leader elsewhere than at the one that is cut off.
+async fn another_leader(fleet: &Fleet, cut: &str) -> String {
+    let mut found = String::new();
+    wait(PATIENCE, "another leader", async || {
+        for node in fleet.of(Kind::Directory).iter().filter(|node| node.name != cut) {
+            let status = status(node.desk()).await?;
+            if status.get("leads").and_then(|v| v.as_bool()) == Some(true) {
+                found = node.name.clone();
+                return Ok(());
+            }
+        }
+        anyhow::bail!("none yet")
+    })
+    .await
+    .expect("the others elect");
+    found
+}
+
+/// Guards: a minority refuses; nobody falls back to an older epoch; what was
+/// acknowledged while a node was away reaches it when it is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_is_cut_off_each_way_and_comes_back() {
+    let (_folder, fleet) = up_with_relays("cut").await;
+    let door = fleet.get("router-3").door();
+    served(door, "before").await;
+    for (round, (outward, inward)) in
+        [(true, true), (true, false), (false, true)].into_iter().enumerate()
+    {
+        let leader = fleet.leader().await.expect("somebody leads");
+        fleet.cut(std::slice::from_ref(&leader), outward, inward).expect("it is cut");
+        another_leader(&fleet, &leader).await;
+        let old = fleet.get(&leader).desk();
+        wait(PATIENCE, "its stepping down", async || {
+            let leads = status(old).await?.get("leads").and_then(|v| v.as_bool());
+            anyhow::ensure!(leads == Some(false), "it still leads");
+            Ok(())
+        })
+        .await
+        .expect("it steps down");
+        let change =
+            json!({ "do": "key", "tenant": "ben", "key": format!("ben-key-more-{round}") });
+        if outward && inward {
+            let mut change = change.clone();
+            change.insert("id", format!("minority-{round}")).expect("an object");
+            let error = ask(old, "POST", "/submit", &change).await;
+            let error = error.expect_err("a minority refuses").to_string();
+            assert!(error.contains("503"), "{error}");
+        }
+        let mut epoch = 0;
+        for node in fleet.of(Kind::Directory).iter().filter(|node| node.name != leader) {
+            let mut change = change.clone();
+            change.insert("id", format!("change-{round}")).expect("an object");
+            let answer = ask(node.desk(), "POST", "/submit", &change).await.expect("it is taken");
+            epoch = answer.get("epoch").and_then(|v| v.as_u64()).expect("an epoch");
+        }
+        served(door, &format!("cut-{round}")).await;
+        fleet.network.as_ref().expect("it has relays").heal();
+        wait(PATIENCE, "agreement", async || {
+            let at = status(old).await?.get("epoch").and_then(|v| v.as_u64());
+            anyhow::ensure!(at >= Some(epoch), "it has {at:?} of {epoch}");
+            Ok(())
+        })
+        .await
+        .expect("it learns what it missed");
+    }
+}
+
+/// Guards: a router that nobody reaches has no licence, and dispatches nothing;
+/// engines that go dark are left out, and nothing runs twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_and_engines_are_cut_off() {
+    let (_folder, fleet) = up_with_relays("dark").await;
+    let door = fleet.get("router-1").door();
+    served(door, "before").await;
+    fleet.cut(&["router-1".to_string()], true, true).expect("it is cut");
+    wait(PATIENCE, "its refusal", async || {
+        let job = prompt(&format!("r-{}", rand::random::<u32>()), "ben-key-0002", "x");
+        match call(door, &job, Duration::from_secs(10)).await {
+            Seen::Refused { code, outcome, .. } if code == "no-licence" && outcome == "not-run" => {
+                Ok(())
+            }
+            other => anyhow::bail!("{other:?}"),
+        }
+    })
+    .await
+    .expect("it refuses");
+    served(fleet.get("router-3").door(), "elsewhere").await;
+    fleet.network.as_ref().expect("it has relays").heal();
+    served(door, "again").await;
+
+    // The south's engine goes dark; the north is among ben's homes.
+    fleet.cut(&["engine-3".to_string()], true, true).expect("it is cut");
+    let mut round = 0;
+    wait(PATIENCE, "the other home", async || {
+        round += 1;
+        let mut job = prompt(&format!("d-{round}"), "ben-key-0002", "once upon a time");
+        job.headers.push(("x-deadline-ms".into(), "2000".into()));
+        match call(door, &job, Duration::from_secs(30)).await {
+            Seen::Whole { engine, .. } if engine != "engine-3" => Ok(()),
+            other => anyhow::bail!("{other:?}"),
+        }
+    })
+    .await
+    .expect("it spills within its homes");
+    for n in 1..=round {
+        let begun = events_of(&fleet, &format!("d-{n}"));
+        assert!(begun.iter().filter(|event| event.starts_with("begun")).count() <= 1, "{begun:?}");
+    }
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,7 +10,7 @@
 use residency::{Event, Mapping, Name, Outcome, Submission};
 
 /// The epoch of these frames. Changed whenever one of them changes.
-pub const EPOCH: u16 = 1;
+pub const EPOCH: u16 = 2;
 /// How long a confirmation by a majority is a licence, counted from when it
 /// was asked for. Invariant: shorter than any bound within which a change must
 /// be in force, and well longer than an election.
@@ -242,6 +242,10 @@
     ),
     #[brw(magic = 32u8)]
     BodyEnd,
+    /// The node is there and will take a job: before this frame not a byte of
+    /// the job is sent, so a node that froze or went dark costs little.
+    #[brw(magic = 39u8)]
+    Welcome,
     /// The node has what it needs to know; the rest of the body may follow.
     #[brw(magic = 38u8)]
     Go,
