A repeatable job that is lost at a directory node goes on by the key alone

A repeatable job whose body is still whole now goes on, within the retry budget, by a key-only question. The chart allows it only for repeatable jobs, which a table guards. A body whose rest was sent to a directory node now counts as spent; before, it could have been taken for whole, had anything gone on from there.

--- a/placement/src/job.rs
+++ b/placement/src/job.rs
@@ -172,6 +172,7 @@
                 self.may_have_run = false;
                 S::Keyed
             }
+            (S::Handed, E::AnswerLost) if self.is_repeatable => S::Keyed,
             (S::Handed, E::AnswerLost) => S::Broken,
             (S::Committed | S::Handed, E::AnswerBegan) => S::Answering,
             (S::Answering, E::AnswerEnded) => S::Done,
@@ -236,6 +237,8 @@
             (true, vec![KeyRead, HandedOn, AnswerBegan], EngineElected),
             (true, vec![KeyRead, HandedOn, AnswerBegan], Refuse),
             (true, vec![KeyRead, HandedOn], MappingFound),
+            (false, vec![KeyRead, HandedOn, AnswerLost], HandedOn),
+            (false, vec![KeyRead, HandedOn, AnswerLost], MappingFound),
         ];
         for (is_repeatable, events, forbidden) in cases {
             let mut job = Job::new(is_repeatable);
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use language::{Extract, Field, Head, Source, Target, BODY_CAP};
-use placement::{Event, Hit, Job};
+use placement::{Event, Hit, Job, State};
 use residency::{Mapping, View};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -373,6 +373,15 @@
     match forward::hand(router, job, parts, carried, &nodes, Some(&asker)).await {
         Handed::Answer(response) => return Ok(Missed::Answer(response)),
         Handed::Mapped(mapping) => return Ok(Missed::Mapping(mapping)),
+        // Lost on the way, but repeatable, still whole here, and in budget: by
+        // the key alone, so that no second node has to be asked for its place.
+        Handed::Refused(_)
+            if job.state() == State::Keyed
+                && carried.is_whole()
+                && router.dispatcher.retries.lock().spend() =>
+        {
+            router.counters.one("retries");
+        }
         Handed::Refused(refusal) => return Err(refusal),
         Handed::Nobody => {}
     }
@@ -385,10 +394,13 @@
             asker.bring(&mapping);
             Ok(Missed::Mapping(mapping))
         }
-        Answer::None { code, text } => Err(web::no_place(&code.0, text.0)),
+        Answer::None { code, text } => {
+            Err(Refusal { outcome: job.outcome(), ..web::no_place(&code.0, text.0) })
+        }
         Answer::Later => {
             let text = "no directory node can answer for this key now";
-            Err(Refusal::not_run(503, "no-directory", text).retry(1_000))
+            let refusal = Refusal::not_run(503, "no-directory", text).retry(1_000);
+            Err(Refusal { outcome: job.outcome(), ..refusal })
         }
     }
 }
--- a/router/src/forward.rs
+++ b/router/src/forward.rs
@@ -75,6 +75,7 @@
                     Ok(Ok(handed)) => handed,
                     Ok(Err(error)) => {
                         log::info!(job = parts.id.as_str(); "lost at {node}: {error:#}");
+                        step(job, Event::AnswerLost);
                         lost(502, "directory-lost", "the directory node broke off")
                     }
                     Err(_) => lost(504, "deadline", "the job's deadline passed"),
@@ -135,10 +136,11 @@
     // rest follows; one whose key is still to be found is sent on whole.
     let mut way = Some(writer);
     let mut upload = None;
-    match (carried.rest.take(), asker) {
-        (None, _) => send_end(&mut way).await?,
-        (Some(rest), Some(_)) => carried.rest = Some(rest),
-        (Some(rest), None) => upload = way.take().map(|writer| send_rest(rest, writer)),
+    if !carried.has_rest() {
+        send_end(&mut way).await?;
+    } else if asker.is_none() {
+        let rest = carried.take_rest();
+        upload = rest.zip(way.take()).map(|(rest, writer)| send_rest(rest, writer));
     }
     let mut mapping: Option<Mapping> = None;
     loop {
@@ -152,7 +154,7 @@
                 mapping = Some(found);
             }
             Some(Frame::Go) => {
-                if let Some(rest) = carried.rest.take() {
+                if let Some(rest) = carried.take_rest() {
                     upload = way.take().map(|writer| send_rest(rest, writer));
                 }
             }
@@ -172,6 +174,8 @@
                 return Ok(Handed::Refused(refusal));
             }
             Some(Frame::AnswerHead { status, headers }) => {
+                let (status, headers) =
+                    (http::StatusCode::from_u16(status)?, headers_of(&headers)?);
                 step(job, Event::AnswerBegan);
                 let (pieces, body) = mpsc::channel(8);
                 let relay = Relay { reader, pieces, _way: way, _upload: upload };
@@ -186,8 +190,8 @@
                     }
                 });
                 let mut response = hyper::Response::new(Body::wrap(Piped(body)));
-                *response.status_mut() = http::StatusCode::from_u16(status)?;
-                *response.headers_mut() = headers_of(&headers)?;
+                *response.status_mut() = status;
+                *response.headers_mut() = headers;
                 return Ok(Handed::Answer(response));
             }
             Some(other) => anyhow::bail!("an unexpected frame: {other:?}"),
--- a/yard/src/dispatch.rs
+++ b/yard/src/dispatch.rs
@@ -34,7 +34,7 @@
 /// Invariant: it can be sent again exactly while `rest` was never there.
 pub struct Carried {
     pub held: Bytes,
-    pub rest: Option<Rest>,
+    rest: Option<Rest>,
     is_spent: bool,
 }
 
@@ -48,6 +48,16 @@
         !self.is_spent
     }
 
+    pub fn has_rest(&self) -> bool {
+        self.rest.is_some()
+    }
+
+    /// Takes the rest out to be sent; the body is then spent.
+    pub fn take_rest(&mut self) -> Option<Rest> {
+        self.is_spent |= self.rest.is_some();
+        self.rest.take()
+    }
+
     /// Takes back what was not sent after all.
     fn restore(&mut self, request: hyper::Request<Flow>) {
         self.rest = request.into_body().rest;
@@ -55,11 +65,8 @@
     }
 
     fn take(&mut self) -> Flow {
-        self.is_spent = self.rest.is_some();
-        Flow {
-            held: Some(self.held.clone()).filter(|held| !held.is_empty()),
-            rest: self.rest.take(),
-        }
+        let held = Some(self.held.clone()).filter(|held| !held.is_empty());
+        Flow { held, rest: self.take_rest() }
     }
 }
 
