--- a/stand/src/checker.rs
+++ b/stand/src/checker.rs
@@ -17,6 +17,8 @@
     Evacuated,
     KeyTaken,
     Retries,
+    /// A cold engine got more than a part of its slots.
+    Flooded,
     Epochs,
     /// A journal says what no journal can.
     Journal,
@@ -121,7 +123,7 @@
             "received" => ran.received.push(line),
             "begun-warm" | "begun-cold" => ran.begun.push(run),
             "ended" => ran.ended.push(run),
-            "declined" | "cancelled" | "broken-body" => {}
+            "declined" | "cancelled" | "broken-body" | "started" => {}
             other => find(Rule::Journal, format!("an engine wrote {other:?}")),
         }
     }
@@ -220,9 +222,56 @@
             highest = (epoch, number(line, "acknowledged"));
         }
     }
+    for (engine, most, slots) in cold_starts(&journals.engines) {
+        // The set point is four fifths; a cold engine stays well below it.
+        if most * 2 > slots + 4 {
+            find(Rule::Flooded, format!("{engine} ran {most} at once of {slots} while cold"));
+        }
+    }
     findings
 }
 
+/// For each cold start: the engine, the most that it ran at once before it had
+/// completed a score of answers, and its slots.
+pub fn cold_starts(engines: &[OwnedValue]) -> Vec<(String, u64, u64)> {
+    let mut starts = Vec::new();
+    let mut names: Vec<&str> = engines.iter().map(|line| text(line, "engine")).collect();
+    names.sort_unstable();
+    names.dedup();
+    for name in names {
+        let mut lines: Vec<&OwnedValue> =
+            engines.iter().filter(|line| text(line, "engine") == name).collect();
+        lines.sort_by_key(|line| number(line, "at"));
+        // Running, most, completed, slots; none while warm.
+        let mut cold: Option<(u64, u64, u64, u64)> = None;
+        for line in lines {
+            let event = text(line, "event");
+            let is_cold = line.get("cold").and_then(|v| v.as_bool()) == Some(true);
+            if event == "started" {
+                starts
+                    .extend(cold.take().map(|(_, most, _, slots)| (name.to_string(), most, slots)));
+                cold = is_cold.then(|| (0, 0, 0, number(line, "slots")));
+            }
+            let Some((running, most, completed, slots)) = &mut cold else { continue };
+            match event {
+                "begun-warm" | "begun-cold" => *running += 1,
+                "ended" | "cancelled" => {
+                    *running = running.saturating_sub(1);
+                    *completed += 1;
+                }
+                _ => {}
+            }
+            *most = (*most).max(*running);
+            if *completed >= 20 {
+                starts.push((name.to_string(), *most, *slots));
+                cold = None;
+            }
+        }
+        starts.extend(cold.map(|(_, most, _, slots)| (name.to_string(), most, slots)));
+    }
+    starts
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -381,6 +430,25 @@
         }
     }
 
+    #[test]
+    fn a_flooded_cold_engine_is_seen() {
+        let line = |at: u64, event: &str, rest: &str| {
+            format!(r#"{{"at":{at},"engine":"e1","job":"","event":"{event}","run":{at}{rest}}}"#)
+                + "\n"
+        };
+        let run = |is_cold: bool, at_once: u64| {
+            let start = line(1, "started", &format!(r#","cold":{is_cold},"slots":8"#));
+            let begun: String = (2..2 + at_once).map(|at| line(at, "begun-cold", "")).collect();
+            let ended: String = (20..20 + at_once).map(|at| line(at, "ended", "")).collect();
+            let journals =
+                Journals { engines: lines(&(start + &begun + &ended)), ..Journals::default() };
+            check(&ground(), &journals).iter().map(|f| f.rule).collect::<Vec<_>>()
+        };
+        assert_eq!(run(true, 6), []);
+        assert_eq!(run(true, 7), [Rule::Flooded]);
+        assert_eq!(run(false, 8), [], "a warm one may be full");
+    }
+
     #[test]
     fn too_many_rounds_are_seen() {
         let job = |n: usize| {
--- a/stand/src/engine.rs
+++ b/stand/src/engine.rs
@@ -54,7 +54,7 @@
         journal: Journal::open(&settings.journal)?,
         running: AtomicU32::new(0),
         waiting: AtomicU32::new(0),
-        runs: AtomicU64::new(0),
+        runs: AtomicU64::new(crate::journal::wall()),
         served: AtomicU32::new(if settings.is_cold { 0 } else { 1000 }),
         is_draining: AtomicBool::new(false),
         slots: Arc::new(Semaphore::new(settings.slots as usize)),
@@ -62,6 +62,10 @@
         settings,
     });
     let address = engine.settings.address;
+    engine.journal.note(json!({
+        "engine": engine.settings.name.clone(), "job": "", "event": "started",
+        "cold": engine.settings.is_cold, "slots": engine.settings.slots, "run": 0,
+    }));
     let handler: web::Handler = Arc::new(move |request, _| {
         let engine = Arc::clone(&engine);
         Box::pin(async move {
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -36,6 +36,8 @@
     known: IpAddr,
     pub args: Vec<String>,
     child: Option<Child>,
+    /// It ran before: an engine that returns is cold.
+    has_run: bool,
 }
 
 /// What a deployment shape asks for. Invariant: its book reads.
@@ -170,6 +172,7 @@
                 known: ip,
                 args,
                 child: None,
+                has_run: false,
             };
             fleet.processes.insert(name, process);
         };
@@ -323,6 +326,7 @@
                     "--prefill-ms",
                     prefill_ms,
                 ]);
+                command.args(["--cold", if process.has_run { "1" } else { "0" }]);
                 command
                     .arg("--journal")
                     .arg(self.journals().join(format!("{}.jsonl", process.name)));
@@ -344,6 +348,7 @@
         let process = self.processes.get_mut(name).expect("looked up above");
         anyhow::ensure!(process.child.is_none(), "{name} runs already");
         process.child = Some(child);
+        process.has_run = true;
         Ok(())
     }
 
