A learner is made a voter only when it has synced its own admission

Made a voter, it could not vote, since it belonged to no cluster yet; its leader crashed, and no majority was left, for good. Ruled out: the disk, and votes refused for other reasons; every node was idle, one of two voters blank.

--- a/ledger/src/node.rs
+++ b/ledger/src/node.rs
@@ -892,15 +892,19 @@
     }
 
     /// Makes a voter of a learner that has caught up, from the zone with the
-    /// fewest voters first.
+    /// fewest voters first. It must have synced the very entry that let it in,
+    /// and with it which cluster it belongs to: a voter that might still be
+    /// blank could not vote.
     fn promote(&mut self) {
         if self.members.voters.len() >= self.pace.voters || !self.is_settled() {
             return;
         }
+        let admitted = self.memberships.last().map_or(0, |(index, _)| *index);
         let in_zone = |zone: &str| self.members.voters.iter().filter(|v| v.zone == zone).count();
         let ready = self.members.learners.iter().filter(|learner| {
             self.peers.get(&learner.identity).is_some_and(|peer| {
-                peer.matched + 8 > self.commit && self.now - peer.heard < self.pace.election
+                peer.matched >= admitted.max(self.commit.saturating_sub(8))
+                    && self.now - peer.heard < self.pace.election
             })
         });
         let Some(elect) = ready.min_by_key(|learner| in_zone(&learner.zone)).cloned() else {
--- a/stand/src/simulator.rs
+++ b/stand/src/simulator.rs
@@ -763,7 +763,25 @@
                 break;
             }
             if self.now >= limit {
-                return self.fail(format!("long after founding, voters are {voters:?}"));
+                let states: Vec<String> = self
+                    .machines
+                    .iter()
+                    .map(|machine| match &machine.live {
+                        None => "down".into(),
+                        Some(live) => format!(
+                        "{:?} in term {}, cluster {}, last {}, commit {}, voters {:?}, stalled {}",
+                        live.node.role(),
+                        live.node.term(),
+                        live.node.cluster(),
+                        live.node.last(),
+                        live.node.commit(),
+                        live.node.members().voters.iter().map(|v| &v.name).collect::<Vec<_>>(),
+                        live.node.is_stalled(),
+                    ),
+                    })
+                    .collect();
+                return self
+                    .fail(format!("long after founding, voters are {voters:?}: {states:#?}"));
             }
             self.run_until(self.now + 500)?;
         }
--- a/stand/tests/simulator.rs
+++ b/stand/tests/simulator.rs
@@ -16,6 +16,8 @@
 fn storms_break_no_rule() {
     // 2367: a node whose admission was lost with its leader never asked again.
     none_fails((1..=40).chain([2367]).map(|seed| (seed, 5, STORM)));
+    // A learner was made a voter while it was blank, and its leader crashed.
+    none_fails([(2180, 3, STORM), (2438, 3, POWER)].into_iter());
 }
 
 /// Guards: an acknowledged change is never lost when a machine dies, also not
