--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -38,6 +38,8 @@
     child: Option<Child>,
     /// It ran before: an engine that returns is cold.
     has_run: bool,
+    /// It was asked to stop, and is not waited for yet.
+    is_stopping: bool,
 }
 
 /// What a deployment shape asks for. Invariant: its book reads.
@@ -173,6 +175,7 @@
                 args,
                 child: None,
                 has_run: false,
+                is_stopping: false,
             };
             fleet.processes.insert(name, process);
         };
@@ -344,9 +347,14 @@
     }
 
     pub fn start(&mut self, name: &str) -> anyhow::Result<()> {
+        let process = self.processes.get_mut(name).ok_or(anyhow!("the fleet has no {name}"))?;
+        if let Some(child) = &mut process.child {
+            anyhow::ensure!(process.is_stopping, "{name} runs already");
+            child.wait()?;
+        }
+        process.is_stopping = false;
         let child = self.command(self.get(name))?.spawn()?;
         let process = self.processes.get_mut(name).expect("looked up above");
-        anyhow::ensure!(process.child.is_none(), "{name} runs already");
         process.child = Some(child);
         process.has_run = true;
         Ok(())
@@ -375,9 +383,16 @@
         Ok(nix::sys::signal::kill(nix::unistd::Pid::from_raw(child.id() as i32), signal)?)
     }
 
+    /// Asks a process to stop.
+    pub fn ask_to_stop(&mut self, name: &str) -> anyhow::Result<()> {
+        self.signal(name, nix::sys::signal::Signal::SIGTERM)?;
+        self.processes.get_mut(name).expect("it was signalled").is_stopping = true;
+        Ok(())
+    }
+
     /// Asks a process to stop, and waits for it.
     pub fn stop(&mut self, name: &str) -> anyhow::Result<std::process::ExitStatus> {
-        self.signal(name, nix::sys::signal::Signal::SIGTERM)?;
+        self.ask_to_stop(name)?;
         let process = self.processes.get_mut(name).expect("a process of the fleet");
         Ok(process.child.take().expect("it was signalled").wait()?)
     }
--- a/stand/src/replay.rs
+++ b/stand/src/replay.rs
@@ -265,7 +265,7 @@
             "thaw" => fleet.signal(name, Signal::SIGCONT)?,
             "stop" => {
                 // Not waited for here, so that the day goes on.
-                fleet.signal(name, Signal::SIGTERM)?;
+                fleet.ask_to_stop(name)?;
                 *killed = names.clone();
             }
             "wipe" if fleet.get(name).kind == Kind::Directory => fleet.wipe(name)?,
