Maintenance windows from iCalendar files

The command line reads the file through a library (time zones, repeats), checks every event, and submits the windows; whoever leads begins and ends them. Each turn is an entry that applies once: a table drives it by time, with repeats after each, and a test has a window of seconds turn in a fleet. Ways weighed: having the command line send evacuations from a timer (lost with its machine), or directory nodes read files (one more thing to keep the same on all). Entries with no event for routers are now announced to them, too, so that their epochs go on.

--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -2,7 +2,7 @@
 
 use crate::hub::{Call, Standing};
 use crate::Desk;
-use residency::{Command, Engine, EngineState, Name, Outcome, Place, Submission};
+use residency::{Command, Emptied, Engine, EngineState, Name, Outcome, Place, Submission, Window};
 use simd_json::prelude::*;
 use simd_json::{json, OwnedValue};
 use std::net::SocketAddr;
@@ -122,6 +122,19 @@
         .moves()
         .map(|(key, cell, is_moving)| json!({ "key": key, "cell": cell, "settled": !is_moving }))
         .collect();
+    let windows: Vec<OwnedValue> = state
+        .windows()
+        .map(|(window, has_begun)| {
+            let (zone, engine) = match &window.what {
+                Emptied::Zone(zone) => (Some(zone.0.clone()), None),
+                Emptied::Engine(engine) => (None, Some(engine.0.clone())),
+            };
+            json!({
+                "id": window.id.0.clone(), "zone": zone, "engine": engine,
+                "from": window.from, "until": window.until, "begun": has_begun,
+            })
+        })
+        .collect();
     let value = json!({
         "node": desk.member.name.clone(),
         "cluster": hex(standing.cluster),
@@ -139,6 +152,7 @@
         "engines": engines,
         "evacuated": state.view.evacuated.iter().cloned().collect::<Vec<String>>(),
         "moves": moves,
+        "windows": windows,
         "keys": state.view.keys.len(),
     });
     web::json(200, &value)
@@ -222,6 +236,26 @@
     }
 }
 
+fn read_windows(value: &OwnedValue) -> Result<Vec<Window>, String> {
+    let list = value.get("windows").and_then(|v| v.as_array());
+    let list = list.ok_or("windows: a list should stand here")?;
+    let read = |(at, window): (usize, &OwnedValue)| {
+        let text = |name: &str| window.get(name).and_then(|v| v.as_str()).map(Name::from);
+        let time = |name: &str| {
+            let found = window.get(name).and_then(|v| v.as_u64());
+            found.ok_or(format!("windows[{at}].{name}: seconds since 1970 should stand here"))
+        };
+        let what = match (text("zone"), text("engine")) {
+            (Some(zone), None) => Emptied::Zone(zone),
+            (None, Some(engine)) => Emptied::Engine(engine),
+            _ => return Err(format!("windows[{at}]: a zone or an engine should stand here")),
+        };
+        let id = text("id").ok_or(format!("windows[{at}].id: a text should stand here"))?;
+        Ok(Window { id, what, from: time("from")?, until: time("until")? })
+    };
+    list.iter().enumerate().map(read).collect()
+}
+
 /// Reads a submission. Complaints name the field.
 fn read_submission(value: &OwnedValue) -> Result<Submission, String> {
     let text = |name: &str| {
@@ -234,7 +268,7 @@
     let name = |field: &str| text(field).map(Name);
     let known = [
         "id", "base", "do", "whole", "book", "key", "tenant", "name", "address", "cell",
-        "services", "slots", "state", "zone", "service",
+        "services", "slots", "state", "zone", "service", "windows",
     ];
     let Some(object) = value.as_object() else { return Err("an object should stand here".into()) };
     if let Some((field, _)) = object.iter().find(|(field, _)| !known.contains(&field.as_str())) {
@@ -292,6 +326,7 @@
         },
         "settle" => Command::Settle { tenant: name("tenant")?, service: name("service")? },
         "unpin" => Command::Unpin { tenant: name("tenant")?, service: name("service")? },
+        "schedule" => Command::Schedule(read_windows(value)?),
         other => return Err(format!("do: {other} is nothing that can be done")),
     };
     let id = text("id")?;
--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -442,7 +442,7 @@
         let view = Arc::new(state.view.clone());
         drop(state);
         self.counters.one("applied");
-        if !events.is_empty() {
+        if matches!(outcome, residency::Outcome::Applied { .. }) {
             self.announce(prior, index, events);
             self.view.send_replace(view);
         }
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod links;
 mod sessions;
+mod windows;
 
 use anyhow::Context;
 use ledger::node::Pace;
@@ -159,6 +160,7 @@
             tokio::spawn(links::join(Arc::clone(&node)));
             tokio::spawn(sessions::confirm(Arc::clone(&node)));
             tokio::spawn(sessions::gossip(Arc::clone(&node)));
+            tokio::spawn(windows::run(Arc::clone(&node)));
             log::info!(identity = format!("{identity:016x}"); "directory node is up at {address}");
             yard::wait_for_end().await?;
             log::info!("stopping");
--- a/operator/src/main.rs
+++ b/operator/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line.
 
 mod status;
+mod windows;
 
 use anyhow::{anyhow, bail, Context};
 use getopts::{Matches, Options};
@@ -57,6 +58,13 @@
     command("engine-gone", "NAME", "take an engine off the list", CHANGE),
     command("evacuate", "ZONE", "give a zone's engines no more work", CHANGE),
     command("give-back", "ZONE", "end a zone's evacuation", CHANGE),
+    command(
+        "windows",
+        "FILE",
+        "read maintenance windows from an iCalendar file, events named `evacuate ZONE` or \
+         `drain ENGINE`, and put them in force in place of those that have not begun",
+        &["days", "ahead", "check", "id", "base"],
+    ),
     command("move", "TENANT SERVICE CELL", "begin to move a key's jobs to another cell", CHANGE),
     command("settle", "TENANT SERVICE", "end a move: the key may be cached again", CHANGE),
     command("unpin", "TENANT SERVICE", "undo a move", CHANGE),
@@ -78,6 +86,14 @@
     );
     options.optopt("", "rules", "a file of rules, in place of the book's own", "FILE");
     options.optflag("", "partial", "the file holds only what changes");
+    options.optopt("", "days", "how far ahead windows are taken in (default 30)", "COUNT");
+    options.optopt(
+        "",
+        "ahead",
+        "how long before its start a window empties (default 300)",
+        "SECONDS",
+    );
+    options.optflag("", "check", "only say what would be done");
     options.optflag("", "json", "print the whole answer as JSON");
     options
 }
@@ -231,6 +247,18 @@
 }
 
 async fn run(name: &str, words: &[String], matches: &Matches, way: &Way) -> anyhow::Result<()> {
+    if name == "windows" {
+        let count = |name: &str, default: u64| match matches.opt_str(name) {
+            None => default,
+            Some(text) => text.parse().unwrap_or_else(|_| wrong(format!("--{name} is a number"))),
+        };
+        let list = windows::read(&words[0], count("days", 30), count("ahead", 300))?;
+        list.iter().for_each(|window| println!("{}", windows::describe(window)));
+        if matches.opt_present("check") {
+            return Ok(());
+        }
+        return submit(way, json!({ "do": "schedule", "windows": list }), matches).await;
+    }
     if let Some(body) = change(name, words, matches)? {
         return submit(way, body, matches).await;
     }
@@ -299,7 +327,7 @@
     if words.len() < least || words.len() > most {
         wrong(format!("usage: operator {} {}", command.name, command.words));
     }
-    for option in ["id", "base", "wait", "rules", "partial", "json"] {
+    for option in ["id", "base", "wait", "rules", "partial", "json", "days", "ahead", "check"] {
         if matches.opt_present(option) && !command.options.contains(&option) {
             wrong(format!("{name} knows no --{option}"));
         }
--- a/operator/src/status.rs
+++ b/operator/src/status.rs
@@ -81,6 +81,10 @@
     for zone in list(value, "evacuated") {
         println!("evacuated: {}", zone.as_str().unwrap_or(""));
     }
+    for window in list(value, "windows") {
+        let state = if text(window, "begun") == "true" { "under way" } else { "to come" };
+        println!("window {state}: {}", crate::windows::describe(window));
+    }
     for change in list(value, "moves") {
         let state = if text(change, "settled") == "true" { "moved" } else { "moving" };
         println!("{state}: {} to {}", text(change, "key"), text(change, "cell"));
--- a/residency/src/lib.rs
+++ b/residency/src/lib.rs
@@ -9,7 +9,7 @@
 mod view;
 
 pub use book::{merge, parse_text, Book, Service, Tenant};
-pub use state::{Command, Outcome, State, Submission, SUBMISSIONS_KEPT};
+pub use state::{Command, Emptied, Outcome, State, Submission, Window, SUBMISSIONS_KEPT};
 pub use view::{Cell, Engine, EngineState, Event, Place, Terms, Touch, View};
 
 use binrw::binrw;
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -47,6 +47,55 @@
     Settle { tenant: Name, service: Name },
     #[brw(magic = 9u8)]
     Unpin { tenant: Name, service: Name },
+    /// The maintenance windows to come, in place of those that have not begun.
+    #[brw(magic = 11u8)]
+    Schedule(
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        Vec<Window>,
+    ),
+    /// A window begins.
+    #[brw(magic = 12u8)]
+    Begin(Name),
+    /// A window that has begun ends.
+    #[brw(magic = 13u8)]
+    End(Name),
+}
+
+/// What a maintenance window empties.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Emptied {
+    #[brw(magic = 0u8)]
+    Zone(Name),
+    #[brw(magic = 1u8)]
+    Engine(Name),
+}
+
+/// Invariant: it begins before it ends; both in seconds since 1970.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Window {
+    pub id: Name,
+    pub what: Emptied,
+    pub from: u64,
+    pub until: u64,
+}
+
+/// A window as it stands. What was shut before it began stays shut after it.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+struct Planned {
+    window: Window,
+    #[br(map = |n: u8| n != 0)]
+    #[bw(map = |b: &bool| u8::from(*b))]
+    has_begun: bool,
+    #[br(map = |n: u8| n != 0)]
+    #[bw(map = |b: &bool| u8::from(*b))]
+    was_shut: bool,
 }
 
 #[binrw]
@@ -108,7 +157,7 @@
 #[brw(big)]
 struct Picture {
     epoch: u64,
-    marks: [u64; 5],
+    marks: [u64; 6],
     document: Name,
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
@@ -119,6 +168,9 @@
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
     known: Vec<Known>,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    windows: Vec<Planned>,
 }
 
 /// Invariants: `book` is what `document` reads as; `view` holds what the
@@ -131,7 +183,8 @@
     pins: BTreeMap<String, Pin>,
     known: VecDeque<Known>,
     /// The epoch of the last change of each kind of command.
-    marks: [u64; 5],
+    marks: [u64; 6],
+    windows: Vec<Planned>,
 }
 
 impl Default for State {
@@ -143,7 +196,8 @@
             view: View::default(),
             pins: BTreeMap::new(),
             known: VecDeque::new(),
-            marks: [0; 5],
+            marks: [0; 6],
+            windows: Vec::new(),
         }
     }
 }
@@ -155,6 +209,7 @@
         Command::Engine(_) | Command::EngineGone(_) | Command::EngineState { .. } => 2,
         Command::Evacuate(_) | Command::GiveBack(_) => 3,
         Command::Move { .. } | Command::Settle { .. } | Command::Unpin { .. } => 4,
+        Command::Schedule(_) | Command::Begin(_) | Command::End(_) => 5,
     }
 }
 
@@ -366,6 +421,45 @@
                 }
                 Ok(vec![Event::Touched(Touch::Key(Name(key)))])
             }
+            Command::Schedule(windows) => {
+                if windows.len() > 1000 {
+                    return Err("at most 1000 windows are kept".into());
+                }
+                for (at, window) in windows.iter().enumerate() {
+                    let is_known = match &window.what {
+                        Emptied::Zone(zone) => self.book.zones.contains_key(&zone.0),
+                        Emptied::Engine(name) => self.view.engines.contains_key(&name.0),
+                    };
+                    if !is_known {
+                        return Err(format!(
+                            "window {}: {:?} is not known",
+                            window.id, window.what
+                        ));
+                    }
+                    if window.from >= window.until {
+                        return Err(format!("window {}: it ends before it begins", window.id));
+                    }
+                    if windows[..at].iter().any(|other| other.id == window.id) {
+                        return Err(format!("window {}: this id stands twice", window.id));
+                    }
+                }
+                Ok(Vec::new())
+            }
+            Command::Begin(id) | Command::End(id) => {
+                let is_end = matches!(command, Command::End(_));
+                let planned = self.windows.iter().find(|planned| planned.window.id == *id);
+                match planned {
+                    Some(planned) if planned.has_begun != is_end => {
+                        Err(format!("window {id} has begun already, or not yet"))
+                    }
+                    None => Err(format!("there is no window {id}")),
+                    // An engine that is gone meanwhile needs nothing.
+                    Some(planned) if is_end && planned.was_shut => Ok(Vec::new()),
+                    Some(planned) => {
+                        Ok(self.turn(&planned.window.what, !is_end).unwrap_or_default())
+                    }
+                }
+            }
             Command::Settle { tenant, service } | Command::Unpin { tenant, service } => {
                 let key = known_pair(tenant, service)?;
                 match self.pins.contains_key(&key) {
@@ -400,6 +494,46 @@
         events
     }
 
+    /// Shutting or opening what a window empties.
+    fn turn(&self, what: &Emptied, is_shut: bool) -> Checked {
+        match (what, is_shut) {
+            (Emptied::Zone(zone), true) => self.plan(&Command::Evacuate(zone.clone())),
+            (Emptied::Zone(zone), false) => self.plan(&Command::GiveBack(zone.clone())),
+            (Emptied::Engine(name), _) => {
+                let state = if is_shut { EngineState::Draining } else { EngineState::Serving };
+                self.plan(&Command::EngineState { name: name.clone(), state })
+            }
+        }
+    }
+
+    fn is_shut(&self, what: &Emptied) -> bool {
+        match what {
+            Emptied::Zone(zone) => self.view.evacuated.contains(&zone.0),
+            Emptied::Engine(name) => {
+                self.view.engines.get(&name.0).is_some_and(|e| e.state != EngineState::Serving)
+            }
+        }
+    }
+
+    /// What is due at a time, in seconds since 1970. Applying it makes it due
+    /// no more, so that each window begins and ends once, whoever leads.
+    pub fn due(&self, now: u64) -> Vec<Command> {
+        let due = |planned: &Planned| {
+            let Window { id, from, until, .. } = &planned.window;
+            match planned.has_begun {
+                true if now >= *until => Some(Command::End(id.clone())),
+                false if now >= *from => Some(Command::Begin(id.clone())),
+                _ => None,
+            }
+        };
+        self.windows.iter().filter_map(due).collect()
+    }
+
+    /// The windows to come and under way, and whether each has begun.
+    pub fn windows(&self) -> impl Iterator<Item = (&Window, bool)> {
+        self.windows.iter().map(|planned| (&planned.window, planned.has_begun))
+    }
+
     /// Makes what `plan` has allowed.
     fn commit(&mut self, command: &Command) {
         match command {
@@ -424,6 +558,24 @@
                     pin.is_moving = false;
                 }
             }
+            Command::Schedule(windows) => {
+                self.windows.retain(|planned| planned.has_begun);
+                for window in windows {
+                    if !self.windows.iter().any(|planned| planned.window.id == window.id) {
+                        let window = window.clone();
+                        self.windows.push(Planned { window, has_begun: false, was_shut: false });
+                    }
+                }
+            }
+            Command::Begin(id) => {
+                let place = self.windows.iter().position(|planned| planned.window.id == *id);
+                if let Some(place) = place {
+                    let was_shut = self.is_shut(&self.windows[place].window.what);
+                    self.windows[place].has_begun = true;
+                    self.windows[place].was_shut = was_shut;
+                }
+            }
+            Command::End(id) => self.windows.retain(|planned| planned.window.id != *id),
             Command::Unpin { tenant, service } => {
                 self.pins.remove(&key(&tenant.0, &service.0));
             }
@@ -529,6 +681,7 @@
             view: self.view.picture(),
             pins: self.pins.values().cloned().collect(),
             known: self.known.iter().cloned().collect(),
+            windows: self.windows.clone(),
         })
     }
 
@@ -551,6 +704,7 @@
             pins: picture.pins.into_iter().map(|pin| (pin.key.0.clone(), pin)).collect(),
             known: picture.known.into(),
             marks: picture.marks,
+            windows: picture.windows,
         })
     }
 }
--- a/stand/tests/commands.rs
+++ b/stand/tests/commands.rs
@@ -42,7 +42,59 @@
     let book = file("book.json", r#"{"cells":{"c":{"zone":"z"}},"rules":["door"]}"#);
     let rules = file("rules", "door a at \"/a/\" tenant bearer\nset fill much");
     let day = file("day", "{\"at\":1}\nnot json");
+    let event = |uid: &str, lines: &str| {
+        format!(
+            "BEGIN:VEVENT\r\nUID:{uid}\r\nDTSTAMP:20260101T000000Z\r\n{lines}\r\nEND:VEVENT\r\n"
+        )
+    };
+    let calendar = |events: &[String]| {
+        let events = events.concat();
+        format!("BEGIN:VCALENDAR\r\nVERSION:2.0\r\nPRODID:test\r\n{events}END:VCALENDAR\r\n")
+    };
+    let zoned = |start: &str, rest: &str| {
+        format!(
+            "SUMMARY:evacuate south-a\r\nDTSTART;TZID=America/Bogota:{start}\r\n\
+             DTEND;TZID=America/Bogota:20360105T040000{rest}"
+        )
+    };
+    let good = file(
+        "good.ics",
+        &calendar(&[event("w1", &zoned("20360105T020000", "\r\nRRULE:FREQ=WEEKLY;COUNT=3"))]),
+    );
+    let bad = file(
+        "bad.ics",
+        &calendar(&[
+            event("w1", &zoned("20360105T050000", "")),
+            event("w2", "SUMMARY:paint the door\r\nDTSTART:20360105T020000Z\r\nDTEND:20360105T040000Z"),
+            event("w3", "SUMMARY:drain engine-1\r\nDTSTART:20360105T020000\r\nDTEND:20360105T040000"),
+            event("w4", &zoned("20360105T020000", "\r\nRRULE:FREQ=SOMETIMES")),
+            event("w5", "SUMMARY:drain engine-1\r\nDTSTART;VALUE=DATE:20360105\r\nDTEND;VALUE=DATE:20360106"),
+        ]),
+    );
     let cases: Vec<(&str, Vec<&str>, i32, Vec<&str>)> = vec![
+        (
+            "operator",
+            vec!["windows", "--check", "--days", "3650", &good],
+            0,
+            vec![
+                "evacuate south-a from 2036-01-05T06:55:00+00:00 until 2036-01-05T09:00:00+00:00",
+                "2036-01-12T06:55:00",
+                "2036-01-19T06:55:00",
+            ],
+        ),
+        (
+            "operator",
+            vec!["windows", "--check", "--days", "3650", &bad],
+            1,
+            vec![
+                "event 1 (w1): it ends before it begins",
+                "event 2 (w2): SUMMARY is \"paint the door\"",
+                "event 3 (w3): DTSTART is in no known time zone",
+                "event 4 (w4): RRULE",
+                "event 5 (w5): DTSTART is a day",
+            ],
+        ),
+        ("operator", vec!["windows", "--check", &day], 1, vec!["day"]),
         ("router", vec!["--help"], 0, vec!["--door IP:PORT", "Ends with 2"]),
         ("directory", vec!["--version"], 0, vec!["directory 0.1.0"]),
         (
@@ -173,6 +225,33 @@
             assert!(found.contains(wanted), "{args:?} lacks {wanted:?}: {found}");
         }
     }
+    // A maintenance window of a few seconds begins and ends by itself.
+    let stamp = |seconds: i64| {
+        let time = chrono::Utc::now() + chrono::Duration::seconds(seconds);
+        time.format("%Y%m%dT%H%M%SZ").to_string()
+    };
+    let calendar = folder.0.join("soon.ics");
+    let text = format!(
+        "BEGIN:VCALENDAR\r\nVERSION:2.0\r\nPRODID:test\r\nBEGIN:VEVENT\r\nUID:soon\r\n\
+         DTSTAMP:20260101T000000Z\r\nSUMMARY:evacuate west-a\r\nDTSTART:{}\r\nDTEND:{}\r\n\
+         END:VEVENT\r\nEND:VCALENDAR\r\n",
+        stamp(1),
+        stamp(6)
+    );
+    std::fs::write(&calendar, text).expect("written");
+    let (code, found) = operator(&["windows", &calendar.display().to_string()], "");
+    assert_eq!(code, Some(0), "{found}");
+    for is_shut in [true, false] {
+        let patience = std::time::Duration::from_secs(30);
+        stand::fleet::wait(patience, "the window's turn", async || {
+            let (_, found) = operator(&["status"], "");
+            anyhow::ensure!(found.contains("evacuated: west-a") == is_shut, "{found}");
+            anyhow::ensure!(found.contains("window") == is_shut, "{found}");
+            Ok(())
+        })
+        .await
+        .expect("it turns");
+    }
     let (engine, _) = whole(door, &prompt("j-1", "cleo-key-0003", "hello")).await;
     assert_eq!(engine, "engine-2", "the other engine of the cell is drained");
     let (code, found) = operator(&["key-drop", "--wait", "20"], "cleo-key-0003\n");
