--- a/placement/src/cache.rs
+++ b/placement/src/cache.rs
@@ -69,14 +69,6 @@
         self.keep(key, value, now + fresh_ms, now + expire_ms);
     }
 
-    /// Keeps what another layer had as stale, with its own remaining time.
-    pub fn put_stale(&mut self, key: &str, value: T, expire_ms: u64, now: u64) {
-        self.drop_key(key);
-        if expire_ms > 0 {
-            self.keep(key, value, now, now + expire_ms);
-        }
-    }
-
     fn keep(&mut self, key: &str, value: T, fresh_until: u64, expires_at: u64) {
         if self.slots.len() == self.most {
             if let Some((_, oldest)) = self.order.pop_first() {
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -535,10 +535,6 @@
 }
 
 impl Process {
-    pub fn is_running(&self) -> bool {
-        self.child.is_some()
-    }
-
     pub fn address(&self) -> SocketAddr {
         SocketAddr::new(self.known, ADDRESS)
     }
