--- a/stand/tests/failures.rs
+++ b/stand/tests/failures.rs
@@ -92,6 +92,83 @@
     served(fleet.get("router-1").door(), ANA, "after").await;
 }
 
+/// Guards: an acknowledged change is on a majority's disks. A leader whose disk
+/// fails steps down, a change under way is taken by the next one, and the node
+/// says that it is not well until it is restarted on a disk that works.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_leaders_disk_fails() {
+    let (_folder, mut fleet) = up("broken-disk").await;
+    let leader = fleet.leader().await.expect("somebody leads");
+    let desk = fleet.get(&leader).desk();
+    let log = fleet.folder.join("data").join(&leader).join("log");
+    let aside = fleet.folder.join("aside");
+    std::fs::rename(&log, &aside).expect("its log goes");
+    let change = json!({ "do": "evacuate", "zone": "south-a", "id": "over-a-broken-disk" });
+    let epoch = fleet.submit(change.clone()).await.expect("the others take it");
+    wait(PATIENCE, "another leader", async || {
+        let now = fleet.leader().await?;
+        anyhow::ensure!(now != leader, "{now} still leads");
+        Ok(())
+    })
+    .await
+    .expect("it steps down");
+    let error = ask(desk, "GET", "/vitals", &OwnedValue::null()).await.expect_err("it is not well");
+    assert!(error.to_string().contains("\"disk_stalled\":true"), "{error}");
+    served(fleet.get("router-1").door(), ANA, "meanwhile").await;
+
+    fleet.kill(&leader);
+    std::fs::rename(&aside, &log).expect("its log comes back");
+    fleet.start(&leader).expect("it starts");
+    wait(PATIENCE, "its return", async || {
+        let vitals = ask(desk, "GET", "/vitals", &OwnedValue::null()).await?;
+        let at = vitals.get("epoch").and_then(|v| v.as_u64());
+        anyhow::ensure!(at >= Some(epoch), "it has {at:?}");
+        Ok(())
+    })
+    .await
+    .expect("it is well again, and has what it missed");
+    assert_eq!(fleet.submit(change).await.expect("it is known"), epoch);
+}
+
+/// A damaged segment stops its node, with the file, the place and the way back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_damaged_segment_stops_its_node() {
+    let (folder, mut fleet) = up("damage").await;
+    let leader = fleet.leader().await.expect("somebody leads");
+    let node = fleet.of(Kind::Directory).iter().map(|n| n.name.clone()).find(|n| *n != leader);
+    let node = node.expect("three nodes");
+    fleet.kill(&node);
+    let log = folder.0.join("data").join(&node).join("log");
+    let first = std::fs::read_dir(&log).expect("its log").filter_map(|entry| entry.ok());
+    let path = first.map(|entry| entry.path()).min().expect("a segment");
+    let mut bytes = std::fs::read(&path).expect("it reads");
+    bytes[20] ^= 1;
+    std::fs::write(&path, bytes).expect("it is damaged");
+    fleet.start(&node).expect("it starts");
+    let words = folder.0.join("logs").join(format!("{node}.log"));
+    wait(PATIENCE, "its words", async || {
+        let text = std::fs::read_to_string(&words)?;
+        let has_said = text
+            .contains("segment-000000000001 at byte 6: a record's checksum is wrong")
+            && text.contains("Way back: ");
+        anyhow::ensure!(has_said, "{text}");
+        Ok(())
+    })
+    .await
+    .expect("it says what is wrong and ends");
+    // The way back: the folder aside, and it joins as a new node.
+    fleet.kill(&node);
+    fleet.wipe(&node).expect("its folder goes");
+    fleet.start(&node).expect("it starts");
+    let desk = fleet.get(&leader).desk();
+    wait(PATIENCE, "the new voter", async || {
+        anyhow::ensure!(voters(&fleet, desk).await?.len() == 3, "not yet");
+        Ok(())
+    })
+    .await
+    .expect("it is a voter again");
+}
+
 /// Guards: what froze and woke sends nothing late, and never falls back to an
 /// older epoch.
 #[tokio::test(flavor = "multi_thread")]
