--- a/stand/src/day.rs
+++ b/stand/src/day.rs
@@ -326,6 +326,23 @@
             }
         }
     }
+    let storms = events.get("storms").and_then(|v| v.as_array());
+    for storm in storms.map_or(&[][..], |list| &list[..]) {
+        let count = |name: &str| {
+            let found = storm.get(name).and_then(|v| v.cast_f64());
+            found.ok_or(anyhow::anyhow!("storms.{name}: a number should stand here"))
+        };
+        let (from, to, times) = (count("from")?, count("to")?, count("count")?);
+        let operator = storm.get("operator").ok_or(missing("storms.operator"))?;
+        for number in 0..times as u64 {
+            let share = from + (to - from) * number as f64 / times;
+            let at = (share * seconds as f64 * 1000.0) as u64;
+            let line = json!({ "at": at, "operator": operator.clone() }).encode();
+            // `@n` stands for the number of the change within its storm.
+            let line = line.replace("@n", &number.to_string());
+            moments.push(moment(&line).map_err(|text| anyhow::anyhow!("storms: {text}"))?);
+        }
+    }
     for event in events.get("events").and_then(|v| v.as_array()).map_or(&[][..], |list| &list[..]) {
         let share = event.get("share").and_then(|v| v.cast_f64()).ok_or(missing("events.share"))?;
         let mut line = event.clone();
