--- a/stand/src/bin/fleet.rs
+++ b/stand/src/bin/fleet.rs
@@ -26,7 +26,7 @@
             let desks = desks.join(",");
             std::fs::write(folder.join("desks"), &desks)?;
             println!("desks: {desks}\nup; ends with Ctrl-C");
-            Ok(tokio::signal::ctrl_c().await?)
+            Ok(yard::wait_for_end().await?)
         })
     };
     if let Err(error) = run() {
