A tenant within its quota is not refused while the leader changes

Cause: a router that had no job of a tenant left waited 300 ms for the leader's word; an election takes up to a second. Ruled out: the leader's bucket, full all the time. Now a job is refused at once where the leader says that none is left, and waits up to 2.5 s (--quota-ms) where there is no leader.

--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -38,6 +38,12 @@
     setting("body", "BYTES", "the longest body that is taken", Some("16777216")),
     setting("stop-ms", "MS", "how long streams may finish in when it stops", Some("20000")),
     setting("head-ms", "MS", "how long the part of a body with the key may take", Some("10000")),
+    setting(
+        "quota-ms",
+        "MS",
+        "how long a job waits for the leader's word on its quota",
+        Some("2500"),
+    ),
     setting("level", "LEVEL", "log level: error, warn, info, debug", Some("info")),
 ];
 
@@ -50,6 +56,7 @@
     /// Where it listens for its neighbours, and dials from.
     pub listen: SocketAddr,
     pub head: Duration,
+    pub quota: Duration,
     pub seeds: Vec<SocketAddr>,
     pub body: usize,
 }
@@ -98,6 +105,7 @@
         address,
         listen: boot.address_or("listen", address),
         head: Duration::from_millis(boot.count("head-ms", 1, 600_000)),
+        quota: Duration::from_millis(boot.count("quota-ms", 0, 60_000)),
         seeds: boot.addresses("seeds"),
         body: boot.count("body", 1 << 10, 1 << 30) as usize,
     };
--- a/router/src/quota.rs
+++ b/router/src/quota.rs
@@ -5,14 +5,11 @@
 use parking_lot::Mutex;
 use residency::View;
 use std::collections::HashMap;
-use std::time::Duration;
 use tokio::sync::Notify;
 use wire::Demand;
 use yard::now;
 use yard::web::Refusal;
 
-/// How long a job waits for one to be handed out before it is refused.
-const ASK_PATIENCE: Duration = Duration::from_millis(300);
 /// After the leader had none left, jobs are refused at once for this long.
 const DRY_MS: u64 = 200;
 /// After the leader had too few, none are kept ahead for this long.
@@ -143,13 +140,14 @@
 }
 
 /// Lets a job in under its tenant's pace. Where none is left here, asks the
-/// leader before it refuses.
+/// leader, and waits for its word over a change of leader; where the leader says
+/// that none is left, the job is refused at once.
 pub async fn admit(router: &Router, view: &View, tenant: &str) -> Result<(), Refusal> {
     let Some(terms) = view.tenants.get(tenant).filter(|terms| terms.pace > 0) else {
         return Ok(());
     };
     let quota = &router.quota;
-    let until = tokio::time::Instant::now() + ASK_PATIENCE;
+    let until = tokio::time::Instant::now() + router.boot.quota;
     let mut waiting = None;
     loop {
         let told = quota.told.notified();
--- a/stand/tests/fleet.rs
+++ b/stand/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use simd_json::json;
-use stand::caller::Call;
+use stand::caller::{call, Call, Seen};
 use stand::fleet::{wait, Fleet, Kind, Shape};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -196,3 +196,54 @@
     served(door, "ana-key-0001", "alone").await;
     assert!(fleet.count(Kind::Router, "key-only").await.expect("told") >= 1);
 }
+
+/// Guards: a tenant gets not much past its quota, and one within it is not
+/// refused, though its callers come by several routers and the leader falls.
+#[tokio::test(flavor = "multi_thread")]
+async fn quotas_hold_over_all_routers() {
+    let folder = Folder::new("quota");
+    let shape = Shape::parse(SHAPE).expect("the shape reads");
+    let mut fleet = Fleet::lay(shape, &folder.0).expect("a fleet is laid out");
+    // However long an election takes on a busy machine.
+    for name in ["router-1", "router-2", "router-3"] {
+        let args = ["--quota-ms", "30000"].map(String::from).to_vec();
+        fleet.processes.get_mut(name).expect("it is there").args = args;
+    }
+    fleet.up().await.expect("the fleet comes up");
+    let terms = json!({ "do": "revise", "whole": false, "book": { "tenants": {
+        "ana": { "pace": 1, "burst": 5 }, "ben": { "pace": 500, "burst": 500 },
+    } } });
+    let epoch = fleet.submit(terms).await.expect("taken");
+    fleet.in_force(epoch, PATIENCE).await.expect("in force");
+    let doors: Vec<_> = fleet.of(Kind::Router).iter().map(|router| router.door()).collect();
+    let begun = std::time::Instant::now();
+    let mut jobs = tokio::task::JoinSet::new();
+    for n in 0..60 {
+        let door = doors[n % doors.len()];
+        for (tenant, key) in [("ana", "ana-key-0001"), ("ben", "ben-key-0002")] {
+            let job = prompt(&format!("{tenant}-{n}"), key, "once upon a time");
+            jobs.spawn(async move { (tenant, call(door, &job, PATIENCE).await) });
+        }
+        if n == 30 {
+            let leader = fleet.leader().await.expect("somebody leads");
+            fleet.kill(&leader);
+        }
+    }
+    let (mut let_in, mut refused) = (0, 0);
+    while let Some(done) = jobs.join_next().await {
+        match done.expect("the caller ends") {
+            ("ana", Seen::Whole { .. }) => let_in += 1,
+            ("ana", Seen::Refused { code, outcome, .. }) if code == "quota" => {
+                assert_eq!(outcome, "not-run");
+                refused += 1;
+            }
+            ("ben", Seen::Refused { code, .. }) => assert_ne!(code, "quota", "ben is within"),
+            _ => {}
+        }
+    }
+    // Its burst, its pace, and half a second's worth, one at the least, from a
+    // new leader.
+    let most = 5 + begun.elapsed().as_secs() + 1 + 1;
+    assert!(let_in <= most, "{let_in} of at most {most} were let in");
+    assert!(refused > 0 && let_in > 0, "{let_in} were let in, {refused} refused");
+}
