--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -117,6 +117,11 @@
         let text = "this router is stopping; ask another";
         return Err(Refusal::not_run(503, "leaving", text).retry(1_000));
     }
+    // One is held by the router itself, one by this job.
+    if Arc::strong_count(&router.under_way) > router.boot.jobs + 1 {
+        let text = format!("{} jobs are under way here; ask another router", router.boot.jobs);
+        return Err(Refusal::not_run(503, "router-full", text).retry(1_000));
+    }
     let (head, mut body) = request.into_parts();
     let view = router.view.borrow().clone();
     let reader = Reader { view: &view, parts: &head };
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -36,6 +36,7 @@
     setting("own-cache", "COUNT", "mappings in its own cache, at the most", Some("512")),
     setting("share", "COUNT", "mappings in its share of the region's cache", Some("16384")),
     setting("body", "BYTES", "the longest body that is taken", Some("16777216")),
+    setting("jobs", "COUNT", "jobs under way at a time, at the most", Some("4096")),
     setting("stop-ms", "MS", "how long streams may finish in when it stops", Some("20000")),
     setting("head-ms", "MS", "how long the part of a body with the key may take", Some("10000")),
     setting(
@@ -57,6 +58,7 @@
     pub listen: SocketAddr,
     pub head: Duration,
     pub quota: Duration,
+    pub jobs: usize,
     pub seeds: Vec<SocketAddr>,
     pub body: usize,
 }
@@ -106,6 +108,7 @@
         listen: boot.address_or("listen", address),
         head: Duration::from_millis(boot.count("head-ms", 1, 600_000)),
         quota: Duration::from_millis(boot.count("quota-ms", 0, 60_000)),
+        jobs: boot.count("jobs", 1, 1 << 20) as usize,
         seeds: boot.addresses("seeds"),
         body: boot.count("body", 1 << 10, 1 << 30) as usize,
     };
--- a/stand/tests/fleet.rs
+++ b/stand/tests/fleet.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use common::*;
-use simd_json::json;
+use simd_json::prelude::*;
+use simd_json::{json, OwnedValue};
 use stand::caller::{call, Call, Seen};
-use stand::fleet::{wait, Fleet, Kind, Shape};
+use stand::fleet::{ask, wait, Fleet, Kind, Shape};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -127,6 +128,7 @@
     };
     set(&mut fleet, "directory-1", &["--jobs", "1"]);
     set(&mut fleet, "router-2", &["--head-ms", "50"]);
+    set(&mut fleet, "router-3", &["--jobs", "1"]);
     for name in ["engine-1", "engine-2"] {
         fleet.processes.get_mut(name).expect("it is there").args[4] = "120".into();
     }
@@ -191,6 +193,23 @@
     let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
     assert!(answer.starts_with("HTTP/1.1 408") && answer.contains("not-run"), "{answer}");
 
+    // A router at its bound of jobs says so, and takes the next one after.
+    let router = fleet.get("router-3");
+    let mut stream = tokio::net::TcpStream::connect(router.door()).await.expect("up");
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    wait(PATIENCE, "the job", async || {
+        let vitals = ask(router.desk(), "GET", "/vitals", &OwnedValue::null()).await?;
+        let under_way = vitals.get("under_way").and_then(|v| v.as_u64());
+        anyhow::ensure!(under_way == Some(1), "{under_way:?}");
+        Ok(())
+    })
+    .await
+    .expect("it is under way");
+    let second = prompt("f-1", "ben-key-0002", "x");
+    assert_eq!(refused(router.door(), &second).await, not_run(503, "router-full"));
+    drop(stream);
+    served(router.door(), "ben-key-0002", "f").await;
+
     // With no node left that may see the body, the key goes alone.
     fleet.kill("directory-1");
     served(door, "ana-key-0001", "alone").await;
