A job is looked up anew only while nothing can have run

Cause, found by reading: a repeatable job whose first round was lost, and whose mapping was made void before the second, began again with a chart that knew of no round; had it then been refused, it would have said not-run, untruly. It now ends as unknown.

--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use language::{Extract, Field, Head, Source, Target, BODY_CAP};
-use placement::{Event, Hit, Job, State};
+use placement::{Event, Hit, Job, Outcome, State};
 use residency::{Mapping, View};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -62,7 +62,7 @@
         }
         Err(refusal) => {
             router.counters.one(match refusal.outcome {
-                placement::Outcome::NotRun => "refused-not-run",
+                Outcome::NotRun => "refused-not-run",
                 _ => "refused-unknown",
             });
             log::info!(job = id.as_str(), code = refusal.code.as_str(),
@@ -272,8 +272,12 @@
                 *response.headers_mut() = answer.headers;
                 return Ok(response);
             }
-            // Looked up anew while nothing has been sent.
-            Err(refusal) if refusal.code == "mapping-void" && carried.is_whole() => {}
+            // Looked up anew only while nothing can have run: the next round
+            // begins with a chart that knows of none.
+            Err(refusal)
+                if refusal.code == "mapping-void"
+                    && refusal.outcome == Outcome::NotRun
+                    && carried.is_whole() => {}
             Err(refusal) => return Err(refusal),
         }
     }
