--- a/placement/src/control.rs
+++ b/placement/src/control.rs
@@ -139,6 +139,51 @@
         assert!((238..=248).contains(&handed), "{handed}");
     }
 
+    /// The step responses that docs/controllers.md shows are the controllers'.
+    #[test]
+    fn the_page_shows_these_step_responses() {
+        let row = |name: &str, values: Vec<u64>| {
+            let values: Vec<String> = values.iter().map(|value| value.to_string()).collect();
+            format!("| {name} | {} |", values.join(" | "))
+        };
+        let mut rows = Vec::new();
+        let mut warmth = Warmth::default();
+        let mut limits = Vec::new();
+        for answers in 0..=24 {
+            if answers % 4 == 0 {
+                limits.push(u64::from(warmth.limit(7)));
+            }
+            warmth.complete();
+        }
+        rows.push(row("limit", limits));
+        let mut retries = Retries::default();
+        let (mut spent, mut marks) = (0, Vec::new());
+        for job in 1..=1000 {
+            retries.earn(0.2);
+            spent += u64::from(retries.spend());
+            if [1, 5, 10, 50, 100, 500, 1000].contains(&job) {
+                marks.push(spent);
+            }
+        }
+        rows.push(row("further rounds", marks));
+        let mut paces = Paces::new(0);
+        let mut seconds = Vec::new();
+        for second in 0..10u64 {
+            let demand = if (3..7).contains(&second) { 30 } else { 5 };
+            let asks = (0..10).map(|tenth| {
+                (second * 1000 + tenth * 100, demand * (tenth + 1) / 10 - demand * tenth / 10)
+            });
+            seconds.push(
+                asks.map(|(now, wanted)| paces.hand_out(now, "t", (10, 20), wanted, 0)).sum(),
+            );
+        }
+        rows.push(row("handed out", seconds));
+        let page = include_str!("../../docs/controllers.md");
+        for row in rows {
+            assert!(page.contains(&row), "the page lacks {row}");
+        }
+    }
+
     /// Guards: retries grow no further than a fifth of real traffic.
     #[test]
     fn further_rounds_stay_below_a_fifth() {
