--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -19,7 +19,7 @@
 const PATIENCE: Duration = Duration::from_millis(3_500);
 
 pub fn serve(desk: Arc<Desk>, address: SocketAddr) -> anyhow::Result<Server> {
-    let handler: web::Handler = Arc::new(move |request, _| {
+    let handler: web::Handler = Arc::new(move |request| {
         let desk = Arc::clone(&desk);
         Box::pin(async move { answer(&desk, request).await })
     });
--- a/language/src/extract.rs
+++ b/language/src/extract.rs
@@ -48,7 +48,8 @@
     Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn mark(text: &[u8]) -> u64 {
+/// A number for a text, to rank and compare by. All processes draw alike.
+pub fn mark(text: &[u8]) -> u64 {
     let digest = Sha256::digest(text);
     u64::from_be_bytes(digest[..8].try_into().expect("eight bytes of a digest"))
 }
--- a/language/src/lib.rs
+++ b/language/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use body::{find, Find};
 pub use compile::{compile, parse_span, Complaint};
-pub use extract::{fingerprint, Extract, Field, Head};
+pub use extract::{fingerprint, mark, Extract, Field, Head};
 
 /// The most of a job's body that is held back while its key is looked for.
 pub const BODY_CAP: usize = 64 * 1024;
--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -47,10 +47,6 @@
 /// The router that holds a key's share of the region's cache, by rendezvous
 /// over those of the region. `None`: this one.
 fn owner(router: &Router, key: &str) -> Option<SocketAddr> {
-    let number = |text: &str| {
-        let digest = language::fingerprint(text);
-        u64::from_str_radix(&digest[..16], 16).expect("sixteen hexadecimal digits")
-    };
     let company = router.company.read();
     let own = (router.boot.name.as_str(), None);
     let others = company
@@ -59,6 +55,7 @@
         .filter(|front| front.region == router.boot.region && front.is_leaving == 0)
         .filter(|front| front.name != router.boot.name)
         .filter_map(|front| Some((front.name.as_str(), Some(front.address.parse().ok()?))));
+    let number = |text: &str| language::mark(text.as_bytes());
     let key = number(key);
     std::iter::once(own)
         .chain(others)
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -9,7 +9,6 @@
 use language::{Extract, Field, Head, Source, Target, BODY_CAP};
 use placement::{Event, Hit, Job, Outcome, State};
 use residency::{Mapping, View};
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,9 +23,9 @@
 
 pub fn serve(router: Arc<Router>) -> anyhow::Result<HttpServer<web::Handler>> {
     let (address, cap) = (router.boot.door, router.boot.body);
-    let handler: web::Handler = Arc::new(move |request, from| {
+    let handler: web::Handler = Arc::new(move |request| {
         let router = Arc::clone(&router);
-        Box::pin(async move { answer(router, request, from).await })
+        Box::pin(async move { answer(router, request).await })
     });
     web::serve(address, cap, handler)
 }
@@ -40,7 +39,7 @@
     given.map_or_else(|| format!("{:016x}", rand::random::<u64>()), String::from)
 }
 
-async fn answer(router: Arc<Router>, request: Request, _from: SocketAddr) -> Response {
+async fn answer(router: Arc<Router>, request: Request) -> Response {
     let id = job_id(&request);
     if request.uri().path() == "/where" {
         return whereabouts(&router, &request).unwrap_or_else(|refusal| refusal.response(&id));
--- a/router/src/layers.rs
+++ b/router/src/layers.rs
@@ -26,13 +26,13 @@
 /// The right to ask for a key, held by one job; the others wait for what it
 /// brings.
 pub struct Asker {
-    layers: Arc<str>,
+    key: Arc<str>,
     sender: watch::Sender<Option<Mapping>>,
 }
 
 impl Asker {
     pub fn key(&self) -> &str {
-        &self.layers
+        &self.key
     }
 
     pub fn bring(&self, mapping: &Mapping) {
@@ -118,7 +118,7 @@
         let (sender, receiver) = watch::channel(None);
         asking.retain(|_, receiver| receiver.has_changed().is_ok());
         asking.insert(key.to_string(), receiver);
-        Ok(Asker { layers: key.into(), sender })
+        Ok(Asker { key: key.into(), sender })
     }
 
     pub fn sizes(&self) -> (usize, usize) {
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -198,7 +198,7 @@
     let door = door::serve(Arc::clone(&router))?;
     let desk = {
         let router = Arc::clone(&router);
-        let handler: web::Handler = Arc::new(move |request, _| {
+        let handler: web::Handler = Arc::new(move |request| {
             let response = desk_answer(&router, &request);
             Box::pin(async move { response })
         });
--- a/stand/src/engine.rs
+++ b/stand/src/engine.rs
@@ -66,7 +66,7 @@
         "engine": engine.settings.name.clone(), "job": "", "event": "started",
         "cold": engine.settings.is_cold, "slots": engine.settings.slots, "run": 0,
     }));
-    let handler: web::Handler = Arc::new(move |request, _| {
+    let handler: web::Handler = Arc::new(move |request| {
         let engine = Arc::clone(&engine);
         Box::pin(async move {
             match request.uri().path() {
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -285,34 +285,27 @@
             .map(|seed| seed.address().to_string())
             .collect();
         let seeds = seeds.join(",");
-        let place = ["--name", &process.name, "--region", &process.region, "--zone", &process.zone];
+        let node = [
+            ["--name", &process.name],
+            ["--region", &process.region],
+            ["--zone", &process.zone],
+            ["--address", &address],
+            ["--desk", &desk],
+            ["--seeds", &seeds],
+        ];
         let mut command;
         match process.kind {
             Kind::Directory => {
                 command = Command::new(program("directory")?);
                 let data = self.folder.join("data").join(&process.name);
-                command.args(place).args([
-                    "--address",
-                    &address,
-                    "--desk",
-                    &desk,
-                    "--seeds",
-                    &seeds,
-                ]);
+                command.args(node.as_flattened());
                 command.arg("--data").arg(data).args(&process.args);
             }
             Kind::Router => {
                 command = Command::new(program("router")?);
                 command.args(&process.args);
                 let door = process.door().to_string();
-                command.args(place).args([
-                    "--address",
-                    &address,
-                    "--desk",
-                    &desk,
-                    "--seeds",
-                    &seeds,
-                ]);
+                command.args(node.as_flattened());
                 command.args(["--door", &door]);
             }
             Kind::Engine => {
--- a/stand/src/simulator.rs
+++ b/stand/src/simulator.rs
@@ -228,7 +228,7 @@
     machines: Vec<Machine>,
     cuts: BTreeSet<(usize, usize)>,
     leaders: BTreeMap<Term, Identity>,
-    applied: BTreeMap<Index, u32>,
+    applied: BTreeMap<Index, u64>,
     /// The highest index whose entry was acknowledged to whoever proposed it.
     acknowledged: Index,
     /// Open questions: token to the index acknowledged when it was asked.
@@ -435,12 +435,7 @@
     }
 
     fn apply(&mut self, at: usize, entry: &Entry, token: Option<u64>) -> Result<(), String> {
-        let sum = {
-            let bytes = packed(entry);
-            let digest =
-                language::fingerprint(&bytes.iter().map(|b| *b as char).collect::<String>());
-            u32::from_str_radix(&digest[..8], 16).expect("eight hexadecimal digits")
-        };
+        let sum = language::mark(&packed(entry));
         match self.applied.get(&entry.index) {
             Some(known) if *known != sum => {
                 return self.fail(format!("node-{at} applied another entry {}", entry.index))
--- a/yard/src/roster.rs
+++ b/yard/src/roster.rs
@@ -98,11 +98,6 @@
     }
 }
 
-fn mark(name: &str) -> u64 {
-    let digest = language::fingerprint(name);
-    u64::from_str_radix(&digest[..16], 16).expect("sixteen hexadecimal digits")
-}
-
 impl Roster {
     pub fn new(source: SocketAddr) -> Arc<Roster> {
         Arc::new(Roster { source, live: Mutex::new(BTreeMap::new()), room: Notify::new() })
@@ -138,7 +133,7 @@
             let reader = tokio::spawn(Arc::clone(self).follow(name.clone(), address));
             let fresh = Live {
                 engine: engine.clone(),
-                mark: mark(name),
+                mark: language::mark(name.as_bytes()),
                 vitals: None,
                 heard: now(),
                 warmth: Warmth::default(),
@@ -254,13 +249,13 @@
                 limit: known.warmth.limit(point.min(slots)),
                 tier,
             });
-            names.push(name.clone());
+            names.push(name.as_str());
         }
         if candidates.is_empty() {
             return Elected::Nobody;
         }
         let Some(index) = placement::elect(prefix, &candidates) else { return Elected::Full };
-        let name = names.swap_remove(index);
+        let name = names[index].to_string();
         let known = live.get_mut(&name).expect("it was listed a moment ago");
         known.own += 1;
         known.since += 1;
--- a/yard/src/web.rs
+++ b/yard/src/web.rs
@@ -19,7 +19,7 @@
 pub type Request = hyper::Request<Body>;
 pub type Response = hyper::Response<Body>;
 pub type Answering = Pin<Box<dyn Future<Output = Response> + Send>>;
-pub type Handler = Arc<dyn Fn(Request, SocketAddr) -> Answering + Send + Sync>;
+pub type Handler = Arc<dyn Fn(Request) -> Answering + Send + Sync>;
 
 #[derive(serde::Deserialize, schemars::JsonSchema)]
 struct Rest {
@@ -33,7 +33,7 @@
     request: RawRequest,
 ) -> Result<Response, HttpError> {
     let answer = context.context().clone();
-    Ok(answer(request.into_inner(), context.request.remote_addr()).await)
+    Ok(answer(request.into_inner()).await)
 }
 
 const METHODS: [http::Method; 6] = [
