One limit for a cold engine over all routers; the last look at the first byte

Cold engines. Cause: every process counted for itself between two vitals, and went on trusting the vitals of an engine's earlier life for 1.5 s after their stream had ended. Now the engine says in its vitals how many answers it completed and how long it has been up; its clock is cut into slots, in which each place below the limit belongs to one router by rank and is used once. Ruled out: permits from the leader (a round trip, and nothing without a leader).

Cause: the last look was followed by a hand-over to the task that writes, and a process may freeze between. Now the look is made once more in the call that hands the first byte to the kernel; what is held there is not-run by the chart. With that look taken out stand/tests/gate.rs fails. The clock of licences and deadlines goes on while a machine is suspended. Homes and keys are looked at again when a directory node has said that it is there, since asking several takes seconds.

--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -197,7 +197,7 @@
         "epoch": mapping.epoch,
         "engine": engine,
         "why": why,
-        "engines": desk.dispatcher.roster.value(),
+        "engines": desk.dispatcher.roster.value(view.program.points.fill),
     });
     web::json(200, &value)
 }
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -132,17 +132,20 @@
                 Arc::clone(&links),
                 Arc::clone(&counters),
             )?;
-            let roster = Roster::new(listen);
+            // Work at cold engines is begun by routers alone.
+            let roster = Roster::new(listen, Box::new(Vec::new));
             tokio::spawn(Arc::clone(&roster).run(hub.view.clone()));
             let gate = Arc::clone(&hub);
             let dispatcher = Dispatcher {
                 source: listen,
+                // Routers wait; a core machine is small.
+                room_wait: 0,
                 roster,
                 view: hub.view.clone(),
                 counters: Arc::clone(&counters),
                 // Whether a job goes on is decided by the router that has it.
                 budget: Box::new(|| false),
-                leave: Box::new(move |mapping| gate.leave(mapping)),
+                leave: Arc::new(move |mapping| gate.leave(mapping)),
             };
             let node = Arc::new(Desk {
                 member,
--- a/placement/src/control.rs
+++ b/placement/src/control.rs
@@ -54,7 +54,7 @@
 
 /// The warm-up of an engine: its limit grows with answers completed, from an
 /// eighth to the whole, and not by time.
-#[derive(Default, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct Warmth {
     completed: u32,
 }
@@ -71,8 +71,8 @@
         Warmth { completed: completed.min(WARM_AFTER) }
     }
 
-    pub fn complete(&mut self) {
-        self.completed = (self.completed + 1).min(WARM_AFTER);
+    pub fn is_warm(&self) -> bool {
+        self.completed == WARM_AFTER
     }
 
     /// The share of `limit` that the engine may have; one job at the least.
@@ -94,15 +94,8 @@
             format!("| {name} | {} |", values.join(" | "))
         };
         let mut rows = Vec::new();
-        let mut warmth = Warmth::default();
-        let mut limits = Vec::new();
-        for answers in 0..=24 {
-            if answers % 4 == 0 {
-                limits.push(u64::from(warmth.limit(7)));
-            }
-            warmth.complete();
-        }
-        rows.push(row("limit", limits));
+        let limits = (0..=24).step_by(4).map(|answers| Warmth::after(answers).limit(7).into());
+        rows.push(row("limit", limits.collect()));
         let mut retries = Retries::default();
         let (mut spent, mut marks) = (0, Vec::new());
         for job in 1..=1000 {
@@ -162,15 +155,10 @@
     /// Guards: an engine coming back cold is not flooded.
     #[test]
     fn a_cold_engine_warms_up_by_answers() {
-        let mut warmth = Warmth::default();
-        assert_eq!(warmth.limit(8), 1);
-        let mut limits = vec![warmth.limit(8)];
-        for _ in 0..WARM_AFTER {
-            warmth.complete();
-            limits.push(warmth.limit(8));
-        }
+        let limits: Vec<u32> = (0..=WARM_AFTER).map(|n| Warmth::after(n).limit(8)).collect();
+        assert_eq!(limits[0], 1);
         assert!(limits.is_sorted());
         assert_eq!(limits.last(), Some(&8));
-        assert_eq!(Warmth::default().limit(0), 0);
+        assert_eq!(Warmth::after(0).limit(0), 0);
     }
 }
--- a/placement/src/job.rs
+++ b/placement/src/job.rs
@@ -5,8 +5,8 @@
 //!    |         |        ^         |  |         |            |
 //!    |         |        +---------+  |         |            +-> Broken
 //!    |         |     connect failed  |         +-> Broken (no head came)
-//!    |         |                     |         +-> Mapped (declined, or
-//!    |         |                     |             repeatable and in budget)
+//!    |         |                     |         +-> Mapped (nothing left, declined,
+//!    |         |                     |             or repeatable and in budget)
 //!    +---------+-> Handed -> Answering          (a directory node has it)
 //!    any state before Answering -> Refused; any state -> Gone
 //! ```
@@ -47,6 +47,8 @@
     ConnectFailed,
     /// Said before the first byte is handed to the connection.
     BytesLeave,
+    /// The connection ended, and not a byte was handed to it.
+    NothingLeft,
     /// The engine said that it did not run the job.
     Declined,
     /// The connection broke before the head of an answer.
@@ -158,7 +160,7 @@
                 self.may_have_run = true;
                 S::Committed
             }
-            (S::Committed, E::Declined) => {
+            (S::Committed, E::Declined | E::NothingLeft) => {
                 self.may_have_run = self.rounds > 1 && self.is_repeatable;
                 S::Mapped
             }
@@ -206,6 +208,7 @@
             (false, &[BytesLeave], State::Committed, Outcome::Unknown),
             (false, &[BytesLeave, AnswerLost], State::Broken, Outcome::Unknown),
             (false, &[BytesLeave, Declined], State::Mapped, Outcome::NotRun),
+            (false, &[BytesLeave, NothingLeft], State::Mapped, Outcome::NotRun),
             (false, &[BytesLeave, Refuse], State::Refused, Outcome::Unknown),
             (false, &[BytesLeave, CallerLeft], State::Gone, Outcome::Unknown),
             (true, &[BytesLeave, AnswerLost], State::Mapped, Outcome::Unknown),
@@ -253,10 +256,10 @@
         /// Whatever happens in whatever order, a job that is not repeatable
         /// never commits again after a commit that was not declined.
         #[test]
-        fn once_is_once(picks in proptest::collection::vec(0usize..14, 0..40)) {
+        fn once_is_once(picks in proptest::collection::vec(0usize..15, 0..40)) {
             let all = [
                 KeyRead, MappingFound, EngineElected, ConnectFailed, BytesLeave, Declined,
-                AnswerLost, HandedOn, HandedBack, AnswerBegan, AnswerEnded, StreamBroke,
+                NothingLeft, AnswerLost, HandedOn, HandedBack, AnswerBegan, AnswerEnded, StreamBroke,
                 Refuse, CallerLeft,
             ];
             let mut job = Job::new(false);
@@ -268,7 +271,7 @@
                         assert!(!at_large);
                         at_large = true;
                     }
-                    Declined | HandedBack => at_large = false,
+                    Declined | NothingLeft | HandedBack => at_large = false,
                     _ => {}
                 }
                 assert!(!at_large || job.outcome() != Outcome::NotRun);
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -6,12 +6,14 @@
 mod cache;
 mod control;
 mod elect;
+mod engines;
 mod job;
 mod paces;
 
 pub use cache::{Cache, Hit};
 pub use control::{Retries, Warmth, RETRY_LIFE_MS};
 pub use elect::{elect, rank, Candidate};
+pub use engines::{may_have, Chosen, Engines, GONE_MS, SILENCE_MS};
 pub use job::{Event, Job, Misstep, Outcome, State};
 pub use paces::{Meters, Paces, Place};
 
@@ -23,5 +25,22 @@
     pub slots: u32,
     pub is_warm: bool,
     pub is_draining: bool,
+    /// Answers since it came back cold, and how long ago it began, by its own
+    /// clock.
+    pub completed: u32,
+    pub uptime_ms: u64,
     pub heard: u64,
 }
+
+impl Vitals {
+    pub fn warmth(&self) -> Warmth {
+        match self.is_warm {
+            true => Warmth::warm(),
+            false => Warmth::after(self.completed),
+        }
+    }
+
+    pub fn is_cold(&self) -> bool {
+        !self.warmth().is_warm()
+    }
+}
--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use wire::{Frame, Front, Kind};
-use yard::link;
+use yard::{link, now};
 
 /// A neighbour that takes longer is a miss.
 const LOOK_PATIENCE: Duration = Duration::from_millis(60);
@@ -25,9 +25,42 @@
 pub struct Company {
     pub fronts: Vec<Front>,
     pub directories: Vec<Member>,
+    /// The marks of the routers that may begin work at cold engines.
+    marks: Vec<u64>,
+    /// When it was last told, and since when it has told of this router.
+    told: u64,
+    listed: Option<u64>,
     links: Mutex<HashMap<SocketAddr, Neighbour>>,
 }
 
+/// The others may not know of a router that was not told of for so long, nor it
+/// of them.
+const SETTLED_MS: u64 = 2_000;
+
+impl Company {
+    pub fn take(&mut self, name: &str, fronts: Vec<Front>, directories: Vec<Member>) {
+        let (at, has_gap) = (now(), now() >= self.told + SETTLED_MS);
+        let is_listed = fronts.iter().any(|front| front.name == name);
+        self.listed = self.listed.filter(|_| !has_gap).or(Some(at)).filter(|_| is_listed);
+        self.told = at;
+        let own = language::mark(name.as_bytes());
+        let marks = fronts.iter().map(|front| language::mark(front.name.as_bytes()));
+        self.marks = std::iter::once(own).chain(marks.filter(|mark| *mark != own)).collect();
+        (self.fronts, self.directories) = (fronts, directories);
+    }
+
+    /// The marks of the routers that may begin work at cold engines, this one's
+    /// first; none while this one may not.
+    pub fn peers(&self) -> Vec<u64> {
+        let at = now();
+        let is_settled = self.listed.is_some_and(|listed| at >= listed + SETTLED_MS);
+        match is_settled && at < self.told + SETTLED_MS {
+            true => self.marks.clone(),
+            false => Vec::new(),
+        }
+    }
+}
+
 #[derive(Clone)]
 struct Neighbour {
     out: mpsc::Sender<Frame>,
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -190,7 +190,7 @@
     let tenant = caller.map(|caller| caller.tenant);
     let (tenant, service) = match (&tenant, &extract.service) {
         (Some(tenant), Field::Known(service)) => (tenant.clone(), service.clone()),
-        _ if is_past_cap => return unkeyed(router, job, &parts, &mut carried, &view, tenant).await,
+        _ if is_past_cap => return unkeyed(router, job, &parts, &mut carried, tenant).await,
         (None, _) => {
             let text = format!("door {} finds no tenant key in this body", door.name);
             return Err(Refusal::not_run(401, "no-key", text));
@@ -234,14 +234,10 @@
     mut job: Job,
     parts: &Parts,
     carried: &mut Carried,
-    view: &View,
     tenant: Option<String>,
 ) -> Result<Response, Refusal> {
     router.counters.one("unkeyed");
-    let terms = tenant.and_then(|tenant| view.tenants.get(&tenant));
-    let homes = terms.map_or(&[][..], |terms| &terms.homes[..]);
-    let nodes = forward::permitted(router, homes);
-    match forward::hand(router, &mut job, parts, carried, &nodes, None).await {
+    match forward::hand(router, &mut job, parts, carried, tenant.as_deref(), None).await {
         Handed::Answer(response) => Ok(response),
         Handed::Refused(refusal) => Err(refusal),
         Handed::Mapped(_) | Handed::Nobody => {
@@ -382,10 +378,8 @@
             return Err(Refusal::not_run(504, "deadline", "the job's deadline passed"));
         }
     };
-    let view = router.view.borrow().clone();
-    let terms = view.tenants.get(&keyed.tenant);
-    let nodes = forward::permitted(router, terms.map_or(&[], |terms| &terms.homes));
-    match forward::hand(router, job, parts, carried, &nodes, Some(&asker)).await {
+    let tenant = Some(&*keyed.tenant);
+    match forward::hand(router, job, parts, carried, tenant, Some(&asker)).await {
         Handed::Answer(response) => return Ok(Missed::Answer(response)),
         Handed::Mapped(mapping) => return Ok(Missed::Mapping(mapping)),
         // Lost on the way, but repeatable, still whole here, and in budget: by
--- a/router/src/forward.rs
+++ b/router/src/forward.rs
@@ -32,8 +32,12 @@
     Refused(Refusal),
 }
 
-/// Directory nodes that may see the body: of this region, then of the homes.
-pub fn permitted(router: &Router, homes: &[residency::Name]) -> Vec<SocketAddr> {
+/// Directory nodes that may see the body, as things are now: of this region,
+/// then of the tenant's homes.
+pub fn permitted(router: &Router, tenant: Option<&str>) -> Vec<SocketAddr> {
+    let view = router.view.borrow().clone();
+    let terms = tenant.and_then(|tenant| view.tenants.get(tenant));
+    let homes = terms.map_or(&[][..], |terms| &terms.homes[..]);
     let company = router.company.read();
     let place = |region: &str| match region == router.boot.region {
         true => Some(0),
@@ -50,22 +54,33 @@
     nodes.into_iter().map(|(_, _, address)| address).collect()
 }
 
-/// Hands a job in state `Keyed` to the first of `nodes` that can be reached.
+/// Hands a job in state `Keyed` to the first node that may see its body and can
+/// be reached.
 pub async fn hand(
     router: &Arc<Router>,
     job: &mut Job,
     parts: &Parts,
     carried: &mut Carried,
-    nodes: &[SocketAddr],
+    tenant: Option<&str>,
     asker: Option<&Asker>,
 ) -> Handed {
-    for node in nodes {
-        match welcomed(router, *node).await {
+    for node in permitted(router, tenant) {
+        match welcomed(router, node).await {
             Ok(stream) => {
                 let (reader, writer) = stream.into_split();
                 if let Err(refusal) = router.leave() {
                     return Handed::Refused(refusal);
                 }
+                // Homes may have changed while the node was asked.
+                if !permitted(router, tenant).contains(&node) {
+                    continue;
+                }
+                let is_known =
+                    parts.key.is_empty() || router.view.borrow().keys.contains_key(&parts.key);
+                if !is_known {
+                    let text = "this tenant key was taken away meanwhile";
+                    return Handed::Refused(Refusal::not_run(401, "unknown-key", text));
+                }
                 step(job, Event::HandedOn);
                 router.counters.one("forwards");
                 log::info!(job = parts.id.as_str(), directory = node.to_string(); "handed on");
@@ -159,12 +174,14 @@
                     upload = way.take().map(|writer| send_rest(rest, writer));
                 }
             }
-            // The node has no room, or can't reach the engine that it elected:
-            // the latter's next round is one more, and needs the budget.
+            // Neither the node nor an engine has room, or it can't reach the
+            // engine that it elected: the latter's next round is one more, and
+            // needs the budget.
             Some(Frame::Declined { not_run: true, code, .. })
                 if carried.is_whole()
                     && mapping.is_some()
                     && (code == "directory-full"
+                        || code == "engines-full"
                         || code == "engines-unreachable" && (router.dispatcher.budget)()) =>
             {
                 step(job, Event::HandedBack);
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -55,6 +55,9 @@
     setting("level", "LEVEL", "log level: error, warn, info, debug", Some("info")),
 ];
 
+/// How long a job may wait for room at an engine, at the most.
+const ROOM_WAIT_MS: u64 = 3_000;
+
 pub struct Settings {
     pub name: String,
     pub region: String,
@@ -81,7 +84,7 @@
     pub is_leaving: AtomicBool,
     /// It takes no new jobs.
     pub is_shut: AtomicBool,
-    pub company: RwLock<company::Company>,
+    pub company: Arc<RwLock<company::Company>>,
     pub layers: layers::Layers,
     pub questions: session::Questions,
     pub quota: Quota,
@@ -161,13 +164,16 @@
 ) -> anyhow::Result<()> {
     let counters = Arc::new(Counters::default());
     let (view, view_out) = watch::channel(Arc::new(View::default()));
-    let roster = Roster::new(settings.listen);
+    let company = Arc::new(RwLock::new(company::Company::default()));
+    let known = Arc::clone(&company);
+    let roster = Roster::new(settings.listen, Box::new(move || known.read().peers()));
     tokio::spawn(Arc::clone(&roster).run(view_out.clone()));
     let retries = Arc::new(Mutex::new(Retries::default()));
     let router = Arc::new_cyclic(|router: &std::sync::Weak<Router>| {
         let router = router.clone();
         let dispatcher = Dispatcher {
             source: settings.listen,
+            room_wait: ROOM_WAIT_MS,
             roster,
             view: view_out,
             counters: Arc::clone(&counters),
@@ -175,7 +181,7 @@
                 let retries = Arc::clone(&retries);
                 Box::new(move || retries.lock().spend(now()))
             },
-            leave: Box::new(move |mapping| match router.upgrade() {
+            leave: Arc::new(move |mapping| match router.upgrade() {
                 Some(router) if router.layers.is_void(mapping) => {
                     let text = "the mapping changed meanwhile";
                     Err(Refusal::not_run(503, "mapping-void", text))
@@ -189,7 +195,7 @@
             licence: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_shut: AtomicBool::new(false),
-            company: Default::default(),
+            company,
             layers: layers::Layers::new(own, share),
             questions: Default::default(),
             quota: Quota::default(),
@@ -254,7 +260,7 @@
                 "neighbours": company::neighbours(router),
                 "cached": router.layers.sizes().0,
                 "cached_share": router.layers.sizes().1,
-                "engines": router.dispatcher.roster.value(),
+                "engines": router.dispatcher.roster.value(view.program.points.fill),
             });
             web::json(if is_well { 200 } else { 503 }, &value)
         }
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -215,9 +215,7 @@
             log::info!(epoch = epoch; "in force");
         }
         Frame::Company { fronts, directories } => {
-            let mut company = router.company.write();
-            company.fronts = fronts;
-            company.directories = directories;
+            router.company.write().take(&router.boot.name, fronts, directories);
         }
         Frame::Resolved { number, answer } => {
             if let Some(sender) = router.questions.open.lock().remove(&number) {
--- a/stand/src/checker.rs
+++ b/stand/src/checker.rs
@@ -318,8 +318,17 @@
     for (root, count) in runs.iter().filter(|(_, count)| **count > 1) {
         find(Rule::NotTwice, format!("job {root} was run {count} times"));
     }
+    // What a process sent in time may reach an engine late, by the network or by
+    // an engine that froze: it is judged by when it was sent.
+    let mut sent: BTreeMap<(&str, &str), Vec<u64>> = BTreeMap::new();
+    for line in journals.nodes.iter().filter(|line| text(line, "what") == "dispatched") {
+        sent.entry((text(line, "job"), text(line, "engine"))).or_default().push(number(line, "at"));
+    }
     for line in journals.engines.iter().filter(|line| text(line, "event") == "received") {
-        let (engine, at) = (text(line, "engine"), number(line, "at"));
+        let engine = text(line, "engine");
+        let arrived = number(line, "at");
+        let before = sent.get(&(text(line, "job"), engine)).into_iter().flatten();
+        let at = before.filter(|at| **at <= arrived).max().copied().unwrap_or(arrived);
         let is_late = |spans: &[(String, u64, u64)], name: &str, bound: u64| {
             spans.iter().any(|(who, from, until)| who == name && at > from + bound && at < *until)
         };
--- a/stand/src/engine.rs
+++ b/stand/src/engine.rs
@@ -41,6 +41,7 @@
     running: AtomicU32,
     waiting: AtomicU32,
     runs: AtomicU64,
+    began: std::time::Instant,
     served: AtomicU32,
     is_draining: AtomicBool,
     slots: Arc<Semaphore>,
@@ -55,6 +56,7 @@
         running: AtomicU32::new(0),
         waiting: AtomicU32::new(0),
         runs: AtomicU64::new(crate::journal::wall()),
+        began: std::time::Instant::now(),
         served: AtomicU32::new(if settings.is_cold { 0 } else { 1000 }),
         is_draining: AtomicBool::new(false),
         slots: Arc::new(Semaphore::new(settings.slots as usize)),
@@ -89,6 +91,8 @@
                 "slots": engine.settings.slots,
                 "warm": engine.served.load(Ordering::Relaxed) >= 24,
                 "draining": engine.is_draining.load(Ordering::Relaxed),
+                "completed": engine.served.load(Ordering::Relaxed),
+                "uptime_ms": engine.began.elapsed().as_millis() as u64,
             });
             if sender.send(Ok(Bytes::from(line.encode() + "\n"))).await.is_err() {
                 return;
@@ -100,18 +104,18 @@
 }
 
 /// Counts a job while it waits or runs, however it ends.
-struct Counted<'a>(&'a AtomicU32);
+struct Counted(Arc<Engine>, fn(&Engine) -> &AtomicU32);
 
-impl<'a> Counted<'a> {
-    fn new(counter: &'a AtomicU32) -> Counted<'a> {
-        counter.fetch_add(1, Ordering::Relaxed);
-        Counted(counter)
+impl Counted {
+    fn new(engine: &Arc<Engine>, counter: fn(&Engine) -> &AtomicU32) -> Counted {
+        counter(engine).fetch_add(1, Ordering::Relaxed);
+        Counted(Arc::clone(engine), counter)
     }
 }
 
-impl Drop for Counted<'_> {
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.1(&self.0).fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -123,8 +127,9 @@
         }));
     };
     note("received", 0);
-    let slot = {
-        let _waiting = Counted::new(&engine.waiting);
+    // It is always counted as one or the other, also while its body comes.
+    let (slot, running) = {
+        let _waiting = Counted::new(engine, |engine| &engine.waiting);
         let is_full = engine.waiting.load(Ordering::Relaxed) > engine.settings.slots * 2;
         if is_full || engine.is_draining.load(Ordering::Relaxed) {
             note("declined", 0);
@@ -137,7 +142,7 @@
         let Ok(slot) = Arc::clone(&engine.slots).acquire_owned().await else {
             unreachable!("the slots are never closed")
         };
-        slot
+        (slot, Counted::new(engine, |engine| &engine.running))
     };
     let Ok(body) = request.into_body().collect().await else {
         note("broken-body", 0);
@@ -153,7 +158,7 @@
     let settings_name = engine.settings.name.clone();
     tokio::spawn(async move {
         let _slot = slot;
-        let _running = Counted::new(&engine.running);
+        let _running = running;
         let event = match answer(&engine, &job, run, &sum, is_warm, &sender).await {
             true => "ended",
             false => "cancelled",
--- /dev/null
+++ b/stand/tests/gate.rs
@@ -0,0 +1,185 @@
+//! The last look before the first byte, at real sockets: what changes between
+//! any two looks must keep the job's bytes back.
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use placement::{Event, Job, Outcome};
+use residency::{Engine, EngineState, Mapping, Name, Place, View};
+use simd_json::prelude::*;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::watch;
+use yard::dispatch::{Carried, Dispatcher, Parts};
+use yard::roster::Roster;
+use yard::web::Refusal;
+
+const VITALS: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const LINE: &str = "{\"running\":0,\"queue\":0,\"slots\":8,\"warm\":true,\"draining\":false}\n";
+
+/// A raw engine: says that it is well, and keeps every byte of every job.
+async fn engine() -> (SocketAddr, Arc<Mutex<Vec<u8>>>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let kept = Arc::new(Mutex::new(Vec::new()));
+    let all = Arc::clone(&kept);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let kept = Arc::clone(&all);
+            tokio::spawn(async move {
+                let mut bytes = vec![0; 4096];
+                let Ok(length) = stream.read(&mut bytes).await else { return };
+                let text = String::from_utf8_lossy(&bytes[..length]).into_owned();
+                if text.starts_with("GET /vitals") {
+                    let chunk = format!("{:x}\r\n{LINE}\r\n", LINE.len());
+                    drop(stream.write_all((VITALS.to_string() + &chunk).as_bytes()).await);
+                    // Open for as long as the other side likes.
+                    drop(stream.read(&mut bytes).await);
+                    return;
+                }
+                kept.lock().extend_from_slice(&bytes[..length]);
+                let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                drop(stream.write_all(answer.as_bytes()).await);
+            });
+        }
+    });
+    (address, kept)
+}
+
+fn view(address: SocketAddr) -> View {
+    let place = |name: &str, within: &str| Place { name: name.into(), within: within.into() };
+    let mut view = View::default();
+    view.take(&residency::Event::Places {
+        zones: vec![place("north-a", "north")],
+        cells: vec![place("north-1", "north-a")],
+    });
+    view.take(&residency::Event::Key(place("digest", "ana")));
+    view.take(&residency::Event::Engine(Engine {
+        name: "engine-1".into(),
+        address: address.to_string(),
+        cell: "north-1".into(),
+        services: vec![Name("writer".into())],
+        slots: 8,
+        state: EngineState::Serving,
+    }));
+    view
+}
+
+type Change = fn(&watch::Sender<Arc<View>>, SocketAddr);
+
+fn after(change: impl Fn(&mut View), views: &watch::Sender<Arc<View>>) {
+    let mut view = (**views.borrow()).clone();
+    change(&mut view);
+    views.send_replace(Arc::new(view));
+}
+
+/// Guards: `not-run` is true; no work for a leaving engine, an evacuated zone,
+/// or by a key that is gone; homes. The change comes in the moment after the
+/// first look, as it does for a process that freezes there and wakes: once right
+/// after it, and once in the very call that would hand the first byte over.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_changes_after_the_look_keeps_the_first_byte_back() {
+    let cases: Vec<(&str, Change)> = vec![
+        ("nothing", |_, _| {}),
+        ("the key is gone", |views, _| {
+            after(|view| view.take(&residency::Event::KeyGone(Name("digest".into()))), views);
+        }),
+        ("the zone is evacuated", |views, _| {
+            after(|view| view.take(&residency::Event::Evacuated(Name("north-a".into()))), views);
+        }),
+        ("the engine drains", |views, address| {
+            let engine = Engine {
+                name: "engine-1".into(),
+                address: address.to_string(),
+                cell: "north-1".into(),
+                services: vec![Name("writer".into())],
+                slots: 8,
+                state: EngineState::Draining,
+            };
+            after(|view| view.take(&residency::Event::Engine(engine.clone())), views);
+        }),
+        ("the engine is gone", |views, _| {
+            after(|view| view.take(&residency::Event::EngineGone(Name("engine-1".into()))), views);
+        }),
+        ("its cell is in another region", |views, _| {
+            let place =
+                |name: &str, within: &str| Place { name: name.into(), within: within.into() };
+            let places = residency::Event::Places {
+                zones: vec![place("north-a", "south")],
+                cells: vec![place("north-1", "north-a")],
+            };
+            after(|view| view.take(&places), views);
+        }),
+    ];
+    for (name, change) in cases {
+        for at in 1..=2 {
+            let (address, kept) = engine().await;
+            let (views, view_out) = watch::channel(Arc::new(view(address)));
+            let views = Arc::new(views);
+            let source: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+            let roster = Roster::new(source, Box::new(Vec::new));
+            tokio::spawn(Arc::clone(&roster).run(view_out.clone()));
+            let looks = Arc::new(AtomicUsize::new(0));
+            let (looked, changing) = (Arc::clone(&looks), Arc::clone(&views));
+            let dispatcher = Dispatcher {
+                source,
+                room_wait: 0,
+                roster: Arc::clone(&roster),
+                view: view_out,
+                counters: Default::default(),
+                budget: Box::new(|| false),
+                // Asked last in each look: what it changes is seen by the next.
+                leave: Arc::new(move |_| {
+                    if looked.fetch_add(1, Ordering::SeqCst) + 1 == at {
+                        change(&changing, address);
+                    }
+                    Ok::<(), Refusal>(())
+                }),
+            };
+            let mapping = Mapping {
+                tenant: "ana".into(),
+                service: "writer".into(),
+                regions: vec![Name("north".into())],
+                cells: vec![Name("north-1".into())],
+                fresh_ms: 1,
+                expire_ms: 1,
+                epoch: 1,
+            };
+            let patience = std::time::Duration::from_secs(30);
+            stand::fleet::wait(patience, "vitals", async || {
+                let value = roster.value(0.8).encode();
+                anyhow::ensure!(value.contains("\"running\":0"), "{value}");
+                Ok(())
+            })
+            .await
+            .expect("the engine is heard");
+            let mut job = Job::new(false);
+            for event in [Event::KeyRead, Event::MappingFound] {
+                job.step(event).expect("the way there is allowed");
+            }
+            let parts = Parts {
+                id: "j-1".into(),
+                method: http::Method::POST,
+                target: "/app/write".into(),
+                headers: Default::default(),
+                key: "digest".into(),
+                deadline: yard::now() + 20_000,
+            };
+            let mut carried = Carried::new(Bytes::from_static(b"{\"prompt\":\"x\"}"), None);
+            let answer = dispatcher.dispatch(&mut job, &parts, &mut carried, &mapping, 7).await;
+            let bytes = kept.lock().len();
+            // A change after the second look comes too late: the look and the
+            // handing over are one call.
+            if name == "nothing" || at == 2 {
+                assert!(answer.is_ok() && bytes > 0, "{name}, look {at}");
+                assert_eq!(looks.load(Ordering::SeqCst), 2, "{name}: two looks");
+                continue;
+            }
+            let refusal = answer.err().expect("it is refused");
+            assert_eq!(refusal.outcome, Outcome::NotRun, "{name}: {}", refusal.text);
+            assert_eq!(bytes, 0, "{name}: not a byte reached the engine");
+            assert!(carried.is_whole(), "{name}");
+        }
+    }
+}
--- a/yard/src/dispatch.rs
+++ b/yard/src/dispatch.rs
@@ -13,15 +13,15 @@
 use residency::{Mapping, View};
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 /// A stream that gives nothing for this long is broken.
 pub const IDLE: Duration = Duration::from_secs(20);
-/// How long a job may wait for room at an engine, at the most.
-const ROOM_WAIT_MS: u64 = 3_000;
 /// How long it may wait for any engine to be in sight.
 const SIGHT_WAIT_MS: u64 = 500;
 /// What an engine says with a 503 where it did not run the job.
@@ -57,12 +57,6 @@
         self.rest.take()
     }
 
-    /// Takes back what was not sent after all.
-    fn restore(&mut self, request: hyper::Request<Flow>) {
-        self.rest = request.into_body().rest;
-        self.is_spent = false;
-    }
-
     fn take(&mut self) -> Flow {
         let held = Some(self.held.clone()).filter(|held| !held.is_empty());
         Flow { held, rest: self.take_rest() }
@@ -163,10 +157,126 @@
 pub type Budget = Box<dyn Fn() -> bool + Send + Sync>;
 
 /// Leave to dispatch, asked for in the last moment before the first byte.
-pub type Leave = Box<dyn Fn(&Mapping) -> Result<(), Refusal> + Send + Sync>;
+pub type Leave = Arc<dyn Fn(&Mapping) -> Result<(), Refusal> + Send + Sync>;
+
+/// Everything that must hold when the first byte of a job leaves for an engine.
+struct LastLook {
+    view: watch::Receiver<Arc<View>>,
+    leave: Leave,
+    mapping: Mapping,
+    key: String,
+    deadline: u64,
+    engine: String,
+    address: String,
+    is_held: Box<dyn Fn() -> bool + Send + Sync>,
+}
+
+/// What stands against it.
+enum Against {
+    Deadline,
+    Key,
+    Leave(Refusal),
+    /// The engine may not have it any more; another one may.
+    Engine,
+}
+
+impl LastLook {
+    fn look(&self) -> Result<(), Against> {
+        if now() >= self.deadline {
+            return Err(Against::Deadline);
+        }
+        let view = self.view.borrow();
+        if !view.keys.contains_key(&self.key) {
+            return Err(Against::Key);
+        }
+        let may_have = placement::may_have(&view, &self.mapping, &self.engine, &self.address);
+        drop(view);
+        (self.leave)(&self.mapping).map_err(Against::Leave)?;
+        match may_have && (self.is_held)() {
+            true => Ok(()),
+            false => Err(Against::Engine),
+        }
+    }
+}
+
+/// A connection whose first byte waits for one more look, in the very call that
+/// hands it to the kernel: a process that froze after the look before, and wakes
+/// later, sends nothing. Invariant: `has_left` is set before any byte is handed
+/// over.
+struct Gate {
+    stream: TokioIo<TcpStream>,
+    look: Option<LastLook>,
+    has_left: Arc<AtomicBool>,
+    /// Writes down that the job leaves.
+    note: Box<dyn Fn() + Send>,
+}
+
+impl Gate {
+    fn pass(&mut self) -> std::io::Result<()> {
+        if let Some(look) = &self.look {
+            if look.look().is_err() {
+                return Err(std::io::ErrorKind::PermissionDenied.into());
+            }
+            self.has_left.store(true, Ordering::SeqCst);
+            (self.note)();
+            self.look = None;
+        }
+        Ok(())
+    }
+}
+
+impl hyper::rt::Read for Gate {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: hyper::rt::ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl hyper::rt::Write for Gate {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        self.pass()?;
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        self.pass()?;
+        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
 
 pub struct Dispatcher {
     pub source: SocketAddr,
+    /// How long a job may wait for room at an engine, at the most.
+    pub room_wait: u64,
     pub roster: Arc<Roster>,
     pub view: watch::Receiver<Arc<View>>,
     pub counters: Arc<Counters>,
@@ -260,40 +370,50 @@
                     continue;
                 }
             };
-            let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+            let look = || LastLook {
+                view: self.view.clone(),
+                leave: Arc::clone(&self.leave),
+                mapping: mapping.clone(),
+                key: parts.key.clone(),
+                deadline: parts.deadline,
+                engine: seat.name.clone(),
+                address: seat.address.to_string(),
+                is_held: Box::new(seat.hold()),
+            };
+            // What is sure to stand against it is found before the job's body
+            // is given away.
+            let against = look().look();
+            if against.is_err() {
+                step(job, Event::ConnectFailed);
+            }
+            match against {
+                Ok(()) => {}
+                Err(Against::Deadline) => return Err(self.late(job)),
+                Err(Against::Key) => {
+                    let text = "this tenant key was taken away meanwhile";
+                    let refusal = Refusal::not_run(401, "unknown-key", text);
+                    return Err(Refusal { outcome: job.outcome(), ..refusal });
+                }
+                Err(Against::Leave(refusal)) => {
+                    return Err(Refusal { outcome: job.outcome(), ..refusal })
+                }
+                Err(Against::Engine) => continue,
+            }
+            let has_left = Arc::new(AtomicBool::new(false));
+            let gate = Gate {
+                stream: TokioIo::new(stream),
+                look: Some(look()),
+                has_left: Arc::clone(&has_left),
+                note: self.note(job, parts, &seat, mapping),
+            };
+            let handshake = hyper::client::conn::http1::handshake(gate).await;
             let Ok((mut sender, connection)) = handshake else {
                 step(job, Event::ConnectFailed);
                 continue;
             };
             let driver = Aborting(tokio::spawn(connection).abort_handle());
             let request = request(parts, seat.address, carried);
-            // The last look before the first byte: a process that froze here
-            // and woke later sends nothing.
-            let view = self.view.borrow().clone();
-            let is_open = view.engines.get(&seat.name).is_some_and(|engine| view.is_open(engine));
-            if now() >= parts.deadline {
-                return Err(self.late(job));
-            }
-            if !view.keys.contains_key(&parts.key) {
-                let text = "this tenant key was taken away meanwhile";
-                let refusal = Refusal::not_run(401, "unknown-key", text);
-                return Err(Refusal { outcome: job.outcome(), ..refusal });
-            }
-            if let Err(refusal) = (self.leave)(mapping) {
-                step(job, Event::ConnectFailed);
-                carried.restore(request);
-                return Err(Refusal { outcome: job.outcome(), ..refusal });
-            }
-            if !is_open {
-                step(job, Event::ConnectFailed);
-                carried.restore(request);
-                continue;
-            }
             step(job, Event::BytesLeave);
-            self.counters.one("dispatches");
-            log::info!(job = parts.id.as_str(), engine = seat.name.as_str(),
-                tenant = mapping.tenant.as_str(), service = mapping.service.as_str(),
-                round = job.rounds(), epoch = view.epoch; "dispatched");
             let left = Duration::from_millis(parts.deadline.saturating_sub(now()));
             let answer = tokio::select! {
                 answer = tokio::time::timeout(left, sender.send_request(request)) => {
@@ -320,6 +440,10 @@
                         "the engine's answer has no end mark",
                     ));
                 }
+                Ok(Err(_)) if !has_left.load(Ordering::SeqCst) => {
+                    self.counters.one("held-at-the-gate");
+                    step(job, Event::NothingLeft);
+                }
                 Ok(Err(error)) => {
                     log::info!(job = parts.id.as_str(), engine = seat.name.as_str();
                         "the answer was lost: {error}");
@@ -339,6 +463,24 @@
         }
     }
 
+    fn note(
+        &self,
+        job: &Job,
+        parts: &Parts,
+        seat: &Seat,
+        mapping: &Mapping,
+    ) -> Box<dyn Fn() + Send> {
+        let (counters, view) = (Arc::clone(&self.counters), self.view.clone());
+        let (id, engine, round) = (parts.id.clone(), seat.name.clone(), job.rounds());
+        let (tenant, service) = (mapping.tenant.clone(), mapping.service.clone());
+        Box::new(move || {
+            counters.one("dispatches");
+            log::info!(job = id.as_str(), engine = engine.as_str(), tenant = tenant.as_str(),
+                service = service.as_str(), round = round, epoch = view.borrow().epoch;
+                "dispatched");
+        })
+    }
+
     fn late(&self, job: &Job) -> Refusal {
         let refusal = Refusal::not_run(504, "deadline", "the job's deadline passed");
         Refusal { outcome: job.outcome(), ..refusal }
@@ -371,7 +513,7 @@
             let (until, refusal) = match self.roster.elect(&view, mapping, prefix) {
                 Elected::Engine(seat) => return Ok(seat),
                 Elected::Full => (
-                    (asked + ROOM_WAIT_MS).min(deadline),
+                    (asked + self.room_wait).min(deadline),
                     Refusal::not_run(503, "engines-full", "every engine allowed is at its limit"),
                 ),
                 Elected::Nobody => (
@@ -460,7 +602,6 @@
             step(&mut self.job, event);
             match event {
                 Event::AnswerEnded => {
-                    self.seat.complete();
                     self.counters.one("answers-whole");
                 }
                 Event::StreamBroke => self.counters.one("answers-broken"),
--- a/yard/src/lib.rs
+++ b/yard/src/lib.rs
@@ -10,14 +10,18 @@
 pub mod roster;
 pub mod web;
 
+use nix::time::{clock_gettime, ClockId};
 use std::sync::OnceLock;
-use std::time::Instant;
+use std::time::Duration;
 
-/// Milliseconds of this process's monotonic clock, from an hour before its
-/// start, so that "long ago" can be told from "never", which is 0.
+/// Milliseconds from an hour before this process's start, so that "long ago" can
+/// be told from "never", which is 0. Invariant: it never falls, and it goes on
+/// while the machine is suspended, so that a licence runs out meanwhile.
 pub fn now() -> u64 {
-    static START: OnceLock<Instant> = OnceLock::new();
-    3_600_000 + START.get_or_init(Instant::now).elapsed().as_millis() as u64
+    static START: OnceLock<Duration> = OnceLock::new();
+    let clock = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the kernel has this clock");
+    let clock = Duration::from(clock);
+    3_600_000 + (clock - *START.get_or_init(|| clock)).as_millis() as u64
 }
 
 /// Waits until the process is asked to stop.
