A second arrival of a job that is under way; a clock that two threads ask first

Second arrivals. Cause: a caller that sends a job again while it is on its way had it run twice, since a router knew nothing of ids. Decided: at one router the second one is refused, 409 `job-under-way`, with outcome unknown, since the first may be running; after its end the id is free; routers do not tell each other, which would put a round trip on every job. Before: begun twice; after: once (engines_die_within_answers_and_callers_leave).

Cause: the first two askers of the new clock may each read it before one of them sets the start, and the earlier reading minus the later start panicked: a router ended at its start in one test run of some dozens. The difference now ends at nothing.

--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -46,7 +46,8 @@
     }
     router.counters.one("jobs");
     let under_way = Arc::clone(&router.under_way);
-    match take(&router, request, &id).await {
+    let mut claim = None;
+    match take(&router, request, &id, &mut claim).await {
         Ok(response) => {
             let (mut head, body) = response.into_parts();
             if let Ok(id) = id.parse() {
@@ -54,7 +55,7 @@
             }
             // The job is under way until its last byte is out.
             let body = body.map_err(move |error| {
-                let _ = &under_way;
+                let _ = (&under_way, &claim);
                 error
             });
             Response::from_parts(head, Body::wrap(body))
@@ -71,6 +72,30 @@
     }
 }
 
+/// An id that is under way here, for one tenant key; given up when dropped.
+struct Claim(Arc<Router>, (String, String));
+
+impl Claim {
+    /// A second arrival of an id while the first is on its way: whether that one
+    /// runs is not known yet, so this one is neither run nor said not to have
+    /// been.
+    fn new(router: &Arc<Router>, key: &str, id: &str) -> Result<Claim, Refusal> {
+        let claim = (key.to_string(), id.to_string());
+        if router.claims.lock().insert(claim.clone()) {
+            return Ok(Claim(Arc::clone(router), claim));
+        }
+        let text = "a job of this id is under way here; its own answer says what becomes of it";
+        let refusal = Refusal::not_run(409, "job-under-way", text);
+        Err(Refusal { outcome: Outcome::Unknown, ..refusal })
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.0.claims.lock().remove(&self.1);
+    }
+}
+
 /// Who calls, and the digest of the key that says so.
 #[derive(Clone)]
 struct Caller {
@@ -109,7 +134,12 @@
     }
 }
 
-async fn take(router: &Arc<Router>, request: Request, id: &str) -> Result<Response, Refusal> {
+async fn take(
+    router: &Arc<Router>,
+    request: Request,
+    id: &str,
+    claim: &mut Option<Claim>,
+) -> Result<Response, Refusal> {
     let arrived = now();
     router.leave()?;
     if router.is_shut.load(Ordering::Relaxed) {
@@ -174,6 +204,9 @@
         }
     }
     step(&mut job, Event::KeyRead);
+    if let Some(caller) = &caller {
+        *claim = Some(Claim::new(router, &caller.key, id)?);
+    }
     // Also where the piece that went past the cap was the last one.
     let is_past_cap = held.len() >= BODY_CAP;
     let rest = (!is_ended).then(|| rest_of(body, router.boot.body.saturating_sub(held.len())));
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -12,6 +12,7 @@
 use parking_lot::{Mutex, RwLock};
 use placement::Retries;
 use residency::View;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -96,6 +97,8 @@
     pub counters: Arc<Counters>,
     /// Held by every job that is under way.
     pub under_way: Arc<()>,
+    /// The ids that are under way, each with the digest of its tenant key.
+    pub claims: Mutex<HashSet<(String, String)>>,
 }
 
 impl Router {
@@ -204,6 +207,7 @@
             retries,
             counters,
             under_way: Arc::new(()),
+            claims: Mutex::default(),
             boot: settings,
         }
     });
--- a/stand/tests/failures.rs
+++ b/stand/tests/failures.rs
@@ -231,6 +231,19 @@
     }
     served(door, ANA, "again").await;
 
+    // Guards: nothing that is not repeatable runs twice, also where its caller
+    // sends it again while it is on its way.
+    let job = prompt("again", "ana-key-0001", "a long story");
+    let first = {
+        let job = prompt("again", "ana-key-0001", "a long story");
+        tokio::spawn(async move { call(door, &job, Duration::from_secs(30)).await })
+    };
+    noted(&fleet, "again", "begun").await;
+    let unknown = (409, "unknown".to_string(), "job-under-way".to_string());
+    assert_eq!(refused(door, &job).await, unknown);
+    assert!(matches!(first.await.expect("it ends"), Seen::Whole { .. }));
+    assert_eq!(events_of(&fleet, "again").iter().filter(|e| e.starts_with("begun")).count(), 1);
+
     let job = prompt("left", "ana-key-0001", "a long story");
     let leaving = tokio::spawn(async move { call(door, &job, Duration::from_secs(30)).await });
     noted(&fleet, "left", "begun").await;
--- a/yard/src/lib.rs
+++ b/yard/src/lib.rs
@@ -21,7 +21,9 @@
     static START: OnceLock<Duration> = OnceLock::new();
     let clock = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the kernel has this clock");
     let clock = Duration::from(clock);
-    3_600_000 + (clock - *START.get_or_init(|| clock)).as_millis() as u64
+    // Of two threads that ask first, the one that began may be the later one.
+    let start = *START.get_or_init(|| clock);
+    3_600_000 + clock.saturating_sub(start).as_millis() as u64
 }
 
 /// Waits until the process is asked to stop.
