What a router follows is a state machine of its own; a freeze is waited for

Moved: a session's pictures, changes, gaps and licences, from the router's edge to `placement`, where a test drives them through nodes that are behind, lose frames and pass licences on while they are stuck: 400 seeds. The router's edge only carries out what it says. Test fault: on a busy machine a process that was told to freeze ran on for a moment and served a job (once in some dozens of runs of a_router_freezes_and_wakes_to_a_key_that_is_gone). A freeze is now waited for, thread by thread. Ruled out: a late licence, which the new test covers.

--- a/placement/src/control.rs
+++ b/placement/src/control.rs
@@ -117,13 +117,7 @@
     /// job wants a further round.
     #[test]
     fn further_rounds_stay_below_a_fifth() {
-        let mut seed = 0x9e37_79b9_u64;
-        let mut draw = |below: u64| {
-            seed ^= seed << 13;
-            seed ^= seed >> 7;
-            seed ^= seed << 17;
-            (seed >> 11) % below
-        };
+        let mut draw = crate::draws(1);
         for _ in 0..12 {
             let mut fleet: Vec<Retries> = (0..14).map(|_| Retries::default()).collect();
             let (mut first, mut further) = (Vec::new(), Vec::new());
--- a/placement/src/engines.rs
+++ b/placement/src/engines.rs
@@ -310,13 +310,7 @@
     /// vitals that come to it at its own moments, a while late; jobs reach the
     /// engine a while late, too.
     fn crowd(routers: usize, engines: usize, seed: u64) -> Flood {
-        let mut seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
-        let mut draw = |below: u64| {
-            seed ^= seed << 13;
-            seed ^= seed >> 7;
-            seed ^= seed << 17;
-            (seed >> 11) % below.max(1)
-        };
+        let mut draw = crate::draws(seed);
         let (view, mapping) = (view(engines), mapping());
         let peers: Vec<u64> = (0..routers as u64).map(|at| rank(7, at)).collect();
         let mut fleet: Vec<Engines> = (0..routers).map(|_| Engines::default()).collect();
--- /dev/null
+++ b/placement/src/following.rs
@@ -0,0 +1,155 @@
+//! What a router knows by its session with a directory node, and until when it
+//! may act on it.
+
+use residency::{Event, View};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wire::LICENCE_MS;
+
+/// Invariants: the view's epoch only rises, whichever node speaks and however
+/// late; a licence is counted from when its beat was sent, and is taken only
+/// where the view has all that the licence speaks of.
+#[derive(Default)]
+pub struct Following {
+    view: Arc<View>,
+    /// Beats of this session that no licence has followed, with when they went.
+    sent: BTreeMap<u64, u64>,
+    licence: u64,
+}
+
+/// What a frame of the session made of the view.
+#[derive(Debug, PartialEq)]
+pub enum Taken {
+    /// Nothing new.
+    Same,
+    /// A whole new view: what it makes void is not known.
+    Picture,
+    /// The events of one entry came in.
+    Change,
+}
+
+impl Following {
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Until when new work may be dispatched.
+    pub fn licence(&self) -> u64 {
+        self.licence
+    }
+
+    /// A new session begins; beats of the one before count no more.
+    pub fn begin(&mut self) {
+        self.sent.clear();
+    }
+
+    pub fn beat(&mut self, now: u64, number: u64) {
+        self.sent.insert(number, now);
+    }
+
+    /// A refusal ends the session.
+    pub fn picture(&mut self, epoch: u64, events: &[Event]) -> Result<Taken, String> {
+        let known = self.view.epoch;
+        if epoch < known {
+            return Err(format!("its picture is of epoch {epoch}, {known} is in force"));
+        }
+        let mut view = View::default();
+        events.iter().for_each(|event| view.take(event));
+        view.epoch = epoch;
+        self.view = Arc::new(view);
+        Ok(if epoch > known { Taken::Picture } else { Taken::Same })
+    }
+
+    pub fn change(&mut self, prior: u64, epoch: u64, events: &[Event]) -> Result<Taken, String> {
+        let known = self.view.epoch;
+        if prior != known {
+            return Err(format!("a change builds on {prior}, {known} is in force"));
+        }
+        let mut view = (*self.view).clone();
+        events.iter().for_each(|event| view.take(event));
+        view.epoch = epoch;
+        self.view = Arc::new(view);
+        Ok(Taken::Change)
+    }
+
+    /// Until when the licence in answer to a beat lasts; `None` where the beat is
+    /// not known, or the view lacks something that counted then.
+    pub fn licensed(&mut self, number: u64, epoch: u64) -> Option<u64> {
+        let asked = self.sent.remove(&number);
+        self.sent = self.sent.split_off(&number);
+        let until = asked.filter(|_| self.view.epoch >= epoch)? + LICENCE_MS;
+        self.licence = self.licence.max(until);
+        Some(until)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use residency::Name;
+
+    /// Guards: nobody falls back to an older epoch; a change is in force within
+    /// 3 s, since no licence outlives what it did not know. A router goes from
+    /// node to node, each of which is behind by something; frames come late.
+    #[test]
+    fn a_licence_never_covers_what_its_holder_does_not_know() {
+        for seed in 0..400 {
+            let mut draw = crate::draws(seed);
+            // When each epoch counted.
+            let mut counted: Vec<u64> = vec![0];
+            let mut following = Following::default();
+            let (mut number, mut node, mut said) = (0u64, 0u64, 0u64);
+            let mut licences: Vec<(u64, u64, u64)> = Vec::new();
+            let (mut highest, mut taken, mut stuck) = (0, 0, 0);
+            for now in (10_000..40_000u64).step_by(10) {
+                if draw(40) == 0 {
+                    counted.push(now);
+                }
+                let newest = counted.len() as u64 - 1;
+                if draw(150) == 0 {
+                    // Another node, which may know less: its picture comes first.
+                    following.begin();
+                    licences.clear();
+                    node = newest.saturating_sub(draw(6));
+                    said = node;
+                    drop(following.picture(node, &[]));
+                }
+                // Some are stuck behind for seconds, and pass licences on.
+                if draw(600) == 0 {
+                    stuck = now + draw(6_000);
+                }
+                if now >= stuck {
+                    node = (node + draw(3)).min(newest).max(node);
+                }
+                if draw(3) == 0 && said < node {
+                    let gone = [Event::GivenBack(Name("z".into()))];
+                    // Sometimes a frame is lost, and the next one does not fit.
+                    said += 1 + u64::from(draw(30) == 0);
+                    if following.change(said - 1, said, &gone).is_err() {
+                        said = node;
+                        drop(following.picture(node, &[]));
+                    }
+                }
+                if draw(30) == 0 {
+                    number += 1;
+                    following.beat(now, number);
+                    // The leader confirms all that counted when it was asked.
+                    licences.push((now + 1 + draw(900), number, newest));
+                }
+                let due: Vec<_> = licences.iter().filter(|(at, ..)| *at <= now).copied().collect();
+                licences.retain(|(at, ..)| *at > now);
+                for (_, number, epoch) in due {
+                    taken += usize::from(following.licensed(number, epoch).is_some());
+                }
+                let epoch = following.view().epoch;
+                assert!(epoch >= highest, "seed {seed}: it fell from {highest} to {epoch}");
+                highest = epoch;
+                if now < following.licence() {
+                    let owed = counted.iter().rposition(|at| at + 3_000 <= now).unwrap_or(0);
+                    assert!(epoch >= owed as u64, "seed {seed}: {epoch}, {owed} counted 3 s ago");
+                }
+            }
+            assert!(taken > 3, "seed {seed}: {taken} licences");
+        }
+    }
+}
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod elect;
 mod engines;
+mod following;
 mod job;
 mod paces;
 
@@ -14,6 +15,7 @@
 pub use control::{Retries, Warmth, RETRY_LIFE_MS};
 pub use elect::{elect, rank, Candidate};
 pub use engines::{may_have, Chosen, Engines, GONE_MS, SILENCE_MS};
+pub use following::{Following, Taken};
 pub use job::{Event, Job, Misstep, Outcome, State};
 pub use paces::{Meters, Paces, Place};
 
@@ -44,3 +46,15 @@
         !self.warmth().is_warm()
     }
 }
+
+/// Numbers for tests, drawn from a seed: each below what is asked for.
+#[cfg(test)]
+fn draws(seed: u64) -> impl FnMut(u64) -> u64 {
+    let mut seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    move |below| {
+        seed ^= seed << 13;
+        seed ^= seed >> 7;
+        seed ^= seed << 17;
+        (seed >> 11) % below.max(1)
+    }
+}
--- a/placement/src/paces.rs
+++ b/placement/src/paces.rs
@@ -438,13 +438,7 @@
         fault: Fault,
         seed: u64,
     ) -> Seen {
-        let mut seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
-        let mut draw = |below: u64| {
-            seed ^= seed << 13;
-            seed ^= seed >> 7;
-            seed ^= seed << 17;
-            (seed >> 11) % below.max(1)
-        };
+        let mut draw = crate::draws(seed);
         let mut fleet: Vec<Meters> = (0..routers).map(|at| Meters::new(0, at as u64 + 1)).collect();
         let mut paces = Some(Paces::new(1_000));
         let mut beats: Vec<(u64, u64)> = (0..routers).map(|_| (1_000 + draw(350), 0)).collect();
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -3,13 +3,14 @@
 
 use crate::Router;
 use parking_lot::Mutex;
+use placement::{Following, Taken};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use wire::{Answer, Frame, Front, Kind, LICENCE_MS};
+use wire::{Answer, Frame, Front, Kind};
 use yard::{link, now};
 
 const BEAT_MS: u64 = 350;
@@ -87,10 +88,11 @@
 }
 
 pub async fn run(router: Arc<Router>) {
+    let mut following = Following::default();
     loop {
         for way in ways(&router) {
             let had_licence = router.licence.load(Ordering::Relaxed);
-            if let Err(error) = hold(&router, way).await {
+            if let Err(error) = hold(&router, &mut following, way).await {
                 log::info!("session with {way} ended: {error:#}");
             }
             *router.questions.out.lock() = None;
@@ -117,8 +119,13 @@
     }
 }
 
-async fn hold(router: &Arc<Router>, way: SocketAddr) -> anyhow::Result<()> {
+async fn hold(
+    router: &Arc<Router>,
+    following: &mut Following,
+    way: SocketAddr,
+) -> anyhow::Result<()> {
     let boot = &router.boot;
+    following.begin();
     let stream = link::dial(boot.listen, way, Kind::Router, &boot.name).await?;
     let (mut reader, mut writer) = stream.into_split();
     let (out, mut queue) = mpsc::channel(256);
@@ -137,7 +144,6 @@
     let _reading = yard::roster::Aborting(reading.abort_handle());
     let mut beat = tokio::time::interval(Duration::from_millis(BEAT_MS));
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut sent: HashMap<u64, u64> = HashMap::new();
     let mut licensed = now();
     let mut last = 0;
     loop {
@@ -146,7 +152,7 @@
                 last = now();
                 anyhow::ensure!(now() < licensed + PATIENCE_MS, "no licence comes from it");
                 let number = router.beats.fetch_add(1, Ordering::Relaxed) + 1;
-                sent.insert(number, now());
+                following.beat(now(), number);
                 let front = Front {
                     name: boot.name.clone(),
                     region: boot.region.clone(),
@@ -169,48 +175,35 @@
                 let frame = frame.unwrap_or(Ok(None))?;
                 let Some(frame) = frame else { anyhow::bail!("it closed") };
                 if let Frame::Licence { number, epoch, shares } = &frame {
-                    let asked = sent.remove(number);
-                    sent.retain(|other, _| other > number);
-                    if let Some(asked) = asked.filter(|_| router.view.borrow().epoch >= *epoch) {
+                    if let Some(until) = following.licensed(*number, *epoch) {
                         licensed = now();
-                        router.licence.fetch_max(asked + LICENCE_MS, Ordering::Relaxed);
-                        router.quota.take(*number, asked + LICENCE_MS, shares);
+                        router.licence.store(following.licence(), Ordering::Relaxed);
+                        router.quota.take(*number, until, shares);
                     }
                     continue;
                 }
-                take(router, frame)?;
+                take(router, following, frame)?;
             }
         }
     }
 }
 
-fn take(router: &Arc<Router>, frame: Frame) -> anyhow::Result<()> {
+fn take(router: &Arc<Router>, following: &mut Following, frame: Frame) -> anyhow::Result<()> {
     match frame {
         Frame::Picture { epoch, events } => {
-            let known = router.view.borrow().epoch;
-            anyhow::ensure!(epoch >= known, "its picture is of epoch {epoch}, {known} is in force");
-            let mut view = residency::View::default();
-            events.iter().for_each(|event| view.take(event));
-            view.epoch = epoch;
-            if epoch > known {
+            let taken = following.picture(epoch, &events).map_err(anyhow::Error::msg)?;
+            if taken == Taken::Picture {
                 router.layers.touch_all(epoch);
             }
-            router.view.send_replace(Arc::new(view));
+            router.view.send_replace(Arc::clone(following.view()));
             router.counters.one("pictures");
+            log::info!(epoch = epoch; "a picture is in force");
         }
         Frame::Change { prior, epoch, events } => {
-            let known = router.view.borrow().clone();
-            anyhow::ensure!(
-                prior == known.epoch,
-                "a change builds on {prior}, {} is in force",
-                known.epoch
-            );
-            let mut view = (*known).clone();
-            events.iter().for_each(|event| view.take(event));
-            view.epoch = epoch;
+            following.change(prior, epoch, &events).map_err(anyhow::Error::msg)?;
             // The caches first: whoever sees the new view finds nothing void.
             router.layers.touch(epoch, &events);
-            router.view.send_replace(Arc::new(view));
+            router.view.send_replace(Arc::clone(following.view()));
             router.counters.one("changes");
             log::info!(epoch = epoch; "in force");
         }
--- a/stand/src/faults.rs
+++ b/stand/src/faults.rs
@@ -12,10 +12,7 @@
 
 impl Draw {
     fn below(&mut self, most: usize) -> usize {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) as usize % most.max(1)
+        crate::simulator::draw(&mut self.0, most as u64) as usize
     }
 
     fn share(&mut self, from: f64, to: f64) -> f64 {
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -378,9 +378,19 @@
         }
     }
 
+    /// Sends a signal. A process that is to freeze has done so when this returns:
+    /// on a busy machine its threads may run on for a while.
     pub fn signal(&self, name: &str, signal: nix::sys::signal::Signal) -> anyhow::Result<()> {
         let child = self.get(name).child.as_ref().ok_or(anyhow!("{name} does not run"))?;
-        Ok(nix::sys::signal::kill(nix::unistd::Pid::from_raw(child.id() as i32), signal)?)
+        nix::sys::signal::kill(nix::unistd::Pid::from_raw(child.id() as i32), signal)?;
+        if signal == nix::sys::signal::Signal::SIGSTOP {
+            let begun = Instant::now();
+            while !is_stopped(child.id())? {
+                anyhow::ensure!(begun.elapsed() < Duration::from_secs(10), "{name} runs on");
+                std::thread::yield_now();
+            }
+        }
+        Ok(())
     }
 
     /// Asks a process to stop.
@@ -523,6 +533,19 @@
     }
 }
 
+/// Whether every thread of a process is stopped.
+fn is_stopped(process: u32) -> anyhow::Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
+        // One that has ended meanwhile runs no more.
+        let Ok(text) = std::fs::read_to_string(thread?.path().join("stat")) else { continue };
+        let state = text.rsplit(')').next().unwrap_or("").trim_start();
+        if !state.starts_with(['T', 't', 'Z', 'X']) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for process in self.processes.values_mut() {
--- a/stand/src/simulator.rs
+++ b/stand/src/simulator.rs
@@ -286,7 +286,8 @@
     doomed: Option<usize>,
 }
 
-fn draw(seed: &mut u64, below: u64) -> u64 {
+/// A number below another, drawn from a seed that moves on.
+pub fn draw(seed: &mut u64, below: u64) -> u64 {
     *seed ^= *seed << 13;
     *seed ^= *seed >> 7;
     *seed ^= *seed << 17;
