Quotas: a new leader gives half for as long as unheard licences may last

Ruled out: two leaders that give at once; shares go out only with a confirmation that a majority has answered.

--- a/placement/src/paces.rs
+++ b/placement/src/paces.rs
@@ -277,7 +277,7 @@
 
 /// Until a new leader has led for so long, routers that it has not heard may
 /// have something open, and it gives only half of what it could.
-const HEARING_MS: u64 = 500;
+const HEARING_MS: u64 = LICENCE_MS;
 
 impl Paces {
     /// Of a leader that begins now.
