--- a/stand/src/bin/scenarios.rs
+++ b/stand/src/bin/scenarios.rs
@@ -24,6 +24,7 @@
         "draw a day from each of these seeds, both ends among them",
         Some(""),
     ),
+    setting("kinds", "KIND,...", "draw days of just these faults", Some("")),
     setting("print", "WORD", "yes: print the drawn days and run none", Some("no")),
 ];
 
@@ -44,6 +45,8 @@
     let scale = boot.count("scale", 1, 10_000) as f64 / 100.0;
     let seed = boot.count("seed", 0, u64::MAX);
     let range = boot.text("seeds");
+    let kinds = boot.text("kinds");
+    let kinds: Vec<&str> = kinds.split(',').filter(|kind| !kind.is_empty()).collect();
     let seeds = range_of(&range).unwrap_or_else(|text| {
         boot.complain("seeds", text);
         Vec::new()
@@ -60,12 +63,15 @@
     if !scenarios.is_empty() && !range.is_empty() {
         boot.complain("seeds", "scenarios from a file take one `seed`");
     }
+    if !scenarios.is_empty() && !kinds.is_empty() {
+        boot.complain("kinds", "the faults of scenarios from a file stand there");
+    }
     if scenarios.is_empty() && !only.is_empty() {
         boot.complain("only", "it names scenarios of a file, and none is given");
     }
     let mut days = Vec::new();
     for path in shapes.split(',').filter(|path| !path.is_empty()) {
-        match laid_out(path, &scenarios, &only, &seeds, seconds, scale) {
+        match laid_out(path, &scenarios, &only, &seeds, &kinds, (seconds, scale)) {
             Ok(list) => days.extend(list),
             Err(error) => boot.complain(path, format!("{error:#}")),
         }
@@ -123,15 +129,15 @@
     scenarios: &str,
     only: &str,
     seeds: &[u64],
-    seconds: u64,
-    scale: f64,
+    kinds: &[&str],
+    (seconds, scale): (u64, f64),
 ) -> anyhow::Result<Vec<Day>> {
     let shape = std::fs::read_to_string(path)?;
     Shape::parse(&shape)?;
     let mut days = Vec::new();
     if scenarios.is_empty() {
         for seed in seeds {
-            let scenario = faults::draw(&shape, *seed)?;
+            let scenario = faults::draw(&shape, *seed, kinds)?;
             let name = text(&scenario, "name").to_string();
             days.push(Day { name, shape: shape.clone(), scenario, seed: *seed });
         }
--- a/stand/src/faults.rs
+++ b/stand/src/faults.rs
@@ -103,8 +103,11 @@
 ];
 
 /// Draws a day. `events` and the like are those of a scenario; `kinds` says
-/// which faults it holds.
-pub fn draw(shape: &str, seed: u64) -> anyhow::Result<OwnedValue> {
+/// which faults it holds: those asked for, or, where none is, drawn ones.
+pub fn draw(shape: &str, seed: u64, wanted: &[&str]) -> anyhow::Result<OwnedValue> {
+    if let Some(kind) = wanted.iter().find(|kind| !KINDS.contains(kind)) {
+        anyhow::bail!("{kind} is no kind of fault; there are {}", KINDS.join(", "));
+    }
     let ground = Ground::of(shape)?;
     let mut draw = Draw(seed.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     // The first numbers of near seeds are near each other.
@@ -113,14 +116,21 @@
     });
     let mut events: Vec<OwnedValue> = Vec::new();
     let (mut crowds, mut storms, mut kinds) = (Vec::new(), Vec::new(), Vec::new());
-    let count = 3 + draw.below(4);
+    let count = if wanted.is_empty() { 3 + draw.below(4) } else { wanted.len() };
     while kinds.len() < count {
-        let kind = *draw.one(&KINDS);
-        if kinds.contains(&kind) {
+        let kind = match wanted.get(kinds.len()) {
+            Some(kind) => *kind,
+            None => *draw.one(&KINDS),
+        };
+        if wanted.is_empty() && kinds.contains(&kind) {
             continue;
         }
         let from = draw.share(0.08, 0.5);
-        let until = (from + draw.share(0.05, 0.3)).min(WELL - 0.01);
+        let until = match wanted.is_empty() {
+            true => (from + draw.share(0.05, 0.3)).min(WELL - 0.01),
+            // A day of chosen faults is full of them.
+            false => WELL - 0.01 - draw.share(0.0, 0.05),
+        };
         let mut machine = |share: f64, action: &str, name: &str| {
             events.push(json!({ "share": share, "machine": action, "name": name }));
         };
@@ -253,8 +263,8 @@
         {
             let mut seen = std::collections::BTreeSet::new();
             for seed in 0..60 {
-                let day = draw(shape, seed).expect("a day is drawn");
-                assert_eq!(draw(shape, seed).expect("and again"), day);
+                let day = draw(shape, seed, &[]).expect("a day is drawn");
+                assert_eq!(draw(shape, seed, &[]).expect("and again"), day);
                 let moments = crate::day::make(shape, Some(&day), 20, 0.1, seed).expect("it reads");
                 assert!(moments.len() > 20);
                 let kinds = day.get("kinds").and_then(|v| v.as_array()).expect("it says its kinds");
--- a/stand/tests/commands.rs
+++ b/stand/tests/commands.rs
@@ -83,6 +83,12 @@
         ("scenarios", drawn("8"), 2, vec!["seeds: \"8\" is no range FROM-TO"]),
         ("scenarios", drawn("1-x"), 2, vec!["seeds: \"1-x\" is no range"]),
         ("scenarios", drawn("0-1000000"), 2, vec!["over 100000 seeds"]),
+        (
+            "scenarios",
+            vec!["--shape", shape, "--folder", "y", "--kinds", "storm,melted"],
+            2,
+            vec!["melted is no kind of fault; there are killed, engine-killed"],
+        ),
         (
             "scenarios",
             vec!["--shape", shape, "--folder", "y", "--scenarios", &melting],
