Checker: a key is judged by when its job was sent on, not by when it was called

The callers came while the key was gone, to a frozen router; the key was given back at 40.902 s, the router woke and let them in at 40.955 s by epoch 93, which gave it back. Ruled out: a router that dispatches by a late licence; every such job was sent by an epoch that held the key.

--- a/stand/src/checker.rs
+++ b/stand/src/checker.rs
@@ -258,6 +258,12 @@
     let keys = shut(&journals.operators, "key-gone", &["key"], "tenant");
     let homes = homes_of(ground, &journals.operators);
 
+    // What a process sent in time may reach an engine late, by the network or by
+    // an engine that froze: it is judged by when it was sent.
+    let mut sent: BTreeMap<(&str, &str), Vec<u64>> = BTreeMap::new();
+    for line in journals.nodes.iter().filter(|line| text(line, "what") == "dispatched") {
+        sent.entry((text(line, "job"), text(line, "engine"))).or_default().push(number(line, "at"));
+    }
     let mut callers: BTreeMap<&str, &OwnedValue> = BTreeMap::new();
     // Runs of a job that must not be repeated, over all its caller's rounds.
     let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
@@ -293,10 +299,11 @@
                     );
                     find(Rule::OneRunWhole, text);
                 }
+                // By when it was sent on; it may have waited at a frozen door.
+                let at = sent.get(&(id, text(line, "engine"))).and_then(|at| at.last());
+                let at = at.copied().unwrap_or(number(line, "at"));
                 let late = keys.iter().any(|(tenant, from, until)| {
-                    tenant == text(line, "tenant")
-                        && number(line, "at") > from + APPLY
-                        && number(line, "at") < *until
+                    tenant == text(line, "tenant") && at > from + APPLY && at < *until
                 });
                 if late {
                     find(
@@ -320,12 +327,6 @@
     for (root, count) in runs.iter().filter(|(_, count)| **count > 1) {
         find(Rule::NotTwice, format!("job {root} was run {count} times"));
     }
-    // What a process sent in time may reach an engine late, by the network or by
-    // an engine that froze: it is judged by when it was sent.
-    let mut sent: BTreeMap<(&str, &str), Vec<u64>> = BTreeMap::new();
-    for line in journals.nodes.iter().filter(|line| text(line, "what") == "dispatched") {
-        sent.entry((text(line, "job"), text(line, "engine"))).or_default().push(number(line, "at"));
-    }
     for line in journals.engines.iter().filter(|line| text(line, "event") == "received") {
         let engine = text(line, "engine");
         let arrived = number(line, "at");
