An engine that is cold and says nothing of its clock still gets work

Cause, found in review: places at a cold engine are cut by its own clock, and one that leaves uptime_ms out stood in slot 0 for good and got nothing, ever. Before: no job until it says that it is warm, which it can't become.

--- a/yard/src/roster.rs
+++ b/yard/src/roster.rs
@@ -174,7 +174,9 @@
             is_warm: value.get("warm").and_then(|v| v.as_bool()).unwrap_or(true),
             is_draining: value.get("draining").and_then(|v| v.as_bool()).unwrap_or(false),
             completed: count("completed").unwrap_or(0),
-            uptime_ms: given("uptime_ms").unwrap_or(0),
+            // Without its clock the routers' own cut its slots, each a little
+            // differently; it is not left without work.
+            uptime_ms: given("uptime_ms").unwrap_or(now()),
             heard: now(),
         };
         self.engines.lock().heard(now(), name, vitals);
