--- a/stand/tests/gate.rs
+++ b/stand/tests/gate.rs
@@ -12,14 +12,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::watch;
 use yard::dispatch::{Carried, Dispatcher, Parts};
-use yard::roster::Roster;
+use yard::roster::{Elected, Roster};
 use yard::web::Refusal;
 
 const VITALS: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 const LINE: &str = "{\"running\":0,\"queue\":0,\"slots\":8,\"warm\":true,\"draining\":false}\n";
 
-/// A raw engine: says that it is well, and keeps every byte of every job.
-async fn engine() -> (SocketAddr, Arc<Mutex<Vec<u8>>>) {
+/// A raw engine: says these vitals, and keeps every byte of every job.
+async fn engine(line: &'static str) -> (SocketAddr, Arc<Mutex<Vec<u8>>>) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound");
     let kept = Arc::new(Mutex::new(Vec::new()));
@@ -32,10 +32,12 @@
                 let Ok(length) = stream.read(&mut bytes).await else { return };
                 let text = String::from_utf8_lossy(&bytes[..length]).into_owned();
                 if text.starts_with("GET /vitals") {
-                    let chunk = format!("{:x}\r\n{LINE}\r\n", LINE.len());
-                    drop(stream.write_all((VITALS.to_string() + &chunk).as_bytes()).await);
-                    // Open for as long as the other side likes.
-                    drop(stream.read(&mut bytes).await);
+                    let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+                    let mut said = stream.write_all(VITALS.as_bytes()).await;
+                    while said.is_ok() {
+                        said = stream.write_all(chunk.as_bytes()).await;
+                        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                    }
                     return;
                 }
                 kept.lock().extend_from_slice(&bytes[..length]);
@@ -72,6 +74,18 @@
     view
 }
 
+fn mapping() -> Mapping {
+    Mapping {
+        tenant: "ana".into(),
+        service: "writer".into(),
+        regions: vec![Name("north".into())],
+        cells: vec![Name("north-1".into())],
+        fresh_ms: 1,
+        expire_ms: 1,
+        epoch: 1,
+    }
+}
+
 type Change = fn(&watch::Sender<Arc<View>>, SocketAddr);
 
 fn after(change: impl Fn(&mut View), views: &watch::Sender<Arc<View>>) {
@@ -120,7 +134,7 @@
     ];
     for (name, change) in cases {
         for at in 1..=2 {
-            let (address, kept) = engine().await;
+            let (address, kept) = engine(LINE).await;
             let (views, view_out) = watch::channel(Arc::new(view(address)));
             let views = Arc::new(views);
             let source: SocketAddr = "127.0.0.1:0".parse().expect("an address");
@@ -143,15 +157,7 @@
                     Ok::<(), Refusal>(())
                 }),
             };
-            let mapping = Mapping {
-                tenant: "ana".into(),
-                service: "writer".into(),
-                regions: vec![Name("north".into())],
-                cells: vec![Name("north-1".into())],
-                fresh_ms: 1,
-                expire_ms: 1,
-                epoch: 1,
-            };
+            let mapping = mapping();
             let patience = std::time::Duration::from_secs(30);
             stand::fleet::wait(patience, "vitals", async || {
                 let value = roster.value(0.8).encode();
@@ -189,3 +195,30 @@
         }
     }
 }
+
+/// A cold engine that says nothing of its clock is not left without work; one
+/// whose places belong to other routers gets none from here.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cold_engine_without_a_clock_gets_work() {
+    const COLD: &str =
+        "{\"running\":0,\"queue\":0,\"slots\":8,\"warm\":false,\"draining\":false}\n";
+    let (address, _kept) = engine(COLD).await;
+    let (views, view_out) = watch::channel(Arc::new(view(address)));
+    let source: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let alone = Roster::new(source, Box::new(|| vec![1]));
+    let nobody = Roster::new(source, Box::new(Vec::new));
+    for roster in [&alone, &nobody] {
+        tokio::spawn(Arc::clone(roster).run(view_out.clone()));
+    }
+    let patience = std::time::Duration::from_secs(30);
+    stand::fleet::wait(patience, "a place", async || {
+        let view = views.borrow().clone();
+        let is_refused = !matches!(nobody.elect(&view, &mapping(), 7), Elected::Engine(_));
+        assert!(is_refused, "a process that has no place began work");
+        let elected = alone.elect(&view, &mapping(), 7);
+        anyhow::ensure!(matches!(elected, Elected::Engine(_)), "none yet");
+        Ok(())
+    })
+    .await
+    .expect("it gets work");
+}
