Rules and book grow: hosts, splits, route homes, keys, limits, sheets, engine lists

Cause: a deployment that hands over one whole document needs routes by host and longest path, splits by shares, homes and urgency of routes, keys of tenants within the book, limits at the doors, traits of services, and its engines as a list. Before: routes by path alone, keys and engines one command each.

--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -313,6 +313,7 @@
                     .and_then(|v| v.as_u32())
                     .ok_or("slots: a number should stand here")?,
                 state: state()?,
+                cold_ms: 0,
             })
         }
         "engine-state" => Command::EngineState { name: name("name")?, state: state()? },
--- a/directory/src/jobs.rs
+++ b/directory/src/jobs.rs
@@ -198,7 +198,8 @@
     let with_head = |ask: &mut dyn FnMut(&Head)| {
         let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
         let header = |name: &str| headers.get(name)?.to_str().ok().map(String::from);
-        ask(&Head { method: &head.method, path, query, header: &header });
+        let draw = language::mark(head.id.as_bytes());
+        ask(&Head { method: &head.method, path, query, header: &header, draw });
     };
     let mut route = None;
     with_head(&mut |head| route = view.program.route(head));
--- a/language/src/compile.rs
+++ b/language/src/compile.rs
@@ -1,6 +1,8 @@
 //! The compiler: text to tables, with every complaint and its place at once.
 
 use crate::{Door, Program, Route, SetPoints, Source, Target};
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::fmt;
 
 /// What is wrong with a text, and where; both counts begin at 1.
@@ -172,6 +174,14 @@
         })
     }
 
+    /// A source that is had before the body.
+    fn cheap_source(&mut self) -> Checked<Source> {
+        match self.source()? {
+            Source::Body(_) => self.about("a source before the body should stand here"),
+            source => Ok(source),
+        }
+    }
+
     fn path(&mut self) -> Checked<String> {
         let path = self.text("a path")?;
         if !path.starts_with('/') {
@@ -236,31 +246,98 @@
         ));
     }
     line.keyword("to")?;
-    let target = match line.word("`model` or `service`")?.as_str() {
+    let target = match line.word("`model`, `service` or `split`")?.as_str() {
         "model" if program.doors[door].model.is_some() => Target::Model,
         "model" => return line.about(format!("door {on} says nothing of where the model stands")),
         "service" => Target::Service(line.name()?),
-        _ => return line.about("`model` or `service` should stand here"),
+        "split" => Target::Split(split(line)?),
+        _ => return line.about("`model`, `service` or `split` should stand here"),
     };
     let repeatable = match line.word("`once` or `repeatable`")?.as_str() {
         "once" => false,
         "repeatable" => true,
         _ => return line.about("`once` or `repeatable` should stand here"),
     };
-    let mut deadline_ms = 60_000;
-    let mut prefix = None;
+    let method = (method != "any").then_some(method);
+    let mut route = Route {
+        name,
+        door,
+        host: None,
+        method,
+        path,
+        open,
+        target,
+        repeatable,
+        deadline_ms: 60_000,
+        prefix: None,
+        parts: None,
+        size: None,
+        homes: Vec::new(),
+        urgency: None,
+        rounds: None,
+        aim_ms: None,
+        is_public: false,
+        resumes: false,
+    };
     while line.next < line.words.len() {
-        match line.word("`deadline` or `prefix`")?.as_str() {
-            "deadline" => deadline_ms = line.span()?,
+        match line.word("a clause")?.as_str() {
+            "deadline" => route.deadline_ms = line.span()?,
             "prefix" => {
                 let source = line.source()?;
-                prefix = Some((source, line.count("a length", 16_384)?));
+                route.prefix = Some((source, line.count("a length", 16_384)?));
+            }
+            "host" => route.host = Some(line.text("a host's name")?),
+            "parts" => route.parts = Some(line.cheap_source()?),
+            "size" => route.size = Some(line.cheap_source()?),
+            "homes" => {
+                let homes = line.text("regions with commas between")?;
+                route.homes = homes.split(',').map(|home| home.trim().to_string()).collect();
+            }
+            "urgency" => route.urgency = Some(line.count("an urgency", 10)? as u8 - 1),
+            "rounds" => route.rounds = Some(line.count("a count", 16)? as u32),
+            "aim" => route.aim_ms = Some(line.span()?),
+            "public" => route.is_public = true,
+            "resume" => route.resumes = true,
+            _ => {
+                return line.about(
+                    "a clause is deadline, prefix, host, parts, size, homes, urgency, rounds, \
+                     aim, public or resume",
+                )
             }
-            _ => return line.about("`deadline` or `prefix` should stand here"),
         }
     }
-    let method = (method != "any").then_some(method);
-    Ok(Route { name, door, method, path, open, target, repeatable, deadline_ms, prefix })
+    let is_same = |other: &&Route| {
+        route.host.is_some()
+            && other.host == route.host
+            && other.path == route.path
+            && other.open == route.open
+            && (other.method == route.method || other.method.is_none() || route.method.is_none())
+    };
+    if let Some(other) = program.routes.iter().find(is_same) {
+        return line.about(format!("route {} has the same host and path", other.name));
+    }
+    Ok(route)
+}
+
+/// Services with their shares, up to `once` or `repeatable`.
+fn split(line: &mut Line) -> Checked<Vec<(String, u32)>> {
+    let mut shares: Vec<(String, u32)> = Vec::new();
+    let is_end = |word: &Word| matches!(word.text.as_str(), "once" | "repeatable");
+    while line.words.get(line.next).is_some_and(|word| !is_end(word)) {
+        let name = line.name()?;
+        if shares.iter().any(|(known, _)| *known == name) {
+            return line.about(format!("{name} has a share already"));
+        }
+        let share = match line.word("a share")?.parse() {
+            Ok(share) if share <= 1_000_000 => share,
+            _ => return line.about("a share from 0 to 1000000 should stand here"),
+        };
+        shares.push((name, share));
+    }
+    match shares.iter().any(|(_, share)| *share > 0) {
+        true => Ok(shares),
+        false => line.complaint(line.column(), "the shares of a split add up to nothing"),
+    }
 }
 
 fn set(line: &mut Line, points: &mut SetPoints) -> Checked<()> {
@@ -277,8 +354,9 @@
 /// Compiles a text. Either the whole of it is taken, or each line's first
 /// complaint is returned and nothing is.
 pub fn compile(text: &str) -> Result<Program, Vec<Complaint>> {
+    let hosts = HashMap::new();
     let mut program =
-        Program { doors: Vec::new(), routes: Vec::new(), points: SetPoints::default() };
+        Program { doors: Vec::new(), routes: Vec::new(), points: SetPoints::default(), hosts };
     let mut complaints = Vec::new();
     for (place, text) in text.lines().enumerate() {
         let mut statement = || -> Checked<()> {
@@ -311,6 +389,13 @@
         let text = "`fresh` is longer than `expire`".into();
         complaints.push(Complaint { line: 1, column: 1, text });
     }
+    for (at, route) in program.routes.iter().enumerate() {
+        if let Some(host) = &route.host {
+            program.hosts.entry(host.clone()).or_default().push(at);
+        }
+    }
+    let routes = &program.routes;
+    program.hosts.values_mut().for_each(|of| of.sort_by_key(|at| Reverse(routes[*at].path.len())));
     match complaints.is_empty() {
         true => Ok(program),
         false => Err(complaints),
--- a/language/src/extract.rs
+++ b/language/src/extract.rs
@@ -10,6 +10,8 @@
     pub path: &'a str,
     pub query: &'a str,
     pub header: &'a dyn Fn(&str) -> Option<String>,
+    /// The job's own number: what a split goes by where it has no prefix.
+    pub draw: u64,
 }
 
 /// One value of the key. Invariant: `Wanted` is only given while the body may
@@ -77,6 +79,17 @@
     String::from_utf8(bytes).ok()
 }
 
+/// A value that stands before the body.
+pub(crate) fn read_cheap(source: &Source, head: &Head) -> Option<String> {
+    match source {
+        Source::Header(name) => (head.header)(name),
+        _ => match read(source, head, &Body { text: &[], ended: true, may_grow: false }) {
+            Field::Known(text) => Some(text),
+            _ => None,
+        },
+    }
+}
+
 fn read(source: &Source, head: &Head, body: &Body) -> Field {
     let value = match source {
         Source::Header(name) => (head.header)(name),
@@ -119,6 +132,19 @@
     }
 }
 
+/// The service whose share a number falls into.
+fn drawn(shares: &[(String, u32)], number: u64) -> String {
+    let sum: u64 = shares.iter().map(|(_, share)| u64::from(*share)).sum();
+    let mut left = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) % sum;
+    for (name, share) in shares {
+        match left.checked_sub(u64::from(*share)) {
+            None => return name.clone(),
+            Some(rest) => left = rest,
+        }
+    }
+    unreachable!("a number below the sum falls into a share")
+}
+
 impl Program {
     /// Reads the key of a job on `route` from its head and as much of its
     /// body as is there. `ended` says that the body is complete; past `cap`
@@ -138,18 +164,21 @@
             ended: ended && body.len() <= cap,
             may_grow: !ended && body.len() < cap,
         };
+        let prefix = match (&route.prefix, &route.parts) {
+            (Some((source, length)), _) => prefix(source, *length, head, &body),
+            (None, Some(_)) => Some(self.prompt(route, head).prefix()),
+            (None, None) => Some(0),
+        };
         let service = match (&route.target, &door.model) {
             (Target::Service(name), _) => Field::Known(name.clone()),
+            (Target::Split(shares), _) => match prefix {
+                Some(0) => Field::Known(drawn(shares, head.draw)),
+                Some(prefix) => Field::Known(drawn(shares, prefix)),
+                None => Field::Wanted,
+            },
             (Target::Model, Some(source)) => read(source, head, &body),
             (Target::Model, None) => Field::Missing,
         };
-        Extract {
-            tenant: read(&door.tenant, head, &body),
-            service,
-            prefix: match &route.prefix {
-                None => Some(0),
-                Some((source, length)) => prefix(source, *length, head, &body),
-            },
-        }
+        Extract { tenant: read(&door.tenant, head, &body), service, prefix }
     }
 }
--- a/language/src/lib.rs
+++ b/language/src/lib.rs
@@ -4,24 +4,30 @@
 //!
 //! No clock, no socket and no task lives here.
 
+use std::collections::HashMap;
+
 mod body;
 mod compile;
 mod extract;
+mod prompt;
 
 pub use body::{find, Find};
 pub use compile::{compile, parse_span, Complaint};
 pub use extract::{fingerprint, mark, Extract, Field, Head};
+pub use prompt::{Part, Prompt};
 
 /// The most of a job's body that is held back while its key is looked for.
 pub const BODY_CAP: usize = 64 * 1024;
 
-/// Compiled rules. Invariant: every `Route::door` is an index into `doors`,
+/// Compiled rules. Invariants: every `Route::door` is an index into `doors`,
 /// door names and route names are each unique, and `routes` keeps the order
-/// of the text, since the first match wins.
+/// of the text, since among those of no host the first match wins; `hosts`
+/// lists the routes of each host, the longest path first.
 pub struct Program {
     pub doors: Vec<Door>,
     pub routes: Vec<Route>,
     pub points: SetPoints,
+    hosts: HashMap<String, Vec<usize>>,
 }
 
 /// One front door. Invariant: `at` begins and ends with a slash.
@@ -35,6 +41,8 @@
 pub struct Route {
     pub name: String,
     pub door: usize,
+    /// `None` stands for any host.
+    pub host: Option<String>,
     /// `None` stands for any method.
     pub method: Option<String>,
     pub path: String,
@@ -44,12 +52,41 @@
     pub repeatable: bool,
     pub deadline_ms: u64,
     pub prefix: Option<(Source, usize)>,
+    /// Where the parts of the prompt are listed, each with its tokens.
+    pub parts: Option<Source>,
+    /// Where the tokens of the prompt and the most tokens out are told.
+    pub size: Option<Source>,
+    /// The regions where it may be served; empty stands for any.
+    pub homes: Vec<String>,
+    /// Who is let in first when engines are full; 0 goes first.
+    pub urgency: Option<u8>,
+    /// Engines that one job may be sent to, at the most.
+    pub rounds: Option<u32>,
+    /// The time inside which its answer is to begin.
+    pub aim_ms: Option<u64>,
+    /// It needs no tenant key.
+    pub is_public: bool,
+    /// A stream of it may be taken up at another engine.
+    pub resumes: bool,
 }
 
 pub enum Target {
     /// The service is named by the job, through the door's `model` source.
     Model,
     Service(String),
+    /// Services with their shares. Invariant: the shares' sum is above 0.
+    Split(Vec<(String, u32)>),
+}
+
+impl Target {
+    /// The services that a job may come to, where the rules name them.
+    pub fn services(&self) -> Vec<&str> {
+        match self {
+            Target::Model => Vec::new(),
+            Target::Service(name) => vec![name],
+            Target::Split(shares) => shares.iter().map(|(name, _)| name.as_str()).collect(),
+        }
+    }
 }
 
 /// Where a value stands in a job, cheap ones first.
@@ -85,9 +122,10 @@
 }
 
 impl Program {
-    /// Elects the first route that fits the head of a job.
+    /// Elects a route for the head of a job: the longest path among those of its
+    /// host, else the first that fits of those of no host.
     pub fn route(&self, head: &Head) -> Option<usize> {
-        self.routes.iter().position(|route| {
+        let fits = |route: &Route| {
             let method = route.method.as_deref().is_none_or(|m| m == head.method);
             let path = if route.open {
                 head.path.starts_with(&route.path)
@@ -95,6 +133,16 @@
                 head.path == route.path
             };
             method && path
-        })
+        };
+        if !self.hosts.is_empty() {
+            let host = (head.header)("host").unwrap_or_default();
+            let host = host.rsplit_once(':').map_or(&*host, |(name, _)| name);
+            let listed = self.hosts.get(host).or_else(|| self.hosts.get(&host.to_lowercase()));
+            let found = listed.and_then(|of| of.iter().find(|at| fits(&self.routes[**at])));
+            if found.is_some() {
+                return found.copied();
+            }
+        }
+        self.routes.iter().position(|route| route.host.is_none() && fits(route))
     }
 }
--- a/language/tests/fixtures.rs
+++ b/language/tests/fixtures.rs
@@ -35,7 +35,7 @@
     let header = |name: &str| {
         headers.iter().find(|(known, _)| *known == name).map(|(_, value)| value.to_string())
     };
-    let head = Head { method, path, query, header: &header };
+    let head = Head { method, path, query, header: &header, draw: 1 };
     let route = program.route(&head)?;
     let extract = program.extract(route, &head, body.as_bytes(), is_ended, BODY_CAP);
     Some((program.routes[route].name.clone(), extract))
--- a/placement/src/engines.rs
+++ b/placement/src/engines.rs
@@ -275,6 +275,7 @@
                 services: vec![Name("writer".into())],
                 slots: 8,
                 state: EngineState::Serving,
+                cold_ms: 0,
             }));
         }
         view
--- a/residency/src/book.rs
+++ b/residency/src/book.rs
@@ -1,7 +1,7 @@
 //! The home book: where each tenant and service may live. Read from simd-json
 //! values and checked whole, with the place of everything that is wrong.
 
-use crate::{Name, Touch};
+use crate::{Limits, Name, Touch};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::collections::BTreeMap;
@@ -17,12 +17,24 @@
     pub tenants: BTreeMap<String, Tenant>,
     pub rules: String,
     pub points: language::SetPoints,
+    pub limits: Limits,
+    /// A key's jobs go to the caller's own region first, not to its first home.
+    pub is_near_first: bool,
+    /// Digest to tenant, of the keys that the book itself lists.
+    pub keys: BTreeMap<String, String>,
 }
 
 #[derive(PartialEq)]
 pub struct Service {
     /// Empty stands for any region.
     pub homes: Vec<String>,
+    /// Connections that one engine takes from all callers together; 0 stands for
+    /// no bound.
+    pub connections: u64,
+    /// Jobs a second that an engine bears while it is cold; 0 stands for no bound.
+    pub warm_pace: u64,
+    /// How long an engine stays cold after it came.
+    pub warm_ms: u64,
 }
 
 #[derive(PartialEq)]
@@ -36,6 +48,8 @@
     pub burst: u64,
     pub fresh_ms: Option<u64>,
     pub expire_ms: Option<u64>,
+    /// Goes before the route's.
+    pub urgency: Option<u8>,
 }
 
 /// Parses JSON, with line and column of the first thing that is wrong.
@@ -152,6 +166,16 @@
         }
     }
 
+    fn digests(&mut self, place: &str, value: &OwnedValue, name: &str) -> Vec<String> {
+        let digests = self.texts(place, value, name);
+        let is_digest =
+            |text: &String| text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !digests.iter().all(is_digest) {
+            self.complain(&join(place, name), "a key is kept as 64 hexadecimal digits");
+        }
+        digests
+    }
+
     fn span(&mut self, place: &str, value: &OwnedValue, name: &str) -> Option<u64> {
         let found = value.get(name)?;
         let span = found.as_str().and_then(language::parse_span);
@@ -186,7 +210,8 @@
         let is_same_ground = self.zones == next.zones
             && self.cells == next.cells
             && self.services == next.services
-            && self.points == next.points;
+            && self.points == next.points
+            && self.is_near_first == next.is_near_first;
         if !is_same_ground {
             return vec![Touch::All];
         }
@@ -202,8 +227,12 @@
     pub fn read(value: &OwnedValue) -> Result<Book, Vec<String>> {
         let mut complaints = Vec::new();
         let mut reader = Reader { complaints: &mut complaints };
-        reader.fields("", value, &["zones", "cells", "services", "tenants", "rules"]);
+        let known = ["zones", "cells", "services", "tenants", "rules", "limits", "near"];
+        reader.fields("", value, &known);
         let mut book = Book {
+            limits: Limits::default(),
+            is_near_first: value.get("near").and_then(|near| near.as_bool()).unwrap_or(false),
+            keys: BTreeMap::new(),
             zones: BTreeMap::new(),
             cells: BTreeMap::new(),
             services: BTreeMap::new(),
@@ -248,13 +277,20 @@
         };
         for (name, service) in reader.things(value, "services") {
             let place = format!("services.{name}");
-            reader.fields(&place, service, &["homes"]);
-            let homes = homes(&mut reader, &place, service);
-            book.services.insert(name.clone(), Service { homes });
+            let known = ["homes", "connections", "warm", "warm_pace"];
+            reader.fields(&place, service, &known);
+            let service = Service {
+                homes: homes(&mut reader, &place, service),
+                connections: reader.count(&place, service, "connections"),
+                warm_pace: reader.count(&place, service, "warm_pace"),
+                warm_ms: reader.span(&place, service, "warm").unwrap_or(0),
+            };
+            book.services.insert(name.clone(), service);
         }
         for (name, tenant) in reader.things(value, "tenants") {
             let place = format!("tenants.{name}");
-            let known = ["homes", "services", "pace", "burst", "fresh", "expire"];
+            let known =
+                ["homes", "services", "pace", "burst", "fresh", "expire", "urgency", "keys"];
             reader.fields(&place, tenant, &known);
             let services = reader.texts(&place, tenant, "services");
             for (at, service) in services.iter().enumerate() {
@@ -263,6 +299,7 @@
                     reader.complain(&place, format!("there is no service {service}"));
                 }
             }
+            let keys = reader.digests(&place, tenant, "keys");
             let pace = reader.count(&place, tenant, "pace");
             let burst = reader.count(&place, tenant, "burst");
             let tenant = Tenant {
@@ -272,12 +309,45 @@
                 burst: if burst == 0 { pace * 2 } else { burst },
                 fresh_ms: reader.span(&place, tenant, "fresh"),
                 expire_ms: reader.span(&place, tenant, "expire"),
+                urgency: tenant
+                    .get("urgency")
+                    .map(|_| reader.count(&place, tenant, "urgency").min(9) as u8),
             };
+            for digest in keys {
+                if let Some(other) = book.keys.insert(digest, name.clone()) {
+                    if other != *name {
+                        reader.complain(&place, format!("a key belongs to tenant {other}, too"));
+                    }
+                }
+            }
             if tenant.fresh_ms > tenant.expire_ms && tenant.expire_ms.is_some() {
                 reader.complain(&join(&place, "fresh"), "it is longer than `expire`");
             }
             book.tenants.insert(name.clone(), tenant);
         }
+        if let Some(limits) = value.get("limits") {
+            let known = ["head", "body", "head_wait", "idle"];
+            reader.fields("limits", limits, &known);
+            let named = Limits::default();
+            let count = |reader: &mut Reader, name: &str, most: u64| {
+                limits.get(name).map(|found| match found.as_u64() {
+                    Some(count) if (1..=most).contains(&count) => count,
+                    _ => {
+                        let text = format!("a whole number from 1 to {most} should stand here");
+                        reader.complain(&join("limits", name), text);
+                        1
+                    }
+                })
+            };
+            book.limits = Limits {
+                head: count(&mut reader, "head", 1 << 20).unwrap_or(named.head),
+                body: count(&mut reader, "body", 1 << 30).unwrap_or(named.body),
+                head_wait_ms: reader
+                    .span("limits", limits, "head_wait")
+                    .unwrap_or(named.head_wait_ms),
+                idle_ms: reader.span("limits", limits, "idle").unwrap_or(named.idle_ms),
+            };
+        }
         if let Some(rules) = value.get("rules") {
             book.rules = match rules.as_str() {
                 Some(text) => text.to_string(),
@@ -288,11 +358,14 @@
             Ok(program) => {
                 book.points = program.points;
                 for route in &program.routes {
-                    if let language::Target::Service(name) = &route.target {
-                        if !book.services.contains_key(name) {
-                            let text = format!("route {} names no known service", route.name);
-                            reader.complain("rules", text);
-                        }
+                    let mut services = route.target.services().into_iter();
+                    if services.any(|name| !book.services.contains_key(name)) {
+                        let text = format!("route {} names no known service", route.name);
+                        reader.complain("rules", text);
+                    }
+                    if let Some(home) = route.homes.iter().find(|home| !regions.contains(home)) {
+                        let text = format!("route {}: no zone lies in a region {home}", route.name);
+                        reader.complain("rules", text);
                     }
                 }
             }
--- a/residency/src/lib.rs
+++ b/residency/src/lib.rs
@@ -9,8 +9,8 @@
 mod view;
 
 pub use book::{merge, parse_text, Book, Service, Tenant};
-pub use state::{Command, Emptied, Outcome, State, Submission, Window, SUBMISSIONS_KEPT};
-pub use view::{Cell, Engine, EngineState, Event, Place, Terms, Touch, View};
+pub use state::{Command, Emptied, Outcome, Sheet, State, Submission, Window, SUBMISSIONS_KEPT};
+pub use view::{Cell, Engine, EngineState, Event, Limits, Place, Terms, Touch, Traits, View};
 
 use binrw::binrw;
 use ledger::pack::{read_list, read_text, write_list, write_text};
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -1,7 +1,7 @@
 //! Applying what was agreed on.
 
 use crate::{
-    book, key, Book, Engine, EngineState, Event, Mapping, Name, Place, Terms, Touch, View,
+    book, key, Book, Engine, EngineState, Event, Mapping, Name, Place, Terms, Touch, Traits, View,
 };
 use binrw::binrw;
 use ledger::pack::{packed, read_list, read_text, unpacked, write_list, write_text};
@@ -60,6 +60,40 @@
     /// A window that has begun ends.
     #[brw(magic = 13u8)]
     End(Name),
+    /// A whole revision that was written as somebody's own document: what it
+    /// reads as, and the document itself, kept beside the book.
+    #[brw(magic = 14u8)]
+    Adopt {
+        sheet: Sheet,
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        text: String,
+    },
+    /// What the platform's list of engines says anew.
+    #[brw(magic = 15u8)]
+    Listed {
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        engines: Vec<Engine>,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        gone: Vec<Name>,
+    },
+}
+
+/// A document that operators wrote in words of their own. Invariant: the book is
+/// what its translation reads as, under the same epoch.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Sheet {
+    /// The operators' own number; it only rises.
+    pub revision: u64,
+    /// The number that it was built on.
+    pub based: u64,
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub text: String,
 }
 
 /// What a maintenance window empties.
@@ -171,6 +205,7 @@
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
     windows: Vec<Planned>,
+    sheet: Sheet,
 }
 
 /// Invariants: `book` is what `document` reads as; `view` holds what the
@@ -185,6 +220,7 @@
     /// The epoch of the last change of each kind of command.
     marks: [u64; 6],
     windows: Vec<Planned>,
+    sheet: Sheet,
 }
 
 impl Default for State {
@@ -198,15 +234,19 @@
             known: VecDeque::new(),
             marks: [0; 6],
             windows: Vec::new(),
+            sheet: Sheet::default(),
         }
     }
 }
 
 fn kind(command: &Command) -> usize {
     match command {
-        Command::Revise { .. } => 0,
+        Command::Revise { .. } | Command::Adopt { .. } => 0,
         Command::Key(_) | Command::KeyGone(_) => 1,
-        Command::Engine(_) | Command::EngineGone(_) | Command::EngineState { .. } => 2,
+        Command::Engine(_)
+        | Command::EngineGone(_)
+        | Command::EngineState { .. }
+        | Command::Listed { .. } => 2,
         Command::Evacuate(_) | Command::GiveBack(_) => 3,
         Command::Move { .. } | Command::Settle { .. } | Command::Unpin { .. } => 4,
         Command::Schedule(_) | Command::Begin(_) | Command::End(_) => 5,
@@ -236,14 +276,34 @@
         })
     }
 
+    /// Whether a submission was built on something else than what is in force.
+    fn conflict(&self, submission: &Submission) -> Option<Outcome> {
+        let mark = self.marks[kind(&submission.command)];
+        let is_old = submission.base != 0 && submission.base < mark;
+        let is_other = match &submission.command {
+            Command::Adopt { sheet, .. } => sheet.based != self.sheet.revision,
+            _ => false,
+        };
+        (is_old || is_other).then_some(Outcome::Conflict { epoch: mark })
+    }
+
+    /// The newest document that was adopted; its revision is 0 where none was.
+    pub fn sheet(&self) -> &Sheet {
+        &self.sheet
+    }
+
+    /// Whether a submission of this id was taken.
+    pub fn has_taken(&self, id: &str) -> bool {
+        self.known.iter().any(|known| known.id == id)
+    }
+
     /// Says what applying a submission now would give, changing nothing.
     pub fn check(&self, submission: &Submission) -> Option<Outcome> {
         if let Some(outcome) = self.repeat(submission) {
             return Some(outcome);
         }
-        let mark = self.marks[kind(&submission.command)];
-        if submission.base != 0 && submission.base < mark {
-            return Some(Outcome::Conflict { epoch: mark });
+        if let Some(conflict) = self.conflict(submission) {
+            return Some(conflict);
         }
         self.plan(&submission.command).err().map(Outcome::Refused)
     }
@@ -254,9 +314,8 @@
         if let Some(outcome) = self.repeat(submission) {
             return (outcome, Vec::new());
         }
-        let mark = self.marks[kind(&submission.command)];
-        if submission.base != 0 && submission.base < mark {
-            return (Outcome::Conflict { epoch: mark }, Vec::new());
+        if let Some(conflict) = self.conflict(submission) {
+            return (conflict, Vec::new());
         }
         let events = match self.plan(&submission.command) {
             Ok(events) => events,
@@ -317,35 +376,17 @@
             Ok(key(&tenant.0, &service.0))
         };
         match command {
-            Command::Revise { whole, text } => {
-                let (_, book) = self.revised(*whole, text)?;
-                let place = |(name, within): (&String, &String)| Place {
-                    name: name.clone(),
-                    within: within.clone(),
-                };
-                let mut events = Vec::new();
-                if book.rules != self.view.rules {
-                    events.push(Event::Rules(Name(book.rules.clone())));
+            Command::Adopt { sheet, text } => {
+                if sheet.revision <= self.sheet.revision {
+                    return Err(format!(
+                        "revision {} is not above {}, which is in force",
+                        sheet.revision, self.sheet.revision
+                    ));
                 }
-                events.push(Event::Places {
-                    zones: book.zones.iter().map(place).collect(),
-                    cells: book.cells.iter().map(place).collect(),
-                });
-                for (digest, tenant) in &self.view.keys {
-                    if !book.tenants.contains_key(tenant) {
-                        events.push(Event::KeyGone(Name(digest.clone())));
-                    }
-                }
-                let terms = |(name, tenant): (&String, &book::Tenant)| Terms {
-                    tenant: name.clone(),
-                    pace: tenant.pace,
-                    burst: tenant.burst,
-                    homes: tenant.homes.iter().cloned().map(Name).collect(),
-                };
-                events.push(Event::Tenants(book.tenants.iter().map(terms).collect()));
-                events.extend(self.book.touched_by(&book).into_iter().map(Event::Touched));
-                Ok(events)
+                self.revision_events(true, text)
             }
+            Command::Revise { whole, text } => self.revision_events(*whole, text),
+            Command::Listed { engines, gone } => Ok(self.listed_events(engines, gone)),
             Command::Key(place) => {
                 let is_digest = place.name.len() == 64
                     && place.name.bytes().all(|byte| byte.is_ascii_hexdigit());
@@ -470,9 +511,17 @@
         }
     }
 
-    /// Mappings name cells, not engines: they are void only where a cell gains
-    /// its first engine for a service or loses its last.
     fn engine_events(&self, name: &str, after: Option<&Engine>) -> Vec<Event> {
+        match after {
+            Some(engine) => self.listed_events(std::slice::from_ref(engine), &[]),
+            None => self.listed_events(&[], &[Name(name.into())]),
+        }
+    }
+
+    /// Mappings name cells, not engines: they are void only where a cell gains
+    /// its first engine for a service or loses its last. Engines of cells that
+    /// are not in the book, and changes that change nothing, are passed over.
+    fn listed_events(&self, engines: &[Engine], gone: &[Name]) -> Vec<Event> {
         let counts = |engine: &&Engine| engine.state != EngineState::Draining;
         let pairs = |engines: &mut dyn Iterator<Item = &Engine>| -> BTreeSet<(String, String)> {
             let mut pairs = BTreeSet::new();
@@ -482,18 +531,89 @@
             }
             pairs
         };
+        let is_new = |engine: &&Engine| {
+            self.book.cells.contains_key(&engine.cell)
+                && self.view.engines.get(&engine.name) != Some(*engine)
+        };
+        let engines: Vec<&Engine> = engines.iter().filter(is_new).collect();
         let before = pairs(&mut self.view.engines.values());
-        let others = self.view.engines.values().filter(|engine| engine.name != name);
-        let mut events = vec![match after {
-            Some(engine) => Event::Engine(engine.clone()),
-            None => Event::EngineGone(Name(name.into())),
-        }];
-        if pairs(&mut others.chain(after)) != before {
+        let others = self.view.engines.values().filter(|engine| {
+            !gone.iter().any(|name| name.0 == engine.name)
+                && !engines.iter().any(|new| new.name == engine.name)
+        });
+        let after = pairs(&mut others.chain(engines.iter().copied()));
+        let known = gone.iter().filter(|name| self.view.engines.contains_key(&name.0));
+        let mut events: Vec<Event> = known.cloned().map(Event::EngineGone).collect();
+        events.extend(engines.into_iter().cloned().map(Event::Engine));
+        if after != before {
             events.push(Event::Touched(Touch::All));
         }
         events
     }
 
+    /// The events that a revision of the book makes: only of what it changes.
+    fn revision_events(&self, whole: bool, text: &str) -> Checked {
+        let (_, book) = self.revised(whole, text)?;
+        let place = |(name, within): (&String, &String)| Place {
+            name: name.clone(),
+            within: within.clone(),
+        };
+        let mut events = Vec::new();
+        if book.zones != self.view.zones || book.cells != self.view.cells {
+            events.push(Event::Places {
+                zones: book.zones.iter().map(place).collect(),
+                cells: book.cells.iter().map(place).collect(),
+            });
+        }
+        for (digest, tenant) in &self.view.keys {
+            let is_dropped = self.book.keys.contains_key(digest) && !book.keys.contains_key(digest);
+            if is_dropped || !book.tenants.contains_key(tenant) {
+                events.push(Event::KeyGone(Name(digest.clone())));
+            }
+        }
+        for (digest, tenant) in &book.keys {
+            match self.view.keys.get(digest) {
+                Some(known) if known == tenant => {}
+                Some(known) if !self.book.keys.contains_key(digest) => {
+                    return Err(format!("tenants.{tenant}: a key belongs to tenant {known}"));
+                }
+                _ => {
+                    events.push(Event::Key(Place { name: digest.clone(), within: tenant.clone() }))
+                }
+            }
+        }
+        let terms = |(name, tenant): (&String, &book::Tenant)| Terms {
+            tenant: name.clone(),
+            pace: tenant.pace,
+            burst: tenant.burst,
+            homes: tenant.homes.iter().cloned().map(Name).collect(),
+            urgency: tenant.urgency.unwrap_or(u8::MAX),
+        };
+        let terms: Vec<Terms> = book.tenants.iter().map(terms).collect();
+        if !terms.iter().eq(self.view.tenants.values()) {
+            events.push(Event::Tenants(terms));
+        }
+        let traits = |(name, service): (&String, &book::Service)| Traits {
+            service: name.clone(),
+            connections: service.connections,
+            warm_pace: service.warm_pace,
+            warm_ms: service.warm_ms,
+        };
+        let traits: Vec<Traits> = book.services.iter().map(traits).collect();
+        if !traits.iter().eq(self.view.services.values()) {
+            events.push(Event::Services(traits));
+        }
+        if book.limits != self.view.limits {
+            events.push(Event::Limits(book.limits));
+        }
+        // The rules last: who sees a route finds what it speaks of.
+        if book.rules != self.view.rules {
+            events.push(Event::Rules(Name(book.rules.clone())));
+        }
+        events.extend(self.book.touched_by(&book).into_iter().map(Event::Touched));
+        Ok(events)
+    }
+
     /// Shutting or opening what a window empties.
     fn turn(&self, what: &Emptied, is_shut: bool) -> Checked {
         match (what, is_shut) {
@@ -537,9 +657,17 @@
     /// Makes what `plan` has allowed.
     fn commit(&mut self, command: &Command) {
         match command {
-            Command::Revise { whole, text } => {
+            Command::Revise { .. } | Command::Adopt { .. } => {
+                let (whole, text) = match command {
+                    Command::Revise { whole, text } => (*whole, text),
+                    Command::Adopt { text, .. } => (true, text),
+                    _ => unreachable!("matched above"),
+                };
+                if let Command::Adopt { sheet, .. } = command {
+                    self.sheet = sheet.clone();
+                }
                 let (document, book) =
-                    self.revised(*whole, text).expect("a revision is planned before");
+                    self.revised(whole, text).expect("a revision is planned before");
                 self.document = document;
                 self.book = book;
                 let book = &self.book;
@@ -585,16 +713,20 @@
 
     /// The regions that a key's jobs may go to, nearest first.
     fn permitted(&self, tenant: &str, service: &str, asker: &str) -> Vec<String> {
-        let Some(tenant) = self.book.tenants.get(tenant) else { return Vec::new() };
+        let homes = match self.book.tenants.get(tenant) {
+            Some(tenant) => &tenant.homes[..],
+            // Nobody in particular: a public route's.
+            None if tenant.is_empty() => &[],
+            None => return Vec::new(),
+        };
         let Some(service) = self.book.services.get(service) else { return Vec::new() };
-        let mut regions: Vec<String> = match tenant.homes.is_empty() {
-            false => tenant.homes.clone(),
-            true => {
-                let mut all: Vec<String> = self.book.regions().into_iter().cloned().collect();
-                all.sort_by_key(|region| region != asker);
-                all
-            }
+        let mut regions: Vec<String> = match homes.is_empty() {
+            false => homes.to_vec(),
+            true => self.book.regions().into_iter().cloned().collect(),
         };
+        if homes.is_empty() || self.book.is_near_first {
+            regions.sort_by_key(|region| region != asker);
+        }
         regions.retain(|region| service.homes.is_empty() || service.homes.contains(region));
         regions
     }
@@ -607,13 +739,15 @@
         service: &str,
         asker: &str,
     ) -> Result<Mapping, (&'static str, String)> {
-        let Some(entry) = self.book.tenants.get(tenant) else {
+        let entry = self.book.tenants.get(tenant);
+        if entry.is_none() && !tenant.is_empty() {
             return Err(("unknown-tenant", "no such tenant is known".into()));
-        };
+        }
         if !self.book.services.contains_key(service) {
             return Err(("unknown-service", format!("no service {service} is known")));
         }
-        if !entry.services.is_empty() && !entry.services.iter().any(|known| known == service) {
+        let allowed = entry.map_or(&[][..], |entry| &entry.services[..]);
+        if !allowed.is_empty() && !allowed.iter().any(|known| known == service) {
             return Err(("service-not-allowed", format!("{tenant} may not use {service}")));
         }
         let regions = self.permitted(tenant, service, asker);
@@ -662,9 +796,9 @@
             cells: cells.into_iter().map(|cell| Name(cell.4)).collect(),
             fresh_ms: match is_moving || is_emptied {
                 true => 0,
-                false => entry.fresh_ms.unwrap_or(points.fresh_ms),
+                false => entry.and_then(|entry| entry.fresh_ms).unwrap_or(points.fresh_ms),
             },
-            expire_ms: entry.expire_ms.unwrap_or(points.expire_ms),
+            expire_ms: entry.and_then(|entry| entry.expire_ms).unwrap_or(points.expire_ms),
             epoch: self.epoch(),
         })
     }
@@ -682,6 +816,7 @@
             pins: self.pins.values().cloned().collect(),
             known: self.known.iter().cloned().collect(),
             windows: self.windows.clone(),
+            sheet: self.sheet.clone(),
         })
     }
 
@@ -705,6 +840,7 @@
             known: picture.known.into(),
             marks: picture.marks,
             windows: picture.windows,
+            sheet: picture.sheet,
         })
     }
 }
--- a/residency/src/view.rs
+++ b/residency/src/view.rs
@@ -44,6 +44,41 @@
     pub services: Vec<crate::Name>,
     pub slots: u32,
     pub state: EngineState,
+    /// How long it stays cold from when this was said; 0 stands for warm.
+    pub cold_ms: u32,
+}
+
+/// What a caller may send and how long it may take, at the doors.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Bytes of a job's head.
+    pub head: u64,
+    /// Bytes of a job's body.
+    pub body: u64,
+    pub head_wait_ms: u64,
+    /// How long a connection may lie idle between two jobs.
+    pub idle_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { head: 64 << 10, body: 1 << 30, head_wait_ms: 10_000, idle_ms: 60_000 }
+    }
+}
+
+/// What holds for all engines of a service.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Traits {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub service: String,
+    pub connections: u64,
+    pub warm_pace: u64,
+    pub warm_ms: u64,
 }
 
 /// A pair of names: zone and region, cell and zone, digest and tenant.
@@ -124,6 +159,15 @@
         #[bw(write_with = write_list)]
         Vec<Terms>,
     ),
+    /// The traits of all services, in place of what was.
+    #[brw(magic = 10u8)]
+    Services(
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        Vec<Traits>,
+    ),
+    #[brw(magic = 11u8)]
+    Limits(Limits),
 }
 
 #[binrw]
@@ -140,6 +184,8 @@
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
     pub homes: Vec<crate::Name>,
+    /// Goes before the route's; 255 stands for none.
+    pub urgency: u8,
 }
 
 pub struct Cell {
@@ -160,6 +206,8 @@
     pub engines: BTreeMap<String, Engine>,
     pub evacuated: BTreeSet<String>,
     pub tenants: BTreeMap<String, Terms>,
+    pub services: BTreeMap<String, Traits>,
+    pub limits: Limits,
 }
 
 impl Default for View {
@@ -174,6 +222,8 @@
             engines: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             tenants: BTreeMap::new(),
+            services: BTreeMap::new(),
+            limits: Limits::default(),
         }
     }
 }
@@ -240,6 +290,11 @@
                 self.tenants =
                     list.iter().map(|terms| (terms.tenant.clone(), terms.clone())).collect();
             }
+            Event::Services(list) => {
+                self.services =
+                    list.iter().map(|traits| (traits.service.clone(), traits.clone())).collect();
+            }
+            Event::Limits(limits) => self.limits = *limits,
         }
     }
 
@@ -250,6 +305,8 @@
             Event::Rules(name(&self.rules)),
             Event::Places { zones: places(&self.zones), cells: places(&self.cells) },
             Event::Tenants(self.tenants.values().cloned().collect()),
+            Event::Services(self.services.values().cloned().collect()),
+            Event::Limits(self.limits),
         ];
         events.extend(places(&self.keys).into_iter().map(Event::Key));
         events.extend(self.engines.values().cloned().map(Event::Engine));
--- a/residency/tests/state.rs
+++ b/residency/tests/state.rs
@@ -26,6 +26,7 @@
         services: vec!["writer".into()],
         slots: 4,
         state,
+        cold_ms: 0,
     })
 }
 
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -106,6 +106,7 @@
 struct Reader<'a> {
     view: &'a View,
     parts: &'a http::request::Parts,
+    draw: u64,
 }
 
 impl Reader<'_> {
@@ -116,6 +117,7 @@
             path: self.parts.uri.path(),
             query: self.parts.uri.query().unwrap_or(""),
             header: &header,
+            draw: self.draw,
         })
     }
 
@@ -153,7 +155,7 @@
     }
     let (head, mut body) = request.into_parts();
     let view = router.view.borrow().clone();
-    let reader = Reader { view: &view, parts: &head };
+    let reader = Reader { view: &view, parts: &head, draw: language::mark(id.as_bytes()) };
     let Some(route) = reader.with(|head| view.program.route(head)) else {
         return Err(Refusal::not_run(404, "no-route", "no route fits this method and path"));
     };
--- a/stand/tests/gate.rs
+++ b/stand/tests/gate.rs
@@ -70,6 +70,7 @@
         services: vec![Name("writer".into())],
         slots: 8,
         state: EngineState::Serving,
+        cold_ms: 0,
     }));
     view
 }
@@ -116,6 +117,7 @@
                 services: vec![Name("writer".into())],
                 slots: 8,
                 state: EngineState::Draining,
+                cold_ms: 0,
             };
             after(|view| view.take(&residency::Event::Engine(engine.clone())), views);
         }),
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,7 +10,7 @@
 use residency::{Event, Mapping, Name, Outcome, Submission};
 
 /// The epoch of these frames. Changed whenever one of them changes.
-pub const EPOCH: u16 = 4;
+pub const EPOCH: u16 = 5;
 /// How long a confirmation by a majority is a licence, counted from when it
 /// was asked for. Invariant: shorter than any bound within which a change must
 /// be in force, and well longer than an election.
