--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -178,7 +178,9 @@
         Err((code, text)) => return refused(404, code, text),
     };
     let view = desk.hub.view.borrow().clone();
-    let (engine, why) = match desk.dispatcher.roster.elect(&view, &mapping, prefix) {
+    let prompt = language::Prompt::default();
+    let wanted = placement::Wanted { prompt: &prompt, prefix, avoid: &[] };
+    let (engine, why) = match desk.dispatcher.roster.elect(&view, &mapping, &wanted) {
         yard::roster::Elected::Engine(seat) => {
             (Some(seat.name.clone()), "ranks first for this prefix among those with room")
         }
--- a/directory/src/jobs.rs
+++ b/directory/src/jobs.rs
@@ -5,7 +5,7 @@
 use anyhow::{anyhow, bail};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use language::{Extract, Field, Head};
+use language::{Extract, Field, Head, Prompt};
 use placement::{Event, Job, Outcome};
 use residency::Mapping;
 use std::pin::pin;
@@ -89,6 +89,9 @@
         headers: headers_of(&head.headers)?,
         key,
         deadline: now() + head.left_ms,
+        prompt: Prompt::default(),
+        urgency: None,
+        aim_ms: 0,
     };
     let prefix = extract.prefix.unwrap_or(0);
     let mut upload = pin!(upload(&mut reader, pieces, is_ended));
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -144,8 +144,10 @@
                 view: hub.view.clone(),
                 counters: Arc::clone(&counters),
                 // Whether a job goes on is decided by the router that has it.
-                budget: Box::new(|| false),
+                budget: Box::new(|_| false),
                 leave: Arc::new(move |mapping| gate.leave(mapping)),
+                carriage: Default::default(),
+                lanes: Default::default(),
             };
             let node = Arc::new(Desk {
                 member,
--- a/placement/src/engines.rs
+++ b/placement/src/engines.rs
@@ -173,6 +173,10 @@
         self.known.get(name).is_some_and(|known| known.losses == losses)
     }
 
+    pub fn is_known(&self, name: &str) -> bool {
+        self.known.contains_key(name)
+    }
+
     /// A job of this process is no longer there.
     pub fn release(&mut self, name: &str) {
         if let Some(known) = self.known.get_mut(name) {
--- /dev/null
+++ b/placement/src/estimates.rs
@@ -0,0 +1,309 @@
+//! The engines as one process knows them where they say nothing of themselves:
+//! by the view what they are, by its own jobs there and their answers how they
+//! are. A job goes where its first event is expected soonest.
+
+use crate::{may_have, rank, Chosen};
+use language::Prompt;
+use residency::{Engine, Mapping, View};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Tokens of a prompt that an engine reads in a millisecond, as a first guess.
+const READ_PACE: f64 = 110.0;
+/// What a job costs that goes to another region: the way there and back, and the
+/// price of its bytes, in milliseconds of waiting.
+const FAR_MS: f64 = 250.0;
+/// How much longer a wait may be at the engine that ranks first for a prefix
+/// before the next one in rank is taken.
+const RANK_MS: f64 = 15.0;
+/// A part that was not sent to an engine for this long is taken for lost there.
+const KEPT_MS: u64 = 20_000;
+/// An engine that failed is passed over for this long, doubled with each failure
+/// in a row.
+const SUSPECT_MS: u64 = 800;
+const SUSPECT_MOST_MS: u64 = 4_000;
+/// One that was full is passed over for this long.
+const FULL_MS: u64 = 150;
+/// A word on a cold engine is believed for this long past its own time.
+const COLD_SLACK_MS: u64 = 3_000;
+/// The most processes that share a cold engine's pace.
+const COLD_SHARERS: usize = 8;
+/// How long a place at a cold engine may lie unused.
+const COLD_PLACE_MS: u64 = 250;
+
+/// One job as an election sees it.
+pub struct Wanted<'a> {
+    pub prompt: &'a Prompt,
+    pub prefix: u64,
+    /// Engines that this job has been to.
+    pub avoid: &'a [String],
+}
+
+/// One engine. Invariants: `own` counts the jobs that this process has there now;
+/// `reading` the tokens of those whose answers have not begun.
+struct Known {
+    engine: Engine,
+    mark: u64,
+    own: u32,
+    reading: f64,
+    /// How much longer first events took than was expected, smoothed, and when
+    /// that was last seen.
+    excess: f64,
+    seen: u64,
+    failures: u32,
+    suspect_until: u64,
+    full_until: u64,
+    /// When each part was last sent there.
+    kept: HashMap<u64, u64>,
+    cold_until: u64,
+    /// When this process may begin its next job there while it is cold.
+    next_cold: u64,
+}
+
+impl Known {
+    fn new(now: u64, engine: &Engine) -> Known {
+        Known {
+            engine: engine.clone(),
+            mark: language::mark(engine.name.as_bytes()),
+            own: 0,
+            reading: 0.0,
+            excess: 0.0,
+            seen: now,
+            failures: 0,
+            suspect_until: 0,
+            full_until: 0,
+            kept: HashMap::new(),
+            cold_until: cold_until(now, engine),
+            next_cold: 0,
+        }
+    }
+
+    /// Tokens of a prompt that it has to read.
+    fn unread(&self, now: u64, prompt: &Prompt) -> f64 {
+        let mut kept = 0;
+        for part in &prompt.parts {
+            match self.kept.get(&part.chain) {
+                Some(at) if now < at + KEPT_MS => kept += part.tokens,
+                _ => break,
+            }
+        }
+        f64::from(prompt.tokens_in.saturating_sub(kept))
+    }
+
+    fn excess(&self, now: u64) -> f64 {
+        self.excess * 0.5_f64.powf(now.saturating_sub(self.seen) as f64 / 1_000.0)
+    }
+}
+
+fn cold_until(now: u64, engine: &Engine) -> u64 {
+    match engine.cold_ms {
+        0 => 0,
+        cold => now + u64::from(cold) + COLD_SLACK_MS,
+    }
+}
+
+#[derive(Default)]
+pub struct Estimates {
+    known: BTreeMap<String, Known>,
+    evacuated: BTreeSet<String>,
+}
+
+impl Estimates {
+    /// Takes the engines of a view; gives the names of those that are gone or
+    /// have moved.
+    pub fn follow(&mut self, now: u64, view: &View) -> Vec<String> {
+        let is_same = |name: &str, known: &Known| {
+            view.engines.get(name).is_some_and(|e| e.address == known.engine.address)
+        };
+        let gone: Vec<String> = self
+            .known
+            .iter()
+            .filter(|(name, known)| !is_same(name, known))
+            .map(|(name, _)| name.clone())
+            .collect();
+        gone.iter().for_each(|name| drop(self.known.remove(name)));
+        for (name, engine) in &view.engines {
+            let Some(known) = self.known.get_mut(name) else {
+                self.known.insert(name.clone(), Known::new(now, engine));
+                continue;
+            };
+            if known.engine.cold_ms != engine.cold_ms {
+                known.cold_until = cold_until(now, engine);
+            }
+            known.engine = engine.clone();
+        }
+        // The engines of a zone that is given back may have gone cold meanwhile.
+        for zone in self.evacuated.difference(&view.evacuated) {
+            let is_there = |known: &&mut Known| view.cells.get(&known.engine.cell) == Some(zone);
+            for known in self.known.values_mut().filter(is_there) {
+                let traits = known.engine.services.first().and_then(|s| view.services.get(&s.0));
+                let warm_ms = traits.map_or(0, |traits| traits.warm_ms);
+                known.cold_until = known.cold_until.max(now + warm_ms);
+            }
+        }
+        self.evacuated = view.evacuated.clone();
+        gone
+    }
+
+    /// Elects the engine from which a job's first event is expected soonest, among
+    /// those that view and mapping allow. `me` and `peers` are the marks of the
+    /// processes that may begin work at cold engines.
+    pub fn elect(
+        &mut self,
+        now: u64,
+        view: &View,
+        mapping: &Mapping,
+        wanted: &Wanted,
+        me: u64,
+        peers: &[u64],
+    ) -> Chosen {
+        let home = mapping.regions.first();
+        let mut found: Vec<(f64, u64, String, bool)> = Vec::new();
+        let (mut is_any, mut suspects) = (false, Vec::new());
+        for (name, known) in &self.known {
+            if !may_have(view, mapping, name, &known.engine.address) {
+                continue;
+            }
+            is_any = true;
+            let is_cold = now < known.cold_until && cold_pace(view, mapping) > 0;
+            if is_cold && (now < known.next_cold || !is_sharer(known.mark, me, peers)) {
+                continue;
+            }
+            if known.own >= known.engine.slots {
+                continue;
+            }
+            let region = view.cell(&known.engine.cell).map(|cell| cell.region);
+            let is_far = region.as_ref() != home.map(|home| &home.0);
+            let cost = (known.reading + known.unread(now, wanted.prompt)) / READ_PACE
+                + known.excess(now)
+                + f64::from(known.own) * if wanted.prompt.tokens_in == 0 { 12.0 } else { 1.0 }
+                + if is_far { FAR_MS } else { 0.0 };
+            let draw = match wanted.prefix {
+                0 => u64::MAX / 2,
+                prefix => rank(prefix, known.mark),
+            };
+            let is_avoided = wanted.avoid.iter().any(|avoided| avoided == name)
+                || now < known.full_until
+                || now < known.suspect_until;
+            match is_avoided {
+                true => suspects.push((known.suspect_until, name.clone(), is_cold)),
+                false => found.push((cost, draw, name.clone(), is_cold)),
+            }
+        }
+        // In a region the first in rank has the least to add.
+        found.sort_by_key(|(_, draw, ..)| std::cmp::Reverse(*draw));
+        let with_rank = |(place, found): (usize, &(f64, u64, String, bool))| {
+            let cost = found.0 + RANK_MS * (place.min(8) as f64);
+            (cost, found.2.clone(), found.3)
+        };
+        let best = found
+            .iter()
+            .enumerate()
+            .map(with_rank)
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, name, is_cold)| (name, is_cold));
+        // Where all have failed lately, the one whose time is nearest, unless the
+        // job has been there.
+        suspects.retain(|(_, name, _)| !wanted.avoid.contains(name));
+        suspects.sort();
+        let best =
+            best.or_else(|| suspects.into_iter().next().map(|(_, name, is_cold)| (name, is_cold)));
+        let Some((name, is_cold)) = best else {
+            return if is_any { Chosen::Full } else { Chosen::Nobody };
+        };
+        let known = self.known.get_mut(&name).expect("it was listed a moment ago");
+        known.own += 1;
+        let until = is_cold.then(|| {
+            let sharers = peers.len().clamp(1, COLD_SHARERS) as u64;
+            known.next_cold = now + 1_000 * sharers / cold_pace(view, mapping).max(1);
+            now + COLD_PLACE_MS
+        });
+        Chosen::Engine {
+            address: known.engine.address.clone(),
+            zone: view.cells.get(&known.engine.cell).cloned().unwrap_or_default(),
+            name,
+            until,
+            losses: 0,
+        }
+    }
+
+    /// A job's bytes have left for an engine. Gives the time that its first event
+    /// is expected to take, and the tokens that count as being read there.
+    pub fn sent(&mut self, now: u64, name: &str, prompt: &Prompt) -> (f64, f64) {
+        let Some(known) = self.known.get_mut(name) else { return (0.0, 0.0) };
+        let unread = known.unread(now, prompt);
+        let expected = (known.reading + unread) / READ_PACE;
+        known.reading += unread;
+        for part in &prompt.parts {
+            known.kept.insert(part.chain, now);
+        }
+        if known.kept.len() > 4_096 {
+            known.kept.retain(|_, at| now < *at + KEPT_MS);
+        }
+        (expected, unread)
+    }
+
+    /// Its answer began, or it ended without one.
+    pub fn read(&mut self, name: &str, tokens: f64) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.reading = (known.reading - tokens).max(0.0);
+        }
+    }
+
+    /// Its answer began after so long.
+    pub fn began(&mut self, now: u64, name: &str, expected: f64, took: u64) {
+        if let Some(known) = self.known.get_mut(name) {
+            let excess = (took as f64 - expected).clamp(0.0, 2_000.0);
+            known.excess = known.excess(now) * 0.7 + excess * 0.3;
+            known.seen = now;
+            known.failures = 0;
+            known.suspect_until = 0;
+        }
+    }
+
+    /// It turned a job away.
+    pub fn declined(&mut self, now: u64, name: &str) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.full_until = now + FULL_MS;
+        }
+    }
+
+    /// It could not be reached, or broke off.
+    pub fn failed(&mut self, now: u64, name: &str) {
+        if let Some(known) = self.known.get_mut(name) {
+            let span = (SUSPECT_MS << known.failures.min(3)).min(SUSPECT_MOST_MS);
+            known.failures += 1;
+            known.suspect_until = now + span;
+        }
+    }
+
+    /// A job of this process is no longer there.
+    pub fn release(&mut self, name: &str) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.own = known.own.saturating_sub(1);
+        }
+    }
+
+    pub fn is_known(&self, name: &str) -> bool {
+        self.known.contains_key(name)
+    }
+
+    /// For operators: name, jobs from here, suspect, cold, excess of waiting.
+    pub fn list(&self, now: u64) -> impl Iterator<Item = (&str, u32, bool, bool, u64)> {
+        self.known.iter().map(move |(name, known)| {
+            let (is_suspect, is_cold) = (now < known.suspect_until, now < known.cold_until);
+            (&**name, known.own, is_suspect, is_cold, known.excess(now) as u64)
+        })
+    }
+}
+
+/// Jobs a second that a cold engine bears; 0 stands for no bound.
+fn cold_pace(view: &View, mapping: &Mapping) -> u64 {
+    view.services.get(&mapping.service).map_or(0, |traits| traits.warm_pace)
+}
+
+/// Whether a process is among those that share a cold engine's pace. All agree on
+/// who they are, as far as they agree on who there is.
+fn is_sharer(mark: u64, me: u64, peers: &[u64]) -> bool {
+    let above = peers.iter().filter(|peer| rank(mark, **peer) > rank(mark, me)).count();
+    peers.contains(&me) && above < COLD_SHARERS
+}
--- a/placement/src/job.rs
+++ b/placement/src/job.rs
@@ -104,14 +104,35 @@
     is_repeatable: bool,
     may_have_run: bool,
     rounds: u32,
+    most: u32,
+    /// Engines that could not be reached.
+    unreached: u32,
 }
 
-/// Engines tried for one job, at the most.
+/// Engines that one job is sent to, at the most, where its route says nothing.
 const ROUNDS: u32 = 3;
+/// Engines that can't be reached, for one job.
+const UNREACHED: u32 = 4;
 
 impl Job {
     pub fn new(is_repeatable: bool) -> Job {
-        Job { state: State::Arrived, is_repeatable, may_have_run: false, rounds: 0 }
+        Job {
+            state: State::Arrived,
+            is_repeatable,
+            may_have_run: false,
+            rounds: 0,
+            most: ROUNDS,
+            unreached: 0,
+        }
+    }
+
+    /// Bounds the engines that it may be sent to.
+    pub fn with_rounds(self, most: u32) -> Job {
+        Job { most, ..self }
+    }
+
+    pub fn is_repeatable(&self) -> bool {
+        self.is_repeatable
     }
 
     pub fn state(&self) -> State {
@@ -133,10 +154,16 @@
         }
     }
 
+    /// Whether one more engine would be allowed by its rounds alone.
+    pub fn may_have_another_round(&self) -> bool {
+        self.rounds < self.most
+    }
+
     /// Whether, from here, one more engine may be tried. `budget` is asked
     /// only where the round would be a repeat of work.
     pub fn may_go_on(&self, budget: &mut dyn FnMut() -> bool) -> bool {
-        if self.state != State::Mapped || self.rounds >= ROUNDS {
+        let is_past = self.rounds >= self.most || self.unreached >= UNREACHED;
+        if self.state != State::Mapped || is_past {
             return false;
         }
         if self.may_have_run && !self.is_repeatable {
@@ -155,15 +182,26 @@
                 self.rounds += 1;
                 S::Elected
             }
-            (S::Elected, E::ConnectFailed) => S::Mapped,
+            // Nothing was sent: it was no round.
+            (S::Elected, E::ConnectFailed) => {
+                self.rounds -= 1;
+                self.unreached += 1;
+                S::Mapped
+            }
             (S::Elected, E::BytesLeave) => {
                 self.may_have_run = true;
                 S::Committed
             }
-            (S::Committed, E::Declined | E::NothingLeft) => {
+            (S::Committed, E::Declined) => {
                 self.may_have_run = self.rounds > 1 && self.is_repeatable;
                 S::Mapped
             }
+            (S::Committed, E::NothingLeft) => {
+                self.rounds -= 1;
+                self.unreached += 1;
+                self.may_have_run = self.rounds > 0 && self.is_repeatable;
+                S::Mapped
+            }
             (S::Committed, E::AnswerLost) if self.is_repeatable => S::Mapped,
             (S::Committed, E::AnswerLost) => S::Broken,
             (S::Keyed, E::HandedOn) => {
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -3,18 +3,22 @@
 //!
 //! No clock, no socket and no task lives here.
 
+mod allowance;
 mod cache;
 mod control;
 mod elect;
 mod engines;
+mod estimates;
 mod following;
 mod job;
 mod paces;
 
+pub use allowance::{Allowance, Bound};
 pub use cache::{Cache, Hit};
 pub use control::{Retries, Warmth, RETRY_LIFE_MS};
 pub use elect::{elect, rank, Candidate};
 pub use engines::{may_have, Chosen, Engines, GONE_MS, SILENCE_MS};
+pub use estimates::{Estimates, Wanted};
 pub use following::{Following, Taken};
 pub use job::{Event, Job, Misstep, Outcome, State};
 pub use paces::{Meters, Paces, Place};
--- /dev/null
+++ b/placement/tests/allowance.rs
@@ -0,0 +1,58 @@
+//! Further rounds over a fleet, against the bound on every window.
+
+use placement::{Allowance, Bound};
+
+const BOUND: Bound = Bound { ratio: 0.2, window_ms: 10_000, extra: 58.0 };
+
+/// Guards: retries do not grow beyond the bound, over all routers together, in any
+/// window, while routers restart and traffic swings; every job wants more rounds.
+#[test]
+fn further_rounds_keep_the_bound_in_every_window() {
+    for seed in 1..12u64 {
+        let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let mut draw = |below: u64| {
+            state ^= state << 13;
+            state ^= state >> 7;
+            state ^= state << 17;
+            (state >> 11) % below
+        };
+        let fleet = 9;
+        let mut routers: Vec<Allowance> = (0..fleet).map(|_| Allowance::new(BOUND)).collect();
+        let (mut jobs, mut rounds) = (Vec::new(), Vec::new());
+        let mut now = 1_000;
+        while now < 60_000 {
+            now += draw(if now % 15_000 < 4_000 { 6 } else { 60 });
+            let at = draw(fleet) as usize;
+            if draw(2_000) == 0 {
+                routers[at] = Allowance::new(BOUND);
+            }
+            routers[at].earn(now, "s");
+            jobs.push(now);
+            for _ in 0..3 {
+                if routers[at].spend(now, "s", fleet as usize) {
+                    rounds.push(now);
+                }
+            }
+        }
+        assert!(rounds.len() > 100, "there are some: {}", rounds.len());
+        let count = |list: &[u64], from: u64, until: u64| {
+            list.partition_point(|at| *at < until) - list.partition_point(|at| *at < from)
+        };
+        for from in (0..60_000u64).step_by(100) {
+            let until = from + BOUND.window_ms;
+            let most = BOUND.ratio * count(&jobs, from, until) as f64 + BOUND.extra;
+            let had = count(&rounds, from, until);
+            assert!(had as f64 <= most, "seed {seed}, from {from}: {had} for {most}");
+        }
+    }
+}
+
+#[test]
+fn nothing_is_spent_for_services_or_fleets_that_are_not_known() {
+    let mut allowance = Allowance::new(BOUND);
+    assert!(!allowance.spend(1, "s", 3), "no job came for it");
+    allowance.earn(1, "s");
+    assert!(!allowance.spend(2, "s", 0), "how many share the extra is not known");
+    assert!(allowance.spend(2, "s", 3));
+    assert!(!allowance.spend(2, "other", 3));
+}
--- /dev/null
+++ b/placement/tests/estimates.rs
@@ -0,0 +1,165 @@
+//! Electing by answers alone: where a job goes, and what cold engines get.
+
+use language::{Part, Prompt};
+use placement::{Chosen, Estimates, Wanted};
+use residency::{Engine, EngineState, Event, Mapping, Name, Place, Traits, View};
+
+const SERVICE: &str = "writer";
+
+fn engine(name: &str, cell: &str, cold_ms: u32) -> Engine {
+    Engine {
+        name: name.into(),
+        address: format!("127.0.0.1:{}", 1000 + name.bytes().map(u32::from).sum::<u32>()),
+        cell: cell.into(),
+        services: vec![SERVICE.into()],
+        slots: 8,
+        state: EngineState::Serving,
+        cold_ms,
+    }
+}
+
+fn view(engines: &[Engine]) -> View {
+    let place = |name: &str, within: &str| Place { name: name.into(), within: within.into() };
+    let mut view = View::default();
+    view.take(&Event::Places {
+        zones: vec![place("north-a", "north"), place("south-a", "south")],
+        cells: vec![place("north-a", "north-a"), place("south-a", "south-a")],
+    });
+    let traits = Traits { service: SERVICE.into(), connections: 0, warm_pace: 17, warm_ms: 3_000 };
+    view.take(&Event::Services(vec![traits]));
+    engines.iter().for_each(|engine| view.take(&Event::Engine(engine.clone())));
+    view
+}
+
+fn mapping() -> Mapping {
+    Mapping {
+        tenant: "t".into(),
+        service: SERVICE.into(),
+        regions: vec!["north".into(), "south".into()],
+        cells: vec!["north-a".into(), "south-a".into()],
+        fresh_ms: 1,
+        expire_ms: 1,
+        epoch: 1,
+    }
+}
+
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let parts =
+        vec![Part { chain: shared, tokens: 5_000 }, Part { chain: shared ^ own, tokens: 6_000 }];
+    Prompt { parts, tokens_in: 11_000, tokens_out: 300 }
+}
+
+fn chosen(
+    estimates: &mut Estimates,
+    now: u64,
+    view: &View,
+    prompt: &Prompt,
+    avoid: &[String],
+) -> Option<String> {
+    let wanted = Wanted { prompt, prefix: prompt.prefix(), avoid };
+    match estimates.elect(now, view, &mapping(), &wanted, 1, &[1]) {
+        Chosen::Engine { name, .. } => Some(name),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_job_goes_where_its_prefix_is_kept_until_that_engine_is_busy() {
+    let view = view(&[
+        engine("a", "north-a", 0),
+        engine("b", "north-a", 0),
+        engine("c", "north-a", 0),
+        engine("far", "south-a", 0),
+    ]);
+    let mut estimates = Estimates::default();
+    estimates.follow(1_000, &view);
+    let first = chosen(&mut estimates, 1_000, &view, &prompt(7, 1), &[]).expect("all are free");
+    assert_ne!(first, "far", "the own region goes first");
+    let (expected, tokens) = estimates.sent(1_000, &first, &prompt(7, 1));
+    assert!(expected > 50.0 && tokens == 11_000.0);
+    estimates.read(&first, tokens);
+    estimates.began(1_100, &first, expected, 100);
+    estimates.release(&first);
+    // Again with what it keeps, for as long as it is not busy.
+    let second = chosen(&mut estimates, 1_200, &view, &prompt(7, 2), &[]).expect("one is free");
+    assert_eq!(second, first);
+    for own in 0..6 {
+        estimates.sent(1_200, &first, &prompt(9, 100 + own));
+    }
+    let third = chosen(&mut estimates, 1_200, &view, &prompt(7, 3), &[]).expect("two are free");
+    assert_ne!(third, first, "a long queue of prompts outweighs what is kept");
+    assert_ne!(third, "far");
+}
+
+#[test]
+fn engines_that_fail_or_decline_are_passed_over_unless_there_is_no_other() {
+    let view = view(&[engine("a", "north-a", 0), engine("b", "north-a", 0)]);
+    let mut estimates = Estimates::default();
+    estimates.follow(1_000, &view);
+    let (none, job) = (Vec::new(), prompt(3, 1));
+    estimates.failed(1_000, "a");
+    assert_eq!(chosen(&mut estimates, 1_001, &view, &job, &none).as_deref(), Some("b"));
+    estimates.declined(1_001, "b");
+    let last = chosen(&mut estimates, 1_002, &view, &job, &none);
+    assert!(last.is_some(), "one of the suspects is better than a refusal");
+    let been = vec!["a".to_string(), "b".to_string()];
+    assert_eq!(chosen(&mut estimates, 1_002, &view, &job, &been), None);
+    // A life that ended is another engine; nothing of it is carried over.
+    let mut next = view.clone();
+    next.take(&Event::EngineGone(Name("a".into())));
+    next.take(&Event::Engine(engine("a2", "north-a", 0)));
+    assert_eq!(estimates.follow(1_010, &next), vec!["a".to_string()]);
+    assert_eq!(chosen(&mut estimates, 1_011, &next, &job, &none).as_deref(), Some("a2"));
+}
+
+/// Guards: a cold engine is not flooded, summed over all routers. Every router
+/// wants to begin work there all the time; some see a few routers more or fewer.
+#[test]
+fn cold_engines_keep_to_their_pace_over_a_fleet() {
+    for (fleet, differ) in [(1usize, 0usize), (9, 1), (74, 4)] {
+        let cold = view(&[engine("a", "north-a", 3_000)]);
+        let peers: Vec<u64> =
+            (1..=fleet as u64).map(|n| n.wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect();
+        let mut routers: Vec<Estimates> = (0..fleet).map(|_| Estimates::default()).collect();
+        routers.iter_mut().for_each(|router| drop(router.follow(10_000, &cold)));
+        let mut begun: Vec<u64> = Vec::new();
+        let job = prompt(5, 1);
+        for now in 10_000..13_000u64 {
+            for (at, router) in routers.iter_mut().enumerate() {
+                // Not all have heard of the newest routers.
+                let known = &peers[..fleet - if at % 2 == 0 { differ } else { 0 }];
+                let wanted = Wanted { prompt: &job, prefix: 5, avoid: &[] };
+                let chosen = router.elect(now, &cold, &mapping(), &wanted, peers[at], known);
+                if matches!(chosen, Chosen::Engine { .. }) {
+                    router.release("a");
+                    begun.push(now);
+                }
+            }
+        }
+        assert!(begun.len() >= 30, "{fleet}: it gets work: {}", begun.len());
+        for (n, from) in begun.iter().enumerate() {
+            let within = begun[n..].iter().take_while(|at| **at < from + 1_000).count();
+            assert!(within <= 30, "{fleet}: {within} within a second");
+        }
+    }
+}
+
+/// A zone that is given back may have gone cold; the list may not say so yet.
+#[test]
+fn the_engines_of_a_zone_given_back_are_taken_for_cold() {
+    let mut seen = view(&[engine("a", "north-a", 0)]);
+    let mut estimates = Estimates::default();
+    estimates.follow(1_000, &seen);
+    seen.take(&Event::Evacuated("north-a".into()));
+    estimates.follow(2_000, &seen);
+    seen.take(&Event::GivenBack("north-a".into()));
+    estimates.follow(9_000, &seen);
+    let job = prompt(5, 1);
+    let many = (0..100).filter(|_| {
+        chosen(&mut estimates, 9_001, &seen, &job, &[])
+            .map(|name| estimates.release(&name))
+            .is_some()
+    });
+    assert_eq!(many.count(), 1, "one at a time");
+    assert!(chosen(&mut estimates, 12_100, &seen, &job, &[]).is_some());
+}
--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -50,6 +50,12 @@
         (self.fronts, self.directories) = (fronts, directories);
     }
 
+    /// How many routers there were when it was last told, this one among them; 0
+    /// where it never was.
+    pub fn count(&self) -> usize {
+        self.marks.len()
+    }
+
     /// The marks of the routers that may begin work at cold engines, this one's
     /// first; none while this one may not.
     pub fn peers(&self) -> Vec<u64> {
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -1,9 +1,11 @@
 //! The doors: a caller's job from its head to its answer.
 
 use crate::forward::{self, Handed};
+use crate::layers::Asker;
 use crate::{company, Router};
+use anyhow::Context;
 use bytes::BytesMut;
-use dropshot::{Body, HttpServer};
+use dropshot::Body;
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use language::{Extract, Field, Head, Source, Target, BODY_CAP};
@@ -14,45 +16,49 @@
 use std::time::Duration;
 use wire::Answer;
 use yard::dispatch::{step, Carried, Parts, Rest};
+use yard::doors::{self, Doors};
 use yard::now;
-use yard::web::{self, Refusal, Request, Response, JOB};
+use yard::web::{self, Refusal, Request, Response};
 
 /// How long a job waits for the mapping that another one asks for.
 const JOIN_PATIENCE: Duration = Duration::from_millis(1_500);
 const RESOLVE_PATIENCE: Duration = Duration::from_millis(1_000);
 
-pub fn serve(router: Arc<Router>) -> anyhow::Result<HttpServer<web::Handler>> {
-    let (address, cap) = (router.boot.door, router.boot.body);
+pub async fn serve(router: Arc<Router>) -> anyhow::Result<Arc<Doors>> {
+    let address = router.boot.door;
+    let listener = tokio::net::TcpListener::bind(address)
+        .await
+        .with_context(|| format!("listening at {address}"))?;
+    let view = router.view.subscribe();
     let handler: web::Handler = Arc::new(move |request| {
         let router = Arc::clone(&router);
         Box::pin(async move { answer(router, request).await })
     });
-    web::serve(address, cap, handler)
+    Ok(doors::serve(listener, Box::new(move || view.borrow().limits), handler))
 }
 
 /// The caller's own id for its job, where it is fit for logs, or a drawn one.
-fn job_id(request: &Request) -> String {
-    let fits = |id: &&str| {
+fn job_id(router: &Router, request: &Request) -> String {
+    let fits = |id: &String| {
         (1..=64).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
     };
-    let given = request.headers().get(JOB).and_then(|value| value.to_str().ok()).filter(fits);
-    given.map_or_else(|| format!("{:016x}", rand::random::<u64>()), String::from)
+    let given = (router.ports.callers.id)(request.headers()).filter(fits);
+    given.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()))
 }
 
 async fn answer(router: Arc<Router>, request: Request) -> Response {
-    let id = job_id(&request);
-    if request.uri().path() == "/where" {
-        return whereabouts(&router, &request).unwrap_or_else(|refusal| refusal.response(&id));
+    let callers = &router.ports.callers;
+    if let Some(page) = (callers.pages)(&router, &request) {
+        return page;
     }
+    let id = job_id(&router, &request);
     router.counters.one("jobs");
     let under_way = Arc::clone(&router.under_way);
     let mut claim = None;
     match take(&router, request, &id, &mut claim).await {
         Ok(response) => {
             let (mut head, body) = response.into_parts();
-            if let Ok(id) = id.parse() {
-                head.headers.insert(JOB, id);
-            }
+            (callers.mark)(&mut head.headers, &id);
             // The job is under way until its last byte is out.
             let body = body.map_err(move |error| {
                 let _ = (&under_way, &claim);
@@ -67,7 +73,7 @@
             });
             log::info!(job = id.as_str(), code = refusal.code.as_str(),
                 outcome = refusal.outcome.to_string(); "refused: {}", refusal.text);
-            refusal.response(&id)
+            (callers.refuse)(&refusal, &id)
         }
     }
 }
@@ -143,6 +149,18 @@
     claim: &mut Option<Claim>,
 ) -> Result<Response, Refusal> {
     let arrived = now();
+    let (head, body) = request.into_parts();
+    let view = router.view.borrow().clone();
+    let longest = router.boot.body.min(usize::try_from(view.limits.body).unwrap_or(usize::MAX));
+    let mut body = Some(body);
+    let mut held = BytesMut::new();
+    let mut is_ended = body.as_ref().is_some_and(|body| body.is_end_stream());
+    if router.boot.hold > 0 {
+        // Whoever sent a whole job is answered when it is read, not amid it.
+        let most = router.boot.hold.min(longest + 1);
+        let body = body.as_mut().expect("it is taken below");
+        is_ended = hold(router, body, &mut held, most).await?;
+    }
     router.leave()?;
     if router.is_shut.load(Ordering::Relaxed) {
         let text = "this router is stopping; ask another";
@@ -153,31 +171,38 @@
         let text = format!("{} jobs are under way here; ask another router", router.boot.jobs);
         return Err(Refusal::not_run(503, "router-full", text));
     }
-    let (head, mut body) = request.into_parts();
-    let view = router.view.borrow().clone();
     let reader = Reader { view: &view, parts: &head, draw: language::mark(id.as_bytes()) };
     let Some(route) = reader.with(|head| view.program.route(head)) else {
         return Err(Refusal::not_run(404, "no-route", "no route fits this method and path"));
     };
-    let announced = body.size_hint().lower();
-    if announced > router.boot.body as u64 {
-        let text = format!("a body holds {} bytes at the most", router.boot.body);
+    let mut body = body.take().expect("it is taken here alone");
+    let announced = body.size_hint().lower() as usize;
+    if held.len() + announced > longest {
+        let text = format!("a body holds {longest} bytes at the most");
         return Err(Refusal::not_run(413, "long-body", text));
     }
     let rule = &view.program.routes[route];
-    router.retries.lock().earn(arrived, view.program.points.retries);
     log::info!(job = id; "its body is here");
     let mut job = Job::new(rule.repeatable);
-    let asked = head.headers.get("x-deadline-ms").and_then(|v| v.to_str().ok()?.parse().ok());
+    if let Some(most) = rule.rounds {
+        job = job.with_rounds(most);
+    }
+    let asked = (router.ports.callers.left_ms)(&head.headers);
     let deadline = arrived + rule.deadline_ms.min(asked.unwrap_or(u64::MAX));
 
     // The head alone may settle who calls, before a byte of body is read.
-    let mut held = BytesMut::new();
-    let mut is_ended = body.is_end_stream();
     let mut extract = reader.extract(route, &held, is_ended);
-    let mut caller = reader.tenant(&extract)?;
+    let service = match &extract.service {
+        Field::Known(service) => service,
+        _ => "",
+    };
+    (router.ports.retries.earn)(arrived, service, view.program.points.retries);
+    let mut caller = match rule.is_public {
+        true => Some(Caller { tenant: String::new(), key: String::new() }),
+        false => reader.tenant(&extract)?,
+    };
     let door = &view.program.doors[rule.door];
-    if extract.tenant == Field::Missing && door.tenant.is_cheap() {
+    if caller.is_none() && extract.tenant == Field::Missing && door.tenant.is_cheap() {
         let text = format!("door {} finds no tenant key where it should stand", door.name);
         return Err(Refusal::not_run(401, "no-key", text));
     }
@@ -206,12 +231,12 @@
         }
     }
     step(&mut job, Event::KeyRead);
-    if let Some(caller) = &caller {
+    if let Some(caller) = caller.as_ref().filter(|_| !rule.is_public) {
         *claim = Some(Claim::new(router, &caller.key, id)?);
     }
     // Also where the piece that went past the cap was the last one.
     let is_past_cap = held.len() >= BODY_CAP;
-    let rest = (!is_ended).then(|| rest_of(body, router.boot.body.saturating_sub(held.len())));
+    let rest = (!is_ended).then(|| rest_of(body, longest.saturating_sub(held.len())));
     let mut carried = Carried::new(held.freeze(), rest);
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_string();
     let parts = Parts {
@@ -221,6 +246,14 @@
         headers: head.headers.clone(),
         key: caller.as_ref().map_or(String::new(), |caller| caller.key.clone()),
         deadline,
+        prompt: reader.with(|head| view.program.prompt(rule, head)),
+        urgency: caller
+            .as_ref()
+            .and_then(|caller| view.tenants.get(&caller.tenant))
+            .map(|terms| terms.urgency)
+            .filter(|urgency| *urgency != u8::MAX)
+            .or(rule.urgency),
+        aim_ms: rule.aim_ms.unwrap_or(0),
     };
     let tenant = caller.map(|caller| caller.tenant);
     let (tenant, service) = match (&tenant, &extract.service) {
@@ -247,7 +280,8 @@
         return Err(refusal);
     }
     log::info!(job = id; "admitted");
-    let keyed = Keyed { tenant, service, prefix: extract.prefix.unwrap_or(0) };
+    let homes = rule.homes.clone();
+    let keyed = Keyed { tenant, service, prefix: extract.prefix.unwrap_or(0), homes };
     route_keyed(router, job, &parts, carried, &keyed).await
 }
 
@@ -261,6 +295,55 @@
     tenant: String,
     service: String,
     prefix: u64,
+    /// The route's own homes; empty stands for any region.
+    homes: Vec<String>,
+}
+
+/// Holds a body back, as far as `most`; says whether that was all of it.
+async fn hold(
+    router: &Router,
+    body: &mut Body,
+    held: &mut BytesMut,
+    most: usize,
+) -> Result<bool, Refusal> {
+    let until = tokio::time::Instant::now() + router.boot.head;
+    while held.len() < most {
+        match tokio::time::timeout_at(until, body.frame()).await {
+            Err(_) => {
+                return Err(Refusal::not_run(408, "slow-body", "the body came too slowly"));
+            }
+            Ok(None) => return Ok(true),
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    held.extend_from_slice(&data);
+                }
+                if body.is_end_stream() {
+                    return Ok(true);
+                }
+            }
+            Ok(Some(Err(error))) => {
+                let text = format!("the body can't be read: {error}");
+                return Err(Refusal::not_run(400, "broken-body", text));
+            }
+        }
+    }
+    Ok(false)
+}
+
+/// What is left of a mapping within a route's own homes.
+fn within(view: &View, mapping: Mapping, homes: &[String]) -> Result<Mapping, Refusal> {
+    if homes.is_empty() {
+        return Ok(mapping);
+    }
+    let is_home = |region: &String| homes.contains(region);
+    let regions = mapping.regions.into_iter().filter(|region| is_home(&region.0)).collect();
+    let in_home = |cell: &str| view.cell(cell).is_some_and(|cell| is_home(&cell.region));
+    let cells: Vec<_> = mapping.cells.into_iter().filter(|cell| in_home(&cell.0)).collect();
+    if cells.is_empty() {
+        let text = "no engine stands where this route and this tenant may be served";
+        return Err(Refusal::not_run(503, "no-place", text));
+    }
+    Ok(Mapping { regions, cells, ..mapping })
 }
 
 /// A job whose key lies past the cap: the whole of it goes to a directory node
@@ -299,6 +382,8 @@
                 Missed::Answer(response) => return Ok(response),
             },
         };
+        let view = router.view.borrow().clone();
+        let mapping = within(&view, mapping, &keyed.homes)?;
         let mut chart = job;
         step(&mut chart, Event::MappingFound);
         let work =
@@ -415,6 +500,9 @@
         }
     };
     let tenant = Some(&*keyed.tenant);
+    if router.boot.asks_by_key {
+        return ask(router, job, &asker, keyed).await;
+    }
     match forward::hand(router, job, parts, carried, tenant, Some(&asker)).await {
         Handed::Answer(response) => return Ok(Missed::Answer(response)),
         Handed::Mapped(mapping) => return Ok(Missed::Mapping(mapping)),
@@ -423,7 +511,7 @@
         Handed::Refused(_)
             if job.state() == State::Keyed
                 && carried.is_whole()
-                && (router.dispatcher.budget)() =>
+                && (router.dispatcher.budget)(&keyed.service) =>
         {
             router.counters.one("retries");
             log::info!(job = parts.id.as_str(); "a further round");
@@ -431,7 +519,16 @@
         Handed::Refused(refusal) => return Err(refusal),
         Handed::Nobody => {}
     }
-    // No node may see the body: the key alone, to whichever holds the session.
+    ask(router, job, &asker, keyed).await
+}
+
+/// No node is to see the body: the key alone, to whichever holds the session.
+async fn ask(
+    router: &Arc<Router>,
+    job: &Job,
+    asker: &Asker,
+    keyed: &Keyed,
+) -> Result<Missed, Refusal> {
     router.counters.one("key-only");
     let region = &router.boot.region;
     match router.questions.resolve(&keyed.tenant, &keyed.service, region, RESOLVE_PATIENCE).await {
@@ -452,7 +549,7 @@
 }
 
 /// Which routers a caller may use, the nearest first.
-fn whereabouts(router: &Router, request: &Request) -> Result<Response, Refusal> {
+pub fn whereabouts(router: &Router, request: &Request) -> Result<Response, Refusal> {
     router.leave()?;
     let view = router.view.borrow().clone();
     let headers = request.headers();
--- a/router/src/forward.rs
+++ b/router/src/forward.rs
@@ -159,6 +159,8 @@
         upload = rest.zip(way.take()).map(|(rest, writer)| send_rest(rest, writer));
     }
     let mut mapping: Option<Mapping> = None;
+    let service = asker.and_then(|asker| asker.key().split_once('/')).map_or("", |pair| pair.1);
+    let has_budget = || (router.dispatcher.budget)(service);
     loop {
         match link::receive(&mut reader, wire::CAP).await? {
             Some(Frame::Mapped(found)) => {
@@ -182,7 +184,7 @@
                     && mapping.is_some()
                     && (code == "directory-full"
                         || code == "engines-full"
-                        || code == "engines-unreachable" && (router.dispatcher.budget)()) =>
+                        || code == "engines-unreachable" && has_budget()) =>
             {
                 step(job, Event::HandedBack);
                 router.counters.one("handed-back");
--- /dev/null
+++ b/router/src/lib.rs
@@ -0,0 +1,252 @@
+//! A router: a front door. It takes callers' jobs, reads the routing key,
+//! looks it up in its own cache and the region's, and streams to an engine; a
+//! miss goes to a directory node.
+
+mod company;
+mod door;
+mod forward;
+mod layers;
+mod ports;
+mod session;
+
+pub use door::whereabouts;
+pub use ports::{Callers, Ports, RetryPolicy, Server};
+
+use anyhow::Context;
+use parking_lot::{Mutex, RwLock};
+use residency::View;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use yard::counters::Counters;
+use yard::dispatch::Dispatcher;
+use yard::lanes::Lanes;
+use yard::now;
+use yard::quota::Quota;
+use yard::roster::Roster;
+use yard::web::{self, Refusal};
+
+/// How long a job may wait for room at an engine, at the most.
+pub const ROOM_WAIT_MS: u64 = 3_000;
+
+/// What a router is told at its start, checked. Times are in milliseconds where
+/// they are numbers.
+pub struct Settings {
+    pub name: String,
+    pub region: String,
+    pub zone: String,
+    pub door: SocketAddr,
+    pub address: SocketAddr,
+    /// Where it listens for its neighbours, and dials from.
+    pub listen: SocketAddr,
+    pub head: Duration,
+    pub quota: Duration,
+    pub jobs: usize,
+    pub seeds: Vec<SocketAddr>,
+    pub body: usize,
+    pub desk: SocketAddr,
+    pub own_cache: usize,
+    pub share: usize,
+    /// How long it still takes jobs after it is told to stop.
+    pub leave: Duration,
+    /// How long streams may finish in after that.
+    pub stop: Duration,
+    pub room_wait: u64,
+    /// Bytes of a body that are held back for a further round; 0 holds only what
+    /// the key needs.
+    pub hold: usize,
+    /// Misses go to a directory node by the key alone, never with the body.
+    pub asks_by_key: bool,
+    /// How long it goes on after its licence with what it knows, while it can't
+    /// reach any directory node that leads or follows.
+    pub outlive: u64,
+    /// How often it beats.
+    pub beat: u64,
+}
+
+/// What every part of the router holds on to. Invariants: the view's epoch
+/// only rises; `licence` is the time, on this process's clock, until which it
+/// may dispatch.
+pub struct Router {
+    pub boot: Settings,
+    pub view: watch::Sender<Arc<View>>,
+    pub licence: AtomicU64,
+    /// It is going, and says so; callers are sent elsewhere.
+    pub is_leaving: AtomicBool,
+    /// It takes no new jobs.
+    pub is_shut: AtomicBool,
+    pub company: Arc<RwLock<company::Company>>,
+    pub layers: layers::Layers,
+    pub questions: session::Questions,
+    pub quota: Quota,
+    /// The number of the last beat, over all sessions.
+    pub beats: AtomicU64,
+    pub dispatcher: Dispatcher,
+    pub ports: Ports,
+    pub counters: Arc<Counters>,
+    /// Held by every job that is under way.
+    pub under_way: Arc<()>,
+    /// The ids that are under way, each with the digest of its tenant key.
+    pub claims: Mutex<HashSet<(String, String)>>,
+}
+
+impl Router {
+    /// Whether callers are to be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.view.borrow().epoch > 0
+            && !self.is_leaving.load(Ordering::Relaxed)
+            && self.leave().is_ok()
+    }
+
+    /// Whether new work may be taken and dispatched now.
+    pub fn leave(&self) -> Result<(), Refusal> {
+        let licence = self.licence.load(Ordering::Relaxed);
+        // One that never had a licence knows nothing that was in force.
+        let outlive = if licence > 0 { self.boot.outlive } else { 0 };
+        if now() >= licence + outlive {
+            let text = "this router has no recent licence; ask another";
+            return Err(Refusal::not_run(503, "no-licence", text));
+        }
+        Ok(())
+    }
+}
+
+/// Runs a router until it is told to stop.
+///
+/// # Errors
+/// An address that can't be listened at.
+pub async fn run(settings: Settings, mut ports: Ports) -> anyhow::Result<()> {
+    let counters = Arc::new(Counters::default());
+    let (view, view_out) = watch::channel(Arc::new(View::default()));
+    let company = Arc::new(RwLock::new(company::Company::default()));
+    let known = Arc::clone(&company);
+    let peers = Box::new(move || known.read().peers());
+    let roster = match ports.engines_are_silent {
+        true => Roster::by_answers(settings.listen, peers),
+        false => Roster::new(settings.listen, peers),
+    };
+    tokio::spawn(Arc::clone(&roster).run(view_out.clone()));
+    let carriage = std::mem::take(&mut ports.carriage);
+    let servers = std::mem::take(&mut ports.servers);
+    let lanes: Arc<Lanes> = Arc::default();
+    if carriage.kept_ms > 0 {
+        let (lanes, roster) = (Arc::clone(&lanes), Arc::clone(&roster));
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(700)).await;
+                lanes.sweep(|engine| roster.is_listed(engine));
+            }
+        });
+    }
+    let spend = Arc::clone(&ports.retries.spend);
+    let sharers = Arc::clone(&company);
+    let router = Arc::new_cyclic(|router: &std::sync::Weak<Router>| {
+        let router = router.clone();
+        let dispatcher = Dispatcher {
+            source: settings.listen,
+            room_wait: settings.room_wait,
+            roster,
+            view: view_out,
+            counters: Arc::clone(&counters),
+            budget: Box::new(move |service| spend(now(), service, sharers.read().count())),
+            leave: Arc::new(move |mapping| match router.upgrade() {
+                Some(router) if router.layers.is_void(mapping) => {
+                    let text = "the mapping changed meanwhile";
+                    Err(Refusal::not_run(503, "mapping-void", text))
+                }
+                Some(router) => router.leave(),
+                None => Err(Refusal::not_run(503, "leaving", "this router is stopping")),
+            }),
+            carriage,
+            lanes,
+        };
+        Router {
+            view,
+            licence: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
+            is_shut: AtomicBool::new(false),
+            company,
+            layers: layers::Layers::new(settings.own_cache, settings.share),
+            questions: Default::default(),
+            quota: Quota::default(),
+            beats: AtomicU64::new(0),
+            dispatcher,
+            ports,
+            counters,
+            under_way: Arc::new(()),
+            claims: Mutex::default(),
+            boot: settings,
+        }
+    });
+    let listener = tokio::net::TcpListener::bind(router.boot.listen)
+        .await
+        .with_context(|| format!("listening at {}", router.boot.listen))?;
+    tokio::spawn(company::accept(Arc::clone(&router), listener));
+    tokio::spawn(session::run(Arc::clone(&router)));
+    let door = door::serve(Arc::clone(&router)).await?;
+    let mut running = Vec::new();
+    for server in servers {
+        running.push(web::serve(server.address, 1 << 16, (server.handler)(Arc::clone(&router)))?);
+    }
+    let desk = {
+        let (router, address) = (Arc::clone(&router), router.boot.desk);
+        let handler: web::Handler = Arc::new(move |request| {
+            let response = desk_answer(&router, &request);
+            Box::pin(async move { response })
+        });
+        web::serve(address, 1 << 16, handler)?
+    };
+    log::info!("router is up at {}", router.boot.door);
+    yard::wait_for_end().await?;
+    // Callers that were told of this router before still come for a while;
+    // those who ask from now on are told of others.
+    log::info!("leaving");
+    router.is_leaving.store(true, Ordering::Relaxed);
+    router.quota.urgent.notify_one();
+    door.leave();
+    tokio::time::sleep(router.boot.leave).await;
+    log::info!("stopping: no new jobs are taken");
+    router.is_shut.store(true, Ordering::Relaxed);
+    let until = tokio::time::Instant::now() + router.boot.stop;
+    while Arc::strong_count(&router.under_way) > 1 && tokio::time::Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let left = Arc::strong_count(&router.under_way) - 1;
+    log::info!(left = left as u64; "stopped");
+    // Streams past the bound are cut off, visibly.
+    door.shut();
+    drop(tokio::time::timeout(Duration::from_millis(100), desk.close()).await);
+    Ok(())
+}
+
+fn desk_answer(router: &Router, request: &web::Request) -> web::Response {
+    let view = router.view.borrow().clone();
+    let is_well = router.leave().is_ok();
+    match (request.method().as_str(), request.uri().path()) {
+        ("GET", "/vitals") => {
+            let licence = router.licence.load(Ordering::Relaxed).saturating_sub(now());
+            let value = simd_json::json!({
+                "name": router.boot.name.clone(),
+                "well": is_well,
+                "licence_ms": licence,
+                "epoch": view.epoch,
+                "leaving": router.is_leaving.load(Ordering::Relaxed),
+                "under_way": Arc::strong_count(&router.under_way) - 1,
+                "session": router.questions.node(),
+                "neighbours": company::neighbours(router),
+                "cached": router.layers.sizes().0,
+                "cached_share": router.layers.sizes().1,
+                "engines": router.dispatcher.roster.value(view.program.points.fill),
+            });
+            web::json(if is_well { 200 } else { 503 }, &value)
+        }
+        ("GET", "/counters") => web::json(200, &router.counters.value()),
+        (_, path) => {
+            let text = format!("there is no {path} for this method");
+            web::json(404, &simd_json::json!({ "code": "no-such-page", "text": text }))
+        }
+    }
+}
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -13,7 +13,6 @@
 use wire::{Answer, Frame, Front, Kind};
 use yard::{link, now};
 
-const BEAT_MS: u64 = 350;
 /// Beats out of turn keep at least this distance.
 const URGENT_MS: u64 = 50;
 /// Without a licence from a node for this long, the next one is tried.
@@ -142,7 +141,7 @@
         }
     });
     let _reading = yard::roster::Aborting(reading.abort_handle());
-    let mut beat = tokio::time::interval(Duration::from_millis(BEAT_MS));
+    let mut beat = tokio::time::interval(Duration::from_millis(boot.beat));
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut licensed = now();
     let mut last = 0;
--- a/stand/tests/gate.rs
+++ b/stand/tests/gate.rs
@@ -150,7 +150,7 @@
                 roster: Arc::clone(&roster),
                 view: view_out,
                 counters: Default::default(),
-                budget: Box::new(|| false),
+                budget: Box::new(|_| false),
                 // Asked last in each look: what it changes is seen by the next.
                 leave: Arc::new(move |_| {
                     if looked.fetch_add(1, Ordering::SeqCst) + 1 == at {
@@ -158,6 +158,8 @@
                     }
                     Ok::<(), Refusal>(())
                 }),
+                carriage: Default::default(),
+                lanes: Default::default(),
             };
             let mapping = mapping();
             let patience = std::time::Duration::from_secs(30);
@@ -179,6 +181,9 @@
                 headers: Default::default(),
                 key: "digest".into(),
                 deadline: yard::now() + 20_000,
+                prompt: Default::default(),
+                urgency: None,
+                aim_ms: 0,
             };
             let mut carried = Carried::new(Bytes::from_static(b"{\"prompt\":\"x\"}"), None);
             let answer = dispatcher.dispatch(&mut job, &parts, &mut carried, &mapping, 7).await;
@@ -215,9 +220,11 @@
     let patience = std::time::Duration::from_secs(30);
     stand::fleet::wait(patience, "a place", async || {
         let view = views.borrow().clone();
-        let is_refused = !matches!(nobody.elect(&view, &mapping(), 7), Elected::Engine(_));
+        let prompt = Default::default();
+        let wanted = placement::Wanted { prompt: &prompt, prefix: 7, avoid: &[] };
+        let is_refused = !matches!(nobody.elect(&view, &mapping(), &wanted), Elected::Engine(_));
         assert!(is_refused, "a process that has no place began work");
-        let elected = alone.elect(&view, &mapping(), 7);
+        let elected = alone.elect(&view, &mapping(), &wanted);
         anyhow::ensure!(matches!(elected, Elected::Engine(_)), "none yet");
         Ok(())
     })
--- a/yard/src/dispatch.rs
+++ b/yard/src/dispatch.rs
@@ -1,6 +1,8 @@
 //! Carrying a job to an engine and its answer back.
 
 use crate::counters::Counters;
+use crate::gate::{Against, Armed, Gate, LastLook, Slot};
+use crate::lanes::{Lane, Lanes};
 use crate::roster::{Aborting, Elected, Roster, Seat};
 use crate::web::{Refusal, JOB};
 use crate::{link, now};
@@ -9,7 +11,8 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper_util::rt::TokioIo;
-use placement::{Event, Job, Outcome, State};
+use language::Prompt;
+use placement::{Event, Job, Outcome, State, Wanted};
 use residency::{Mapping, View};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -63,7 +66,7 @@
     }
 }
 
-struct Flow {
+pub struct Flow {
     held: Option<Bytes>,
     rest: Option<Rest>,
 }
@@ -144,6 +147,11 @@
     pub key: String,
     /// On this process's clock.
     pub deadline: u64,
+    pub prompt: Prompt,
+    /// Who is let in first at an engine; `None` says nothing of it.
+    pub urgency: Option<u8>,
+    /// The time inside which the answer is to begin; 0 stands for none.
+    pub aim_ms: u64,
 }
 
 /// An engine's answer, being relayed.
@@ -153,126 +161,92 @@
     pub body: Relay,
 }
 
-/// Leave to go on with one more round, where that would be a repeat of work.
-pub type Budget = Box<dyn Fn() -> bool + Send + Sync>;
-
-/// Leave to dispatch, asked for in the last moment before the first byte.
-pub type Leave = Arc<dyn Fn(&Mapping) -> Result<(), Refusal> + Send + Sync>;
-
-/// Everything that must hold when the first byte of a job leaves for an engine.
-struct LastLook {
-    view: watch::Receiver<Arc<View>>,
-    leave: Leave,
-    mapping: Mapping,
-    key: String,
-    deadline: u64,
-    engine: String,
-    address: String,
-    is_held: Box<dyn Fn() -> bool + Send + Sync>,
+/// Leave to go on with one more round for a service, where that would be a repeat
+/// of work.
+pub type Budget = Box<dyn Fn(&str) -> bool + Send + Sync>;
+
+/// What an engine is told of a job beside what its caller sent.
+pub struct Dress<'a> {
+    pub id: &'a str,
+    pub engine: &'a str,
+    pub address: SocketAddr,
+    pub tenant: &'a str,
+    pub left_ms: u64,
+    pub urgency: Option<u8>,
 }
 
-/// What stands against it.
-enum Against {
-    Deadline,
-    Key,
-    Leave(Refusal),
-    /// The engine may not have it any more; another one may.
-    Engine,
+/// What the head of an engine's answer says.
+#[derive(Debug, PartialEq)]
+pub enum Verdict {
+    Answer,
+    /// The engine says that it did not run the job.
+    Declined,
+    /// It is another engine than the one that was meant, and did not run it.
+    Misplaced,
+    /// It is no answer to this job.
+    Foreign(&'static str),
 }
 
-impl LastLook {
-    fn look(&self) -> Result<(), Against> {
-        if now() >= self.deadline {
-            return Err(Against::Deadline);
-        }
-        let view = self.view.borrow();
-        if !view.keys.contains_key(&self.key) {
-            return Err(Against::Key);
-        }
-        let may_have = placement::may_have(&view, &self.mapping, &self.engine, &self.address);
-        drop(view);
-        (self.leave)(&self.mapping).map_err(Against::Leave)?;
-        match may_have && (self.is_held)() {
-            true => Ok(()),
-            false => Err(Against::Engine),
-        }
-    }
-}
+type Dressing = Box<dyn Fn(&mut HeaderMap, &Dress) + Send + Sync>;
+type Judging = Box<dyn Fn(&Parts, http::StatusCode, &HeaderMap) -> Verdict + Send + Sync>;
 
-/// A connection whose first byte waits for one more look, in the very call that
-/// hands it to the kernel: a process that froze after the look before, and wakes
-/// later, sends nothing. Invariant: `has_left` is set before any byte is handed
-/// over.
-struct Gate {
-    stream: TokioIo<TcpStream>,
-    look: Option<LastLook>,
-    has_left: Arc<AtomicBool>,
-    /// Writes down that the job leaves.
-    note: Box<dyn Fn() + Send>,
+/// How engines are spoken to. Own engines know a job by its id and say by one
+/// header that they did not run it.
+pub struct Speech {
+    pub dress: Dressing,
+    pub judge: Judging,
 }
 
-impl Gate {
-    fn pass(&mut self) -> std::io::Result<()> {
-        if let Some(look) = &self.look {
-            if look.look().is_err() {
-                return Err(std::io::ErrorKind::PermissionDenied.into());
-            }
-            self.has_left.store(true, Ordering::SeqCst);
-            (self.note)();
-            self.look = None;
+impl Default for Speech {
+    fn default() -> Speech {
+        let value = |text: &str| text.parse().expect("an address or an id is a header's value");
+        Speech {
+            dress: Box::new(move |headers, dress| {
+                headers.insert("host", value(&dress.address.to_string()));
+                headers.insert(JOB, value(dress.id));
+            }),
+            judge: Box::new(|_, status, headers| {
+                let is_declined = status == 503
+                    && headers.get(ENGINE_OUTCOME).is_some_and(|value| value == "not-run");
+                if is_declined {
+                    Verdict::Declined
+                } else {
+                    Verdict::Answer
+                }
+            }),
         }
-        Ok(())
     }
 }
 
-impl hyper::rt::Read for Gate {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: hyper::rt::ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
+/// How jobs get to engines.
+pub struct Carriage {
+    pub speech: Speech,
+    /// How long an idle connection is kept where the engine says nothing of it, in
+    /// milliseconds; 0 keeps none. Only repeatable jobs ride one that was used.
+    pub kept_ms: u64,
+    pub connect: Duration,
+    /// How long a job may wait for any engine to be in sight.
+    pub sight_wait: u64,
+    /// A repeatable job leaves an engine that has not begun to answer when this
+    /// share of its aim has passed; 0 stands for never.
+    pub patience: f64,
 }
 
-impl hyper::rt::Write for Gate {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        self.pass()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        self.pass()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+impl Default for Carriage {
+    fn default() -> Carriage {
+        Carriage {
+            speech: Speech::default(),
+            kept_ms: 0,
+            connect: link::PATIENCE,
+            sight_wait: SIGHT_WAIT_MS,
+            patience: 0.0,
+        }
     }
 }
 
+/// Leave to dispatch, asked for in the last moment before the first byte.
+pub type Leave = Arc<dyn Fn(&Mapping) -> Result<(), Refusal> + Send + Sync>;
+
 pub struct Dispatcher {
     pub source: SocketAddr,
     /// How long a job may wait for room at an engine, at the most.
@@ -282,6 +256,8 @@
     pub counters: Arc<Counters>,
     pub budget: Budget,
     pub leave: Leave,
+    pub carriage: Carriage,
+    pub lanes: Arc<Lanes>,
 }
 
 const HOP: [&str; 9] = [
@@ -338,12 +314,15 @@
         prefix: u64,
     ) -> Result<Answer, Refusal> {
         let asked = now();
+        let mapping = Arc::new(mapping.clone());
+        let mut avoid: Vec<String> = Vec::new();
+        let mut is_paid = false;
         loop {
             if carried.is_spent {
                 return Err(self.give_up(job, "its body is spent"));
             }
             let mut has_budget = || {
-                let has_budget = (self.budget)();
+                let has_budget = std::mem::take(&mut is_paid) || (self.budget)(&mapping.service);
                 self.counters.one(if has_budget { "retries" } else { "retries-refused" });
                 if has_budget {
                     log::info!(job = parts.id.as_str(); "a further round");
@@ -353,27 +332,36 @@
             if !job.may_go_on(&mut has_budget) {
                 return Err(self.give_up(job, "no further round is allowed"));
             }
-            let seat = match self.seat(mapping, prefix, asked, parts.deadline).await {
+            let wanted = Wanted { prompt: &parts.prompt, prefix, avoid: &avoid };
+            let mut seat = match self.seat(&mapping, &wanted, asked, parts.deadline).await {
                 Ok(seat) => seat,
                 Err(refusal) if job.outcome() == Outcome::NotRun => return Err(refusal),
                 Err(refusal) => return Err(Refusal { outcome: Outcome::Unknown, ..refusal }),
             };
             step(job, Event::EngineElected);
-            let stream = match link::connect(self.source, seat.address).await {
-                Ok(stream) => stream,
-                Err(error) => {
-                    log::info!(job = parts.id.as_str(), engine = seat.name.as_str();
-                        "engine can't be reached: {error}");
-                    self.counters.one("connect-failed");
-                    seat.suspect();
-                    step(job, Event::ConnectFailed);
-                    continue;
-                }
+            let kept = match job.is_repeatable() {
+                true => self.lanes.take(&seat.name),
+                false => None,
             };
-            let look = || LastLook {
+            let stream = match &kept {
+                Some(_) => None,
+                None => match self.connect(seat.address).await {
+                    Ok(stream) => Some(stream),
+                    Err(error) => {
+                        log::info!(job = parts.id.as_str(), engine = seat.name.as_str();
+                            "engine can't be reached: {error}");
+                        self.counters.one("connect-failed");
+                        seat.suspect();
+                        avoid.push(seat.name.clone());
+                        step(job, Event::ConnectFailed);
+                        continue;
+                    }
+                },
+            };
+            let look = LastLook {
                 view: self.view.clone(),
                 leave: Arc::clone(&self.leave),
-                mapping: mapping.clone(),
+                mapping: Arc::clone(&mapping),
                 key: parts.key.clone(),
                 deadline: parts.deadline,
                 engine: seat.name.clone(),
@@ -382,7 +370,7 @@
             };
             // What is sure to stand against it is found before the job's body
             // is given away.
-            let against = look().look();
+            let against = look.look();
             if against.is_err() {
                 step(job, Event::ConnectFailed);
             }
@@ -400,55 +388,103 @@
                 Err(Against::Engine) => continue,
             }
             let has_left = Arc::new(AtomicBool::new(false));
-            let gate = Gate {
-                stream: TokioIo::new(stream),
-                look: Some(look()),
+            let armed = Armed {
+                look,
                 has_left: Arc::clone(&has_left),
-                note: self.note(job, parts, &seat, mapping),
+                note: self.note(job, parts, &seat, &mapping),
             };
-            let handshake = hyper::client::conn::http1::handshake(gate).await;
-            let Ok((mut sender, connection)) = handshake else {
-                step(job, Event::ConnectFailed);
-                continue;
+            let lane = match (kept, stream) {
+                (Some(lane), _) => lane,
+                (None, Some(stream)) => {
+                    self.counters.one("connections");
+                    let slot = Arc::new(Slot::default());
+                    let gate = Gate { stream: TokioIo::new(stream), slot: Arc::clone(&slot) };
+                    match hyper::client::conn::http1::handshake(gate).await {
+                        Ok((sender, connection)) => {
+                            let driver = Aborting(tokio::spawn(connection).abort_handle());
+                            Lane { sender, slot, driver }
+                        }
+                        Err(_) => {
+                            step(job, Event::ConnectFailed);
+                            continue;
+                        }
+                    }
+                }
+                (None, None) => unreachable!("a connection was kept or made"),
             };
-            let driver = Aborting(tokio::spawn(connection).abort_handle());
-            let request = request(parts, seat.address, carried);
+            let Lane { mut sender, slot, driver } = lane;
+            slot.arm(armed);
+            let request = self.request(parts, &seat, &mapping, carried);
             step(job, Event::BytesLeave);
+            seat.sent(&parts.prompt);
             let left = Duration::from_millis(parts.deadline.saturating_sub(now()));
-            let answer = tokio::select! {
-                answer = tokio::time::timeout(left, sender.send_request(request)) => {
-                    answer.map(|answer| answer.map_err(anyhow::Error::from))
+            let mut sending = std::pin::pin!(sender.send_request(request));
+            let patience = self.patience(job, parts, &seat, carried);
+            let answer = 'answer: {
+                if let Some(patience) = patience {
+                    let early = tokio::time::timeout(patience.min(left), sending.as_mut());
+                    match early.await {
+                        Ok(answer) => break 'answer Ok(answer.map_err(anyhow::Error::from)),
+                        Err(_) if (self.budget)(&mapping.service) => {
+                            is_paid = true;
+                            self.counters.one("left-late");
+                            break 'answer Ok(Err(anyhow::anyhow!("it takes too long")));
+                        }
+                        Err(_) => {}
+                    }
+                }
+                let left = Duration::from_millis(parts.deadline.saturating_sub(now()));
+                tokio::select! {
+                    answer = tokio::time::timeout(left, sending.as_mut()) => {
+                        answer.map(|answer| answer.map_err(anyhow::Error::from))
+                    }
+                    () = seat.gone() => Ok(Err(anyhow::anyhow!("it fell silent"))),
+                }
+            };
+            let verdict = match &answer {
+                Ok(Ok(answer)) => {
+                    (self.carriage.speech.judge)(parts, answer.status(), answer.headers())
                 }
-                () = seat.gone() => Ok(Err(anyhow::anyhow!("it fell silent"))),
+                _ => Verdict::Answer,
             };
-            match answer {
-                Ok(Ok(answer)) if is_declined(&answer) => {
+            match (answer, verdict) {
+                (Ok(Ok(answer)), Verdict::Declined | Verdict::Misplaced) => {
+                    drop(answer);
                     self.counters.one("declined");
+                    seat.declined();
+                    avoid.push(seat.name.clone());
                     step(job, Event::Declined);
                 }
-                Ok(Ok(answer)) if has_end(&answer, &parts.method) => {
+                (Ok(Ok(answer)), Verdict::Answer) if has_end(&answer, &parts.method) => {
+                    seat.began();
                     step(job, Event::AnswerBegan);
-                    return Ok(self.relay(*job, parts, answer, seat, driver));
+                    let lane = Lane { sender, slot, driver };
+                    return Ok(self.relay(*job, parts, answer, seat, lane));
                 }
-                Ok(Ok(_)) => {
+                (Ok(Ok(_)), verdict) => {
+                    let why = match verdict {
+                        Verdict::Foreign(why) => why,
+                        _ => "it has no end mark",
+                    };
                     log::warn!(job = parts.id.as_str(), engine = seat.name.as_str();
-                        "its answer has no way to tell its end");
+                        "not an answer to this job: {why}");
+                    self.counters.one("answers-foreign");
+                    avoid.push(seat.name.clone());
                     step(job, Event::AnswerLost);
-                    return Err(unknown(
-                        502,
-                        "engine-answer",
-                        "the engine's answer has no end mark",
-                    ));
+                    if job.state() == State::Broken {
+                        return Err(unknown(502, "engine-answer", "the engine's answer is none"));
+                    }
                 }
-                Ok(Err(_)) if !has_left.load(Ordering::SeqCst) => {
+                (Ok(Err(_)), _) if !has_left.load(Ordering::SeqCst) => {
                     self.counters.one("held-at-the-gate");
                     step(job, Event::NothingLeft);
                 }
-                Ok(Err(error)) => {
+                (Ok(Err(error)), _) => {
                     log::info!(job = parts.id.as_str(), engine = seat.name.as_str();
                         "the answer was lost: {error}");
                     self.counters.one("answers-lost");
                     seat.suspect();
+                    avoid.push(seat.name.clone());
                     step(job, Event::AnswerLost);
                     if job.state() == State::Broken {
                         return Err(unknown(
@@ -458,11 +494,62 @@
                         ));
                     }
                 }
-                Err(_) => return Err(self.late(job)),
+                (Err(_), _) => return Err(self.late(job)),
             }
         }
     }
 
+    async fn connect(&self, to: SocketAddr) -> std::io::Result<TcpStream> {
+        let connecting = link::connect(self.source, to);
+        match tokio::time::timeout(self.carriage.connect, connecting).await {
+            Ok(done) => done,
+            Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// How long a job waits for the head of an answer before it goes to another
+    /// engine; `None` where it may not, or its whole time.
+    fn patience(
+        &self,
+        job: &Job,
+        parts: &Parts,
+        seat: &Seat,
+        carried: &Carried,
+    ) -> Option<Duration> {
+        let may_leave = job.is_repeatable()
+            && job.may_have_another_round()
+            && !carried.is_spent
+            && self.carriage.patience > 0.0
+            && parts.aim_ms > 0;
+        let wait = seat.expected_ms() + self.carriage.patience * parts.aim_ms as f64;
+        may_leave.then(|| Duration::from_millis(wait as u64))
+    }
+
+    fn request(
+        &self,
+        parts: &Parts,
+        seat: &Seat,
+        mapping: &Mapping,
+        carried: &mut Carried,
+    ) -> hyper::Request<Flow> {
+        let mut headers = parts.headers.clone();
+        clean(&mut headers);
+        let dress = Dress {
+            id: &parts.id,
+            engine: &seat.name,
+            address: seat.address,
+            tenant: &mapping.tenant,
+            left_ms: parts.deadline.saturating_sub(now()).max(1),
+            urgency: parts.urgency,
+        };
+        (self.carriage.speech.dress)(&mut headers, &dress);
+        let mut request = hyper::Request::new(carried.take());
+        *request.method_mut() = parts.method.clone();
+        *request.uri_mut() = parts.target.parse().expect("the target was a uri when it came in");
+        *request.headers_mut() = headers;
+        request
+    }
+
     fn note(
         &self,
         job: &Job,
@@ -501,7 +588,7 @@
     async fn seat(
         &self,
         mapping: &Mapping,
-        prefix: u64,
+        wanted: &Wanted<'_>,
         asked: u64,
         deadline: u64,
     ) -> Result<Seat, Refusal> {
@@ -510,14 +597,14 @@
             tokio::pin!(room);
             room.as_mut().enable();
             let view = self.view.borrow().clone();
-            let (until, refusal) = match self.roster.elect(&view, mapping, prefix) {
+            let (until, refusal) = match self.roster.elect(&view, mapping, wanted) {
                 Elected::Engine(seat) => return Ok(seat),
                 Elected::Full => (
                     (asked + self.room_wait).min(deadline),
                     Refusal::not_run(503, "engines-full", "every engine allowed is at its limit"),
                 ),
                 Elected::Nobody => (
-                    (asked + SIGHT_WAIT_MS).min(deadline),
+                    (asked + self.carriage.sight_wait).min(deadline),
                     Refusal::not_run(503, "no-engine", "no engine allowed is in sight"),
                 ),
             };
@@ -537,10 +624,14 @@
         parts: &Parts,
         answer: hyper::Response<Incoming>,
         seat: Seat,
-        driver: Aborting,
+        lane: Lane,
     ) -> Answer {
         let (head, body) = answer.into_parts();
         let mut headers = head.headers;
+        let kept_ms = match self.carriage.kept_ms {
+            0 => 0,
+            most => kept_ms(&headers).unwrap_or(most),
+        };
         clean(&mut headers);
         let relay = Relay {
             body,
@@ -549,30 +640,14 @@
             seat,
             counters: Arc::clone(&self.counters),
             idle: Box::pin(tokio::time::sleep(IDLE)),
-            _driver: driver,
+            lane: Some(lane),
+            lanes: Arc::clone(&self.lanes),
+            kept_ms,
         };
         Answer { status: head.status, headers, body: relay }
     }
 }
 
-fn request(parts: &Parts, to: SocketAddr, carried: &mut Carried) -> hyper::Request<Flow> {
-    let mut headers = parts.headers.clone();
-    clean(&mut headers);
-    let value = |text: &str| text.parse().expect("an address or an id is a header's value");
-    headers.insert("host", value(&to.to_string()));
-    headers.insert(JOB, value(&parts.id));
-    let mut request = hyper::Request::new(carried.take());
-    *request.method_mut() = parts.method.clone();
-    *request.uri_mut() = parts.target.parse().expect("the target was a uri when it came in");
-    *request.headers_mut() = headers;
-    request
-}
-
-fn is_declined(answer: &hyper::Response<Incoming>) -> bool {
-    answer.status() == 503
-        && answer.headers().get(ENGINE_OUTCOME).is_some_and(|value| value == "not-run")
-}
-
 /// Whether the end of an answer can be told from a break: it has a length, or
 /// comes in chunks with a last one.
 fn has_end(answer: &hyper::Response<Incoming>, method: &http::Method) -> bool {
@@ -589,7 +664,17 @@
     seat: Seat,
     counters: Arc<Counters>,
     idle: Pin<Box<tokio::time::Sleep>>,
-    _driver: Aborting,
+    lane: Option<Lane>,
+    lanes: Arc<Lanes>,
+    kept_ms: u64,
+}
+
+/// How long an engine keeps an idle connection by its own word, less a margin.
+fn kept_ms(headers: &HeaderMap) -> Option<u64> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u64 = seconds.trim().parse().ok()?;
+    Some((seconds * 1_000).saturating_sub(300))
 }
 
 impl Relay {
@@ -603,6 +688,9 @@
             match event {
                 Event::AnswerEnded => {
                     self.counters.one("answers-whole");
+                    if let Some(lane) = self.lane.take() {
+                        self.lanes.give(&self.seat.name, self.kept_ms, lane);
+                    }
                 }
                 Event::StreamBroke => self.counters.one("answers-broken"),
                 _ => self.counters.one("callers-left"),
--- a/yard/src/lib.rs
+++ b/yard/src/lib.rs
@@ -4,6 +4,9 @@
 pub mod boot;
 pub mod counters;
 pub mod dispatch;
+pub mod doors;
+pub mod gate;
+pub mod lanes;
 pub mod link;
 pub mod logs;
 pub mod quota;
--- a/yard/src/roster.rs
+++ b/yard/src/roster.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::TokioIo;
+use language::Prompt;
 use parking_lot::Mutex;
-use placement::{Chosen, Engines, Vitals, SILENCE_MS};
+use placement::{Chosen, Engines, Estimates, Vitals, Wanted, SILENCE_MS};
 use residency::{Mapping, View};
 use simd_json::prelude::*;
 use std::collections::BTreeMap;
@@ -30,9 +31,15 @@
     Nobody,
 }
 
+/// How engines are known: by their own vitals, or by their answers alone.
+enum Sight {
+    Vitals(Mutex<Engines>),
+    Answers(Mutex<Estimates>),
+}
+
 pub struct Roster {
     source: SocketAddr,
-    engines: Mutex<Engines>,
+    sight: Sight,
     readers: Mutex<BTreeMap<String, Aborting>>,
     peers: Peers,
     /// Told when room may have come up.
@@ -48,11 +55,23 @@
     /// Until when the job's first byte may go to an engine that is cold.
     until: Option<u64>,
     losses: u64,
+    /// When the job was sent, how long its first event is expected to take, and
+    /// the tokens that count as being read there, until it begins.
+    reading: Option<(u64, f64, f64)>,
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.roster.engines.lock().release(&self.name);
+        match &self.roster.sight {
+            Sight::Vitals(engines) => engines.lock().release(&self.name),
+            Sight::Answers(estimates) => {
+                let mut estimates = estimates.lock();
+                estimates.release(&self.name);
+                if let Some((_, _, tokens)) = self.reading {
+                    estimates.read(&self.name, tokens);
+                }
+            }
+        }
         self.roster.room.notify_waiters();
     }
 }
@@ -65,21 +84,61 @@
         let (until, losses) = (self.until, self.losses);
         move || {
             until.is_none_or(|until| now() < until)
-                && roster.engines.lock().is_unbroken(&name, losses)
+                && match &roster.sight {
+                    Sight::Vitals(engines) => engines.lock().is_unbroken(&name, losses),
+                    Sight::Answers(estimates) => estimates.lock().is_known(&name),
+                }
         }
     }
 
     /// Ends when the engine has been silent for so long that no answer is to be
-    /// expected.
+    /// expected. One that says nothing of itself is never silent by that.
     pub async fn gone(&self) {
-        while !self.roster.engines.lock().is_gone(now(), &self.name) {
+        let Sight::Vitals(engines) = &self.roster.sight else {
+            return std::future::pending().await;
+        };
+        while !engines.lock().is_gone(now(), &self.name) {
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
     }
 
-    /// The engine could not be reached: suspect until it is heard again.
+    /// The engine could not be reached, or broke off.
     pub fn suspect(&self) {
-        self.roster.engines.lock().suspect(&self.name);
+        match &self.roster.sight {
+            Sight::Vitals(engines) => engines.lock().suspect(&self.name),
+            Sight::Answers(estimates) => estimates.lock().failed(now(), &self.name),
+        }
+    }
+
+    /// It turned the job away.
+    pub fn declined(&self) {
+        if let Sight::Answers(estimates) = &self.roster.sight {
+            estimates.lock().declined(now(), &self.name);
+        }
+    }
+
+    /// The job's bytes leave.
+    pub fn sent(&mut self, prompt: &Prompt) {
+        if let Sight::Answers(estimates) = &self.roster.sight {
+            let (expected, tokens) = estimates.lock().sent(now(), &self.name, prompt);
+            self.reading = Some((now(), expected, tokens));
+        }
+    }
+
+    /// How long its first event is expected to take.
+    pub fn expected_ms(&self) -> f64 {
+        self.reading.map_or(0.0, |(_, expected, _)| expected)
+    }
+
+    /// The answer begins.
+    pub fn began(&mut self) {
+        if let (Sight::Answers(estimates), Some((at, expected, tokens))) =
+            (&self.roster.sight, self.reading.take())
+        {
+            let mut estimates = estimates.lock();
+            estimates.read(&self.name, tokens);
+            estimates.began(now(), &self.name, expected, now() - at);
+        }
     }
 }
 
@@ -87,7 +146,18 @@
     pub fn new(source: SocketAddr, peers: Peers) -> Arc<Roster> {
         Arc::new(Roster {
             source,
-            engines: Mutex::default(),
+            sight: Sight::Vitals(Mutex::default()),
+            readers: Mutex::default(),
+            peers,
+            room: Notify::new(),
+        })
+    }
+
+    /// One of engines that say nothing of themselves.
+    pub fn by_answers(source: SocketAddr, peers: Peers) -> Arc<Roster> {
+        Arc::new(Roster {
+            source,
+            sight: Sight::Answers(Mutex::default()),
             readers: Mutex::default(),
             peers,
             room: Notify::new(),
@@ -106,7 +176,10 @@
     }
 
     fn reconcile(self: &Arc<Roster>, view: &View) {
-        let (new, gone) = self.engines.lock().follow(now(), view);
+        let (new, gone) = match &self.sight {
+            Sight::Vitals(engines) => engines.lock().follow(now(), view),
+            Sight::Answers(estimates) => (Vec::new(), estimates.lock().follow(now(), view)),
+        };
         let mut readers = self.readers.lock();
         gone.iter().for_each(|name| drop(readers.remove(name)));
         for engine in new {
@@ -126,7 +199,9 @@
                 log::debug!(engine = name.as_str(); "vitals: {error:#}");
             }
             // Whatever comes next may be another start of it.
-            self.engines.lock().suspect(&name);
+            if let Sight::Vitals(engines) = &self.sight {
+                engines.lock().suspect(&name);
+            }
             tokio::time::sleep(jitter(250)).await;
         }
     }
@@ -179,16 +254,26 @@
             uptime_ms: given("uptime_ms").unwrap_or(now()),
             heard: now(),
         };
-        self.engines.lock().heard(now(), name, vitals);
+        if let Sight::Vitals(engines) = &self.sight {
+            engines.lock().heard(now(), name, vitals);
+        }
         self.room.notify_waiters();
         Ok(())
     }
 
     /// Elects an engine for a job among those that view and mapping allow.
-    pub fn elect(self: &Arc<Roster>, view: &View, mapping: &Mapping, prefix: u64) -> Elected {
+    pub fn elect(self: &Arc<Roster>, view: &View, mapping: &Mapping, wanted: &Wanted) -> Elected {
         let peers = (self.peers)();
         let me = peers.first().copied().unwrap_or(0);
-        match self.engines.lock().elect(now(), view, mapping, prefix, me, &peers) {
+        let chosen = match &self.sight {
+            Sight::Vitals(engines) => {
+                engines.lock().elect(now(), view, mapping, wanted.prefix, me, &peers)
+            }
+            Sight::Answers(estimates) => {
+                estimates.lock().elect(now(), view, mapping, wanted, me, &peers)
+            }
+        };
+        match chosen {
             Chosen::Engine { name, address, zone, until, losses } => Elected::Engine(Seat {
                 roster: Arc::clone(self),
                 address: address.parse().expect("checked when it was followed"),
@@ -196,27 +281,53 @@
                 zone,
                 until,
                 losses,
+                reading: None,
             }),
             Chosen::Full => Elected::Full,
             Chosen::Nobody => Elected::Nobody,
         }
     }
 
+    /// Whether an engine is listed.
+    pub fn is_listed(&self, name: &str) -> bool {
+        match &self.sight {
+            Sight::Vitals(engines) => engines.lock().is_known(name),
+            Sight::Answers(estimates) => estimates.lock().is_known(name),
+        }
+    }
+
     /// For operators: name, running here, limit as of now, heard how long ago.
     pub fn value(&self, fill: f64) -> simd_json::OwnedValue {
-        let engines = self.engines.lock();
-        let line = |(name, own, vitals, limit): (&str, u32, Option<Vitals>, u32)| {
-            simd_json::json!({
-                "name": name,
-                "own": own,
-                "running": vitals.map(|v| v.running),
-                "slots": vitals.map(|v| v.slots),
-                "limit": limit,
-                "cold": vitals.map(|v| v.is_cold()),
-                "silent_ms": vitals.map(|v| now() - v.heard),
-            })
+        let list: Vec<simd_json::OwnedValue> = match &self.sight {
+            Sight::Vitals(engines) => {
+                let engines = engines.lock();
+                let line = |(name, own, vitals, limit): (&str, u32, Option<Vitals>, u32)| {
+                    simd_json::json!({
+                        "name": name,
+                        "own": own,
+                        "running": vitals.map(|v| v.running),
+                        "slots": vitals.map(|v| v.slots),
+                        "limit": limit,
+                        "cold": vitals.map(|v| v.is_cold()),
+                        "silent_ms": vitals.map(|v| now() - v.heard),
+                    })
+                };
+                engines.list(fill).map(line).collect()
+            }
+            Sight::Answers(estimates) => {
+                let estimates = estimates.lock();
+                let line = |(name, own, is_suspect, is_cold, excess)| {
+                    simd_json::json!({
+                        "name": name,
+                        "own": own,
+                        "suspect": is_suspect,
+                        "cold": is_cold,
+                        "waits_ms": excess,
+                    })
+                };
+                estimates.list(now()).map(line).collect()
+            }
         };
-        let list: Vec<simd_json::OwnedValue> = engines.list(fill).map(line).collect();
         simd_json::OwnedValue::from(list)
     }
 }
