--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -14,7 +14,12 @@
     setting("data", "FOLDER", "its data folder, its own alone", None),
     setting("seeds", "IP:PORT,...", "addresses of other directory nodes", None),
     setting("voters", "COUNT", "how many voters a leader strives for", Some("5")),
-    setting("jobs", "COUNT", "forwarded jobs at a time, at the most; 0: mappings alone", Some("64")),
+    setting(
+        "jobs",
+        "COUNT",
+        "forwarded jobs at a time, at the most; 0: mappings alone",
+        Some("64"),
+    ),
     setting("bytes", "COUNT", "bytes of forwarded bodies held at a time", Some("16777216")),
     setting("picture-every", "COUNT", "entries between two pictures", Some("1024")),
     setting("level", "LEVEL", "log level: error, warn, info, debug", Some("info")),
--- a/yard/src/web.rs
+++ b/yard/src/web.rs
@@ -2,9 +2,10 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+pub use dropshot::Body;
 use dropshot::{
-    ApiDescription, ApiEndpoint, ApiEndpointVersions, Body, ConfigDropshot, HandlerTaskMode,
-    HttpError, HttpServer, Path, RawRequest, RequestContext, ServerBuilder,
+    ApiDescription, ApiEndpoint, ApiEndpointVersions, ConfigDropshot, HandlerTaskMode, HttpError,
+    HttpServer, Path, RawRequest, RequestContext, ServerBuilder,
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::rt::TokioIo;
