--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod following;
 mod job;
 mod paces;
+mod pools;
 
 pub use cache::{Cache, Hit};
 pub use control::{Retries, Warmth, RETRY_LIFE_MS};
@@ -18,6 +19,7 @@
 pub use following::{Following, Taken};
 pub use job::{Event, Job, Misstep, Outcome, State};
 pub use paces::{Meters, Paces, Place};
+pub use pools::{Margin, Pools, Taps, HOLD_MS};
 
 /// What an engine said of itself last, and when it was heard.
 #[derive(Clone, Copy, Debug, PartialEq)]
