--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -12,6 +12,7 @@
 mod following;
 mod job;
 mod paces;
+mod pools;
 
 pub use allowance::{Allowance, Bound};
 pub use cache::{Cache, Hit};
@@ -22,6 +23,7 @@
 pub use following::{Following, Taken};
 pub use job::{Event, Job, Misstep, Outcome, State};
 pub use paces::{Meters, Paces, Place};
+pub use pools::{Margin, Pools, Taps, HOLD_MS};
 
 /// What an engine said of itself last, and when it was heard.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- /dev/null
+++ b/placement/src/pools.rs
@@ -0,0 +1,522 @@
+//! Tenants' quotas over all routers, without a job that ever waits: what a
+//! router may admit lies there before the job comes.
+//!
+//! Two things bind a router. Its part of the margin: what it admits in any window
+//! never passes that part, and the parts of all never pass the whole, whoever
+//! hears of whom. And its part of the rate: what the leader lent it, or what a
+//! bucket of its own brings in meanwhile. A part is moved from one router to
+//! another only as far as it is known not to be used in the window.
+//!
+//! Both sides speak of counts since the admitting process began, never of
+//! differences, so that a beat or an answer that is lost, late or said twice
+//! changes nothing.
+
+use std::collections::{BTreeMap, VecDeque};
+use wire::{Demand, FrontDemand, FrontShares, Share, LATELY_MS, LICENCE_MS};
+
+/// How long a router keeps its part without a word, counted from when it asked
+/// last. The leader keeps it for that router for as long, and a window.
+pub const HOLD_MS: u64 = 60_000;
+/// A tenant that nobody asked for during this time gives back what it was lent.
+/// Invariant: longer than `LATELY_MS`, so that a tenant that a router does not
+/// speak of has admitted nothing there lately.
+const RECENT_MS: u64 = 60_000;
+/// Over how long a tenant's demand is smoothed.
+const SMOOTH_MS: f64 = 10_000.0;
+/// Asked for by each that asks at all, besides what it does: jobs a smoothing.
+const EVEN: f64 = 4.0;
+/// Lives of a router that the leader knows to be over.
+const FORMER: usize = 4;
+
+/// How far past its quota a tenant may get: in any window of `window_ms`, what
+/// rate and burst allow times `overrun`, and `extra` jobs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Margin {
+    pub overrun: f64,
+    pub extra: f64,
+    pub window_ms: u64,
+}
+
+/// How what the margin allows in a window is divided. Invariant: all floors and
+/// the pool together are no more than that.
+#[derive(Clone, Copy, PartialEq)]
+struct Depth {
+    /// Each router's own part, in whole jobs.
+    floor: u64,
+    /// What the leader lends.
+    pool: u64,
+}
+
+impl Margin {
+    /// Half of it lies at the routers, as far as that is a whole job for each.
+    fn depth(&self, rate: u64, burst: u64, routers: usize) -> Depth {
+        let refill = (rate * self.window_ms) as f64 / 1_000.0;
+        let all = ((refill + burst as f64) * self.overrun + self.extra).max(0.0) as u64;
+        let floor = all / 2 / routers.max(1) as u64;
+        Depth { floor, pool: all - floor * routers.max(1) as u64 }
+    }
+}
+
+/// Jobs by when they were admitted, or heard of, as far back as asked for.
+#[derive(Default)]
+struct Counts(VecDeque<(u64, u64)>);
+
+impl Counts {
+    fn add(&mut self, now: u64, jobs: u64) {
+        match self.0.back_mut() {
+            _ if jobs == 0 => {}
+            Some((at, count)) if now <= *at => *count += jobs,
+            _ => self.0.push_back((now, jobs)),
+        }
+    }
+
+    /// By what was said of the spans before now: each taken to its end.
+    fn told(now: u64, lately: &[u64; 4]) -> Counts {
+        let mut counts = Counts::default();
+        for at in (0..lately.len()).rev() {
+            let (inner, ago) = if at > 0 { (lately[at - 1], LATELY_MS[at - 1]) } else { (0, 0) };
+            counts.add(now.saturating_sub(ago), lately[at].saturating_sub(inner));
+        }
+        counts
+    }
+
+    fn forget(&mut self, until: u64) {
+        while self.0.front().is_some_and(|(at, _)| *at < until) {
+            self.0.pop_front();
+        }
+    }
+
+    fn since(&self, from: u64) -> u64 {
+        self.0.iter().rev().take_while(|(at, _)| *at >= from).map(|(_, count)| count).sum()
+    }
+}
+
+fn tokens(elapsed: u64, rate: u64) -> f64 {
+    (elapsed * rate) as f64 / 1_000.0
+}
+
+/// One tenant at one router. Invariants: `used` is only counted up; what was
+/// admitted in any window is no more than the floor and `part`; `limit` and `part`
+/// come from the answer to the beat `taken`, and no answer to an earlier one is
+/// taken any more.
+struct Tap {
+    used: u64,
+    limit: u64,
+    part: u64,
+    until: u64,
+    taken: u64,
+    /// What its own part of the rate brought in.
+    bucket: f64,
+    filled: u64,
+    depth: Depth,
+    rate: u64,
+    seen: u64,
+    /// Jobs asked for, smoothed; when it was worked out last.
+    asked: f64,
+    faded: u64,
+    /// The beat that told the leader that nothing is kept here, and whether an
+    /// answer to it has come.
+    idle: Option<u64>,
+    is_told: bool,
+    counts: Counts,
+}
+
+impl Tap {
+    fn refill(&mut self, now: u64, routers: usize) {
+        if now >= self.until {
+            (self.part, self.limit) = (0, self.limit.min(self.used));
+        }
+        let gained = tokens(now.saturating_sub(self.filled), self.rate) / routers as f64;
+        self.bucket = (self.bucket + gained).min((self.depth.floor + self.part) as f64);
+        self.filled = self.filled.max(now);
+    }
+
+    /// Keeps a smaller pool to the same part of it.
+    fn shrink(&mut self, depth: Depth, number: u64) {
+        if depth.pool < self.depth.pool {
+            let lent = self.limit.saturating_sub(self.used);
+            self.part = self.part * depth.pool / self.depth.pool;
+            self.limit = self.used + lent * depth.pool / self.depth.pool;
+            self.taken = self.taken.max(number);
+        }
+        self.depth = depth;
+    }
+
+    fn fade(&mut self, now: u64) {
+        let elapsed = now.saturating_sub(self.faded) as f64;
+        self.asked *= (-elapsed / SMOOTH_MS).exp();
+        self.faded = self.faded.max(now);
+    }
+}
+
+/// The tenants' taps at one router. Invariants: `life` is another one for each
+/// start of a process; no tap is ever dropped, since its counts go on; floors
+/// are shut for a window after a start, since a former life may have used them.
+pub struct Taps {
+    life: u64,
+    began: u64,
+    margin: Margin,
+    taps: BTreeMap<String, Tap>,
+    /// The last beat's number.
+    number: u64,
+    /// The most routers known in this span of `HOLD_MS`, and in the one before:
+    /// who is cut off hears of fewer, and must not take their parts.
+    routers: [(u64, usize); 2],
+}
+
+impl Taps {
+    pub fn new(now: u64, life: u64, margin: Margin) -> Taps {
+        let routers = [(now / HOLD_MS, 1), (0, 1)];
+        Taps { life, began: now, margin, taps: BTreeMap::new(), number: 0, routers }
+    }
+
+    fn routers(&mut self, now: u64, routers: usize) -> usize {
+        let span = now / HOLD_MS;
+        if span > self.routers[0].0 {
+            let last = if span == self.routers[0].0 + 1 { self.routers[0].1 } else { 1 };
+            self.routers = [(span, routers), (span - 1, last)];
+        }
+        self.routers[0].1 = self.routers[0].1.max(routers);
+        self.routers[0].1.max(self.routers[1].1).max(1)
+    }
+
+    /// Whether a job may go, at once. `routers` is how many are known, this one
+    /// too.
+    pub fn admit(&mut self, now: u64, tenant: &str, rate: u64, burst: u64, routers: usize) -> bool {
+        let routers = self.routers(now, routers);
+        let depth = self.margin.depth(rate, burst, routers);
+        let (began, window) = (self.began, self.margin.window_ms);
+        let tap = self.taps.entry(tenant.to_string()).or_insert_with(|| Tap {
+            used: 0,
+            limit: 0,
+            part: 0,
+            until: 0,
+            taken: 0,
+            bucket: 0.0,
+            filled: began,
+            depth,
+            rate,
+            seen: now,
+            asked: 0.0,
+            faded: now,
+            idle: None,
+            is_told: true,
+            counts: Counts::default(),
+        });
+        tap.refill(now, routers);
+        if tap.rate != rate || tap.depth != depth {
+            tap.shrink(depth, self.number);
+            tap.rate = rate;
+        }
+        tap.fade(now);
+        tap.asked += 1.0;
+        tap.seen = now;
+        (tap.idle, tap.is_told) = (None, false);
+        let floor = if now < began + window { 0 } else { depth.floor };
+        let is_full = tap.counts.since(now.saturating_sub(window)) >= floor + tap.part;
+        let is_lent = tap.used < tap.limit;
+        if rate == 0 || is_full || !is_lent && tap.bucket < 1.0 {
+            return false;
+        }
+        if !is_lent {
+            tap.bucket -= 1.0;
+        }
+        tap.used += 1;
+        tap.counts.forget(now.saturating_sub(LATELY_MS[3].max(window)));
+        tap.counts.add(now, 1);
+        true
+    }
+
+    /// What to say with the beat of this number: of the tenants that were asked
+    /// for of late, and of those of which the leader may not know that they
+    /// weren't.
+    pub fn demands(&mut self, now: u64, front: &str, number: u64) -> FrontDemand {
+        self.number = self.number.max(number);
+        let taps = self.taps.iter_mut().filter(|(_, tap)| !tap.is_told);
+        let demands = taps.map(|(tenant, tap)| {
+            tap.fade(now);
+            let is_idle = now >= tap.seen + RECENT_MS;
+            if is_idle || now >= tap.until {
+                (tap.part, tap.limit) = (0, tap.limit.min(tap.used));
+            }
+            if is_idle {
+                tap.idle.get_or_insert(number);
+                tap.taken = tap.taken.max(number.saturating_sub(1));
+            }
+            Demand {
+                tenant: tenant.clone(),
+                used: tap.used,
+                limit: tap.limit,
+                floor: tap.taken,
+                waiting: tap.part,
+                ahead: if is_idle { 0 } else { tap.asked.ceil() as u64 },
+                lately: LATELY_MS.map(|span| tap.counts.since(now.saturating_sub(span))),
+            }
+        });
+        let demands = demands.collect();
+        let age_ms = now.saturating_sub(self.began);
+        FrontDemand { front: front.into(), life: self.life, number, age_ms, demands }
+    }
+
+    /// Takes the leader's answer to the beat of this number, which may be taken
+    /// until `until`, `LICENCE_MS` after the beat was sent. Invariant: it is an
+    /// answer to a beat of this life, which a connection that ends with the process
+    /// makes sure of.
+    pub fn take(&mut self, now: u64, number: u64, until: u64, shares: &[Share]) {
+        if now >= until {
+            return;
+        }
+        let window = self.margin.window_ms;
+        for share in shares {
+            let Some(tap) = self.taps.get_mut(&share.tenant) else { continue };
+            if number <= tap.taken {
+                continue;
+            }
+            let counted = tap.counts.since(now.saturating_sub(window));
+            let floor = if now < self.began + window { 0 } else { tap.depth.floor };
+            tap.taken = number;
+            tap.limit = share.limit;
+            tap.part = counted.saturating_sub(floor) + share.limit.saturating_sub(tap.used);
+            tap.until = until - LICENCE_MS.min(until) + HOLD_MS;
+            tap.is_told = tap.idle.is_some_and(|idle| idle <= number);
+        }
+    }
+}
+
+/// A router as the leader knows it. Invariant: `former` holds no `life` that may
+/// still go on.
+struct Router {
+    life: u64,
+    number: u64,
+    heard: u64,
+    former: VecDeque<u64>,
+}
+
+/// One tenant at one router, as the leader knows it. Invariant: its part there is
+/// no more than the highest of `part`, of what is in `given`, and of what it has
+/// used in the window.
+#[derive(Default)]
+struct Account {
+    life: u64,
+    used: u64,
+    part: u64,
+    limit: u64,
+    /// Answers not known to have been passed over: to which beat, the part and
+    /// the limit.
+    given: Vec<(u64, u64, u64)>,
+    asked: u64,
+    counts: Counts,
+    /// What a former life may have used, and until when that is in the window.
+    former: u64,
+    former_until: u64,
+}
+
+impl Account {
+    /// What it has used in the window beyond its floor, of which it has none while
+    /// it is young; all of it counts then.
+    fn beyond(&self, now: u64, window: u64, floor: u64) -> u64 {
+        self.counts.since(now.saturating_sub(window)).saturating_sub(floor)
+    }
+
+    fn held(&self, now: u64, window: u64, floor: u64) -> u64 {
+        let given = self.given.iter().map(|(_, part, _)| *part);
+        let part = given.fold(self.part, u64::max).max(self.beyond(now, window, floor));
+        part + self.former(now)
+    }
+
+    fn former(&self, now: u64) -> u64 {
+        if now < self.former_until {
+            self.former
+        } else {
+            0
+        }
+    }
+
+    fn open(&self) -> u64 {
+        let limit = self.given.iter().map(|(.., limit)| *limit).fold(self.limit, u64::max);
+        limit.saturating_sub(self.used)
+    }
+}
+
+/// One tenant's pool. Invariant: what all routers hold is never more than the
+/// pool's depth when a part is raised. `level` keeps the rate over a time longer
+/// than a window, and may go below zero.
+struct Pool {
+    level: f64,
+    filled: u64,
+    depth: Depth,
+    rate: u64,
+    accounts: BTreeMap<String, Account>,
+}
+
+/// The tenants' pools at the leader. A new one knows nobody, and raises no part
+/// until it has heard from all that may have one.
+pub struct Pools {
+    margin: Margin,
+    routers: BTreeMap<String, Router>,
+    pools: BTreeMap<String, Pool>,
+    since: u64,
+    /// Until when former lives that this leader has not known may be in a window.
+    ready: u64,
+    has_heard_all: bool,
+}
+
+impl Pools {
+    /// Of a leader that begins now.
+    pub fn new(now: u64, margin: Margin) -> Pools {
+        let (routers, pools) = (BTreeMap::new(), BTreeMap::new());
+        let ready = now + LICENCE_MS;
+        Pools { margin, routers, pools, since: now, ready, has_heard_all: false }
+    }
+
+    /// A router said that it admits nothing any more; what it has used stays in
+    /// the window.
+    pub fn leave(&mut self, now: u64, front: &str) {
+        let window = self.margin.window_ms;
+        if let Some(router) = self.routers.get_mut(front) {
+            router.heard = router.heard.min(now.saturating_sub(HOLD_MS));
+        }
+        for pool in self.pools.values_mut() {
+            if let Some(account) = pool.accounts.get_mut(front) {
+                (account.part, account.limit, account.asked) = (0, account.used, 0);
+                account.given.clear();
+                account.counts.forget(now.saturating_sub(window));
+            }
+        }
+    }
+
+    /// Answers the demands of one beat; `routers` is how many are known, and
+    /// `terms` gives a tenant's rate and burst.
+    pub fn answer(
+        &mut self,
+        now: u64,
+        from: &FrontDemand,
+        routers: usize,
+        terms: impl Fn(&str) -> Option<(u64, u64)>,
+    ) -> FrontShares {
+        let mut answer =
+            FrontShares { front: from.front.clone(), number: from.number, shares: Vec::new() };
+        let window = self.margin.window_ms;
+        self.routers.retain(|_, router| now < router.heard + HOLD_MS + window);
+        if !self.hear(now, from, routers) {
+            return answer;
+        }
+        let is_ready = now >= self.ready && self.has_heard_all;
+        let all = routers.max(1);
+        for demand in &from.demands {
+            let Some((rate, burst)) = terms(&demand.tenant).filter(|terms| terms.0 > 0) else {
+                continue;
+            };
+            let depth = self.margin.depth(rate, burst, all);
+            let pool = self.pools.entry(demand.tenant.clone()).or_insert_with(|| Pool {
+                level: depth.pool as f64,
+                filled: now,
+                depth,
+                rate,
+                accounts: BTreeMap::new(),
+            });
+            (pool.rate, pool.depth) = (rate, depth);
+            pool.accounts.retain(|name, _| self.routers.contains_key(name));
+            let limit = pool.answer(now, from, demand, window, is_ready);
+            // Without a word a router keeps the part that it has.
+            let share = limit.map(|limit| (demand.tenant.clone(), limit));
+            answer.shares.extend(share.map(|(tenant, limit)| Share { tenant, limit, queue_ms: 0 }));
+        }
+        answer
+    }
+
+    /// Whether the beat is news.
+    fn hear(&mut self, now: u64, from: &FrontDemand, routers: usize) -> bool {
+        let (life, number) = (from.life, from.number);
+        let is_new = !self.routers.contains_key(&from.front);
+        let router = self.routers.entry(from.front.clone()).or_insert(Router {
+            life,
+            number,
+            heard: now,
+            former: VecDeque::new(),
+        });
+        let is_late = match router.life == life {
+            true => !is_new && number <= router.number,
+            false => router.former.contains(&life),
+        };
+        if is_late {
+            return false;
+        }
+        if router.life != life {
+            router.former.push_back(router.life);
+            if router.former.len() > FORMER {
+                router.former.pop_front();
+            }
+        }
+        (router.life, router.number, router.heard) = (life, number, now);
+        if !self.has_heard_all {
+            if is_new {
+                let born = now.saturating_sub(from.age_ms);
+                self.ready = self.ready.max(born + self.margin.window_ms);
+            }
+            let is_long = now >= self.since + HOLD_MS + self.margin.window_ms;
+            self.has_heard_all = self.routers.len() >= routers || is_long;
+        }
+        true
+    }
+}
+
+impl Pool {
+    /// How far the router may count.
+    fn answer(
+        &mut self,
+        now: u64,
+        from: &FrontDemand,
+        demand: &Demand,
+        window: u64,
+        is_ready: bool,
+    ) -> Option<u64> {
+        let Depth { floor, pool } = self.depth;
+        let gained = tokens(now.saturating_sub(self.filled), self.rate);
+        self.level = (self.level + gained).min(pool as f64);
+        self.filled = self.filled.max(now);
+        let account = self.accounts.entry(from.front.clone()).or_default();
+        let charged = if account.life == from.life {
+            demand.used.saturating_sub(account.used)
+        } else {
+            if account.life != 0 {
+                account.former = account.held(now, window, floor);
+                account.former_until = now + window;
+            }
+            account.life = from.life;
+            account.counts = Counts::told(now, &demand.lately);
+            account.given.clear();
+            0
+        };
+        account.counts.forget(now.saturating_sub(window));
+        account.counts.add(now, charged);
+        account.used = demand.used;
+        (account.part, account.limit, account.asked) = (demand.waiting, demand.limit, demand.ahead);
+        account.given.retain(|(to, ..)| *to > demand.floor);
+        self.level -= charged as f64;
+        // A young router has no floor yet: all that it used is of its part.
+        let own = if from.age_ms < window { 0 } else { floor };
+        let beyond = account.beyond(now, window, own);
+        let own_former = account.former(now);
+        if !is_ready {
+            return None;
+        }
+        let weigh = |asked: u64| if asked > 0 { asked as f64 + EVEN } else { 0.0 };
+        let (mut used, mut held, mut open) = (beyond + own_former, beyond + own_former, 0);
+        let mut sum = weigh(demand.ahead);
+        for (_, account) in self.accounts.iter().filter(|(name, _)| **name != from.front) {
+            used += account.beyond(now, window, floor) + account.former(now);
+            held += account.held(now, window, floor);
+            open += account.open();
+            sum += weigh(account.asked);
+        }
+        let level = self.level.max(0.0);
+        let free = (pool.saturating_sub(used) as f64).min(level);
+        let due = (free * weigh(demand.ahead) / sum.max(1.0)).round() as u64;
+        let lent = due.min(pool.saturating_sub(held)).min((level as u64).saturating_sub(open));
+        let limit = demand.used + lent;
+        let account = self.accounts.get_mut(&from.front).expect("entered above");
+        account.given.push((from.number, beyond + lent, limit));
+        Some(limit)
+    }
+}
