Quotas of a deployment with margins go by pools: no job waits for the leader

Ruled out: asking further ahead (small bursts are soon all lent out). Before: meters alone. After: Taps at routers and Pools at the leader where a margin is set.

--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -8,10 +8,10 @@
 use ledger::segments::{Folder, Segments};
 use ledger::{Identity, Matter, Member, Members, Message};
 use parking_lot::RwLock;
-use placement::Paces;
+use placement::{Margin, Paces, Pools};
 use residency::{Event, Mapping, State, Submission, View};
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,6 +62,8 @@
     pub standing: watch::Receiver<Standing>,
     /// When the question was asked that a majority confirmed last.
     confirmed: AtomicU64,
+    /// How many routers are known here.
+    pub routers: Arc<AtomicUsize>,
 }
 
 impl Hub {
@@ -132,6 +134,21 @@
     }
 }
 
+/// How the leader hands out tenants' quotas.
+enum Grants {
+    Paces(Paces),
+    Pools(Pools),
+}
+
+impl Grants {
+    fn new(margin: Option<Margin>) -> Grants {
+        match margin {
+            None => Grants::Paces(Paces::new(now())),
+            Some(margin) => Grants::Pools(Pools::new(now(), margin)),
+        }
+    }
+}
+
 enum Waiter {
     Here(oneshot::Sender<Reply>),
     There(Identity, u64),
@@ -159,7 +176,10 @@
     confirms: Vec<(u64, Waiter, Vec<FrontShares>)>,
     /// Shares that go out with a confirmation under way, by its token.
     granted: HashMap<u64, Vec<FrontShares>>,
-    paces: Paces,
+    grants: Grants,
+    margin: Option<Margin>,
+    /// Routers that are known to this node.
+    routers: Arc<AtomicUsize>,
     picture_every: u64,
     /// Nothing is proposed for operators before so many voters count.
     is_confirmed_by: usize,
@@ -171,6 +191,7 @@
     pace: Pace,
     picture_every: u64,
     is_confirmed_by: usize,
+    margin: Option<Margin>,
     segments: Segments<Folder>,
     kept: Kept,
     links: Arc<Links>,
@@ -190,6 +211,7 @@
         view: view_out,
         standing: standing_out,
         confirmed: AtomicU64::new(0),
+        routers: Arc::default(),
     });
     std::thread::Builder::new()
         .name("disk".into())
@@ -209,7 +231,9 @@
         asked: HashMap::new(),
         confirms: Vec::new(),
         granted: HashMap::new(),
-        paces: Paces::new(now()),
+        grants: Grants::new(margin),
+        margin,
+        routers: Arc::clone(&hub.routers),
         picture_every,
         is_confirmed_by,
     };
@@ -372,7 +396,12 @@
         let state = self.state.read();
         let terms =
             |tenant: &str| state.view.tenants.get(tenant).map(|terms| (terms.pace, terms.burst));
-        demands.iter().map(|demand| self.paces.answer(now(), demand, terms)).collect()
+        let routers = self.routers.load(Ordering::Relaxed);
+        let answer = |demand| match &mut self.grants {
+            Grants::Paces(paces) => paces.answer(now(), demand, terms),
+            Grants::Pools(pools) => pools.answer(now(), demand, routers, terms),
+        };
+        demands.iter().map(answer).collect()
     }
 
     fn deliver(&self, waiter: Waiter, reply: Reply) {
@@ -541,7 +570,7 @@
         let before = self.standing.send_replace(standing);
         let standing = self.standing.borrow();
         if standing.is_leader && !before.is_leader {
-            self.paces = Paces::new(now());
+            self.grants = Grants::new(self.margin);
         }
         if before.leader != standing.leader {
             // What was asked of the former leader is asked again elsewhere.
--- a/directory/src/jobs.rs
+++ b/directory/src/jobs.rs
@@ -55,8 +55,9 @@
         Err(refusal) => return link::send(&mut writer, &declined(&refusal)).await,
     };
     if head.is_charged == 0 {
-        let pace = desk.hub.view.borrow().tenants.get(&mapping.tenant).map_or(0, |t| t.pace);
-        if let Err(refusal) = desk.quota.admit(&mapping.tenant, pace, QUOTA_PATIENCE).await {
+        let view = desk.hub.view.borrow().clone();
+        let terms = view.tenants.get(&mapping.tenant).map_or((0, 0), |t| (t.pace, t.burst));
+        if let Err(refusal) = desk.quota.admit(&mapping.tenant, terms, 0, QUOTA_PATIENCE).await {
             desk.counters.one("refused-quota");
             return link::send(&mut writer, &declined(&refusal)).await;
         }
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -65,6 +65,9 @@
     pub first_start: bool,
     /// No change is acknowledged before so many voters count.
     pub is_confirmed_by: usize,
+    /// How far past its quota a tenant may get over all routers, where no job is to
+    /// wait for the leader's word.
+    pub margin: Option<placement::Margin>,
     pub flavour: Flavour,
 }
 
@@ -259,6 +262,7 @@
         settings.pace,
         settings.picture_every,
         settings.is_confirmed_by,
+        settings.margin,
         segments,
         kept,
         Arc::clone(&links),
--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -128,7 +129,10 @@
                 desk.hub.send(Call::Replied(number, reply));
             }
             Frame::Fronts { fronts, .. } => {
-                let is_other = desk.fronts.lock().take(fronts, false);
+                let mut known = desk.fronts.lock();
+                let is_other = known.take(fronts, false);
+                desk.hub.routers.store(known.count(), Ordering::Relaxed);
+                drop(known);
                 if is_other {
                     desk.company.send_modify(|count| *count += 1);
                 }
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -48,6 +48,7 @@
         picture_every: boot.count("picture-every", 16, 1 << 20),
         first_start: false,
         is_confirmed_by: 1,
+        margin: None,
         flavour: Flavour::MultiThread,
     };
     let level = boot.text("level");
--- a/directory/src/sessions.rs
+++ b/directory/src/sessions.rs
@@ -3,6 +3,7 @@
 use crate::hub::Call;
 use crate::Desk;
 use std::collections::HashMap;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -61,6 +62,10 @@
         is_other || self.known.len() != count
     }
 
+    pub fn count(&self) -> usize {
+        self.known.len()
+    }
+
     pub fn list(&self, only_here: bool) -> Vec<Front> {
         let at = now();
         let mut list: Vec<Front> = self
@@ -119,6 +124,7 @@
                     let mut fronts = desk.fronts.lock();
                     fronts.beats.push(Beat { out, came: now(), demand });
                     let is_other = fronts.take(vec![front], true);
+                    desk.hub.routers.store(fronts.count(), Ordering::Relaxed);
                     drop(fronts);
                     desk.beat.notify_one();
                     if is_other {
--- a/placement/tests/pools.rs
+++ b/placement/tests/pools.rs
@@ -75,8 +75,7 @@
     let Plan { routers, rate, .. } = plan;
     let mut draw = draws(plan.seed + 1);
     let mut lives = routers as u64;
-    let mut fleet: Vec<Taps> =
-        (0..routers).map(|at| Taps::new(0, at as u64 + 1, MARGIN)).collect();
+    let mut fleet: Vec<Taps> = (0..routers).map(|at| Taps::new(0, at as u64 + 1, MARGIN)).collect();
     let mut numbers = vec![0; routers];
     let mut next: Vec<u64> = (0..routers).map(|_| draw(BEAT_MS)).collect();
     let mut frozen = vec![0; routers];
@@ -88,11 +87,8 @@
     let mut down: Vec<(u64, usize, u64, u64, FrontShares)> = Vec::new();
     // Between a sixth and a twelfth each, for nine: one part to two.
     let weights: Vec<u64> = (0..routers).map(|_| 100 + draw(101)).collect();
-    let weights: Vec<u64> = if routers == 9 {
-        vec![166, 84, 84, 166, 84, 84, 110, 84, 138]
-    } else {
-        weights
-    };
+    let weights: Vec<u64> =
+        if routers == 9 { vec![166, 84, 84, 166, 84, 84, 110, 84, 138] } else { weights };
     let sum: u64 = weights.iter().sum();
     let (mut due, mut fault) = (BEGIN_MS as f64, BEGIN_MS + 2_000);
     let mut seen = Seen::default();
@@ -163,7 +159,8 @@
             if plan.guard == Guard::UsesUnheard {
                 let life = demand.life;
                 demand.demands.iter_mut().for_each(|demand| {
-                    (demand.limit, demand.lately) = (demand.limit - demand.used.min(demand.limit), [0; 4]);
+                    (demand.limit, demand.lately) =
+                        (demand.limit - demand.used.min(demand.limit), [0; 4]);
                     demand.used = 0;
                 });
                 assert!(life > 0);
@@ -256,7 +253,14 @@
 #[test]
 #[ignore]
 fn explore() {
-    let all = [Faults::None, Faults::Freezes, Faults::CutOffs, Faults::Restarts, Faults::Leaders, Faults::All];
+    let all = [
+        Faults::None,
+        Faults::Freezes,
+        Faults::CutOffs,
+        Faults::Restarts,
+        Faults::Leaders,
+        Faults::All,
+    ];
     for routers in std::env::var("N").map_or(vec![9, 74], |n| vec![n.parse().unwrap()]) {
         for traffic in [Traffic::Within, Traffic::Lumps, Traffic::Threefold, Traffic::Floods] {
             for faults in all {
@@ -264,7 +268,15 @@
                 for rate in [2, 5, 10, 40, 100] {
                     let (mut w, mut r, mut a) = (0.0f64, 0, 0);
                     for seed in 0..if routers == 9 { 20 } else { 4 } {
-                        let seen = run(Plan { routers, rate, traffic, faults, lowered: None, guard: Guard::Kept, seed });
+                        let seen = run(Plan {
+                            routers,
+                            rate,
+                            traffic,
+                            faults,
+                            lowered: None,
+                            guard: Guard::Kept,
+                            seed,
+                        });
                         w = w.max(worst(&seen.admitted, 0, rate));
                         r += seen.refused;
                         a += seen.admitted.len() as u64;
@@ -280,5 +292,13 @@
 #[test]
 #[ignore]
 fn trace() {
-    run(Plan { routers: 9, rate: 10, traffic: Traffic::Within, faults: Faults::None, lowered: None, guard: Guard::Kept, seed: 3 });
+    run(Plan {
+        routers: 9,
+        rate: 10,
+        traffic: Traffic::Within,
+        faults: Faults::None,
+        lowered: None,
+        guard: Guard::Kept,
+        seed: 3,
+    });
 }
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -274,8 +274,9 @@
             return Err(Refusal::not_run(400, "no-model", text));
         }
     };
-    let pace = view.tenants.get(&tenant).map_or(0, |terms| terms.pace);
-    if let Err(refusal) = router.quota.admit(&tenant, pace, router.boot.quota).await {
+    let terms = view.tenants.get(&tenant).map_or((0, 0), |terms| (terms.pace, terms.burst));
+    let routers = router.company.read().count();
+    if let Err(refusal) = router.quota.admit(&tenant, terms, routers, router.boot.quota).await {
         router.counters.one("refused-quota");
         return Err(refusal);
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -171,7 +171,7 @@
             company,
             layers: layers::Layers::new(settings.own_cache, settings.share),
             questions: Default::default(),
-            quota: Quota::default(),
+            quota: ports.margin.map_or_else(Quota::default, Quota::without_waiting),
             beats: AtomicU64::new(0),
             dispatcher,
             ports,
--- a/router/src/ports.rs
+++ b/router/src/ports.rs
@@ -4,7 +4,7 @@
 use crate::Router;
 use http::HeaderMap;
 use parking_lot::Mutex;
-use placement::Retries;
+use placement::{Margin, Retries};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use yard::dispatch::Carriage;
@@ -91,6 +91,9 @@
     pub carriage: Carriage,
     pub retries: RetryPolicy,
     pub servers: Vec<Server>,
+    /// How far past its quota a tenant may get over all routers, where no job is to
+    /// wait for the leader's word.
+    pub margin: Option<Margin>,
     /// Engines give no vitals: they are known by their answers.
     pub engines_are_silent: bool,
 }
--- a/yard/src/quota.rs
+++ b/yard/src/quota.rs
@@ -1,16 +1,23 @@
 //! Tenants' paces at a process that admits jobs: the waiting for the leader's
-//! word around `placement`'s meters.
+//! word around `placement`'s meters, or its taps, by which nobody waits.
 
 use crate::now;
 use crate::web::Refusal;
 use parking_lot::Mutex;
-use placement::{Meters, Place};
+use placement::{Margin, Meters, Place, Taps};
 use std::time::Duration;
 use tokio::sync::Notify;
 use wire::{FrontDemand, Share};
 
+/// Whose word a process admits by: asked for each job where it lies nowhere yet,
+/// or lying here before the job comes.
+enum Means {
+    Meters(Mutex<Meters>),
+    Taps(Mutex<Taps>),
+}
+
 pub struct Quota {
-    meters: Mutex<Meters>,
+    means: Means,
     /// A job waits: speak to the leader at once.
     pub urgent: Notify,
     told: Notify,
@@ -18,14 +25,14 @@
 
 impl Default for Quota {
     fn default() -> Quota {
-        let meters = Mutex::new(Meters::new(now(), rand::random()));
-        Quota { meters, urgent: Notify::new(), told: Notify::new() }
+        let means = Means::Meters(Mutex::new(Meters::new(now(), rand::random())));
+        Quota { means, urgent: Notify::new(), told: Notify::new() }
     }
 }
 
 /// A job in a tenant's queue, out of it however its waiting ends.
 struct Waiting<'q> {
-    quota: &'q Quota,
+    meters: &'q Mutex<Meters>,
     tenant: &'q str,
     ticket: Option<u64>,
 }
@@ -33,47 +40,78 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if let Some(ticket) = self.ticket {
-            self.quota.meters.lock().leave(self.tenant, ticket);
+            self.meters.lock().leave(self.tenant, ticket);
         }
     }
 }
 
 impl Quota {
+    /// One under which no job waits; the margin is the fleet's.
+    pub fn without_waiting(margin: Margin) -> Quota {
+        let means = Means::Taps(Mutex::new(Taps::new(now(), rand::random(), margin)));
+        Quota { means, urgent: Notify::new(), told: Notify::new() }
+    }
+
     pub fn demands(&self, front: &str, number: u64) -> FrontDemand {
-        self.meters.lock().demands(now(), front, number)
+        match &self.means {
+            Means::Meters(meters) => meters.lock().demands(now(), front, number),
+            Means::Taps(taps) => taps.lock().demands(now(), front, number),
+        }
     }
 
     pub fn take(&self, number: u64, until: u64, shares: &[Share]) {
-        self.meters.lock().take(now(), number, until, shares);
+        match &self.means {
+            Means::Meters(meters) => meters.lock().take(now(), number, until, shares),
+            Means::Taps(taps) => taps.lock().take(now(), number, until, shares),
+        }
         self.told.notify_waiters();
     }
 
     pub fn is_waited_for(&self) -> bool {
-        self.meters.lock().is_waited_for()
+        match &self.means {
+            Means::Meters(meters) => meters.lock().is_waited_for(),
+            Means::Taps(_) => false,
+        }
     }
 
-    /// Lets a job in under its tenant's pace, in jobs a second. It waits for a
-    /// place that is likely to come up, and over a change of leader; where none
-    /// can it is refused at once.
-    pub async fn admit(&self, tenant: &str, pace: u64, patience: Duration) -> Result<(), Refusal> {
+    /// Lets a job in under its tenant's terms. With meters it waits for a place
+    /// that is likely to come up, and over a change of leader; where none can it is
+    /// refused at once. `routers` is how many are known.
+    pub async fn admit(
+        &self,
+        tenant: &str,
+        (pace, burst): (u64, u64),
+        routers: usize,
+        patience: Duration,
+    ) -> Result<(), Refusal> {
         if pace == 0 {
             return Ok(());
         }
+        let past = || {
+            let text = format!("{tenant} is past its pace of {pace} jobs a second");
+            Refusal::not_run(429, "quota", text)
+        };
+        let meters = match &self.means {
+            Means::Meters(meters) => meters,
+            Means::Taps(taps) => {
+                return match taps.lock().admit(now(), tenant, pace, burst, routers) {
+                    true => Ok(()),
+                    false => Err(past()),
+                }
+            }
+        };
         let came = now();
-        let mut waiting = Waiting { quota: self, tenant, ticket: None };
+        let mut waiting = Waiting { meters, tenant, ticket: None };
         loop {
             let told = self.told.notified();
             tokio::pin!(told);
             told.as_mut().enable();
             let patience = patience.as_millis() as u64;
-            let place = self.meters.lock().admit(now(), tenant, came, waiting.ticket, patience);
+            let place = meters.lock().admit(now(), tenant, came, waiting.ticket, patience);
             match place {
                 Place::Admitted => return Ok(()),
                 Place::Queued(ticket) => waiting.ticket = Some(ticket),
-                Place::Refused => {
-                    let text = format!("{tenant} is past its pace of {pace} jobs a second");
-                    return Err(Refusal::not_run(429, "quota", text));
-                }
+                Place::Refused => return Err(past()),
                 Place::Unheard => {
                     let text = "no directory node speaks for this tenant's pace now";
                     return Err(Refusal::not_run(503, "no-leader", text));
