A way back that is shorter: first sounding early, short patience in connecting

Also: an engine whose address answers for another life is passed over until the list drops it (a try of one round ended with 503 after a 421).

--- a/ledger/src/node.rs
+++ b/ledger/src/node.rs
@@ -202,7 +202,7 @@
             node.keep(entry);
         }
         node.synced = node.last();
-        node.rest();
+        node.rise();
         node
     }
 
@@ -275,6 +275,12 @@
         self.seed % below.max(1)
     }
 
+    /// The first wait after a start is a shorter one: a leader that is there beats
+    /// well within it, and a sounding disturbs nobody.
+    fn rise(&mut self) {
+        self.expires = self.now + self.pace.election / 3 + self.random(self.pace.election / 2);
+    }
+
     /// Begins a new wait for a leader.
     fn rest(&mut self) {
         self.expires = self.now + self.pace.election + self.random(self.pace.election);
--- a/placement/src/estimates.rs
+++ b/placement/src/estimates.rs
@@ -21,6 +21,8 @@
 /// in a row.
 const SUSPECT_MS: u64 = 800;
 const SUSPECT_MOST_MS: u64 = 4_000;
+/// One whose address has another engine now.
+const ENDED_MS: u64 = 10_000;
 /// One that was full is passed over for this long.
 const FULL_MS: u64 = 150;
 /// A word on a cold engine is believed for this long past its own time.
@@ -267,6 +269,14 @@
         }
     }
 
+    /// Another engine answers at its address: its life has ended, and the list will
+    /// say so.
+    pub fn ended(&mut self, now: u64, name: &str) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.suspect_until = now + ENDED_MS;
+        }
+    }
+
     /// It could not be reached, or broke off.
     pub fn failed(&mut self, now: u64, name: &str) {
         if let Some(known) = self.known.get_mut(name) {
--- a/yard/src/dispatch.rs
+++ b/yard/src/dispatch.rs
@@ -448,10 +448,12 @@
                 _ => Verdict::Answer,
             };
             match (answer, verdict) {
-                (Ok(Ok(answer)), Verdict::Declined | Verdict::Misplaced) => {
-                    drop(answer);
+                (Ok(Ok(_)), verdict @ (Verdict::Declined | Verdict::Misplaced)) => {
+                    match verdict {
+                        Verdict::Misplaced => seat.ended(),
+                        _ => seat.declined(),
+                    }
                     self.counters.one("declined");
-                    seat.declined();
                     avoid.push(seat.name.clone());
                     step(job, Event::Declined);
                 }
--- a/yard/src/link.rs
+++ b/yard/src/link.rs
@@ -9,6 +9,9 @@
 
 /// How long connecting may take, and how long a first frame.
 pub const PATIENCE: Duration = Duration::from_millis(1_000);
+/// How long a connection may take to come up. Invariant: longer than a way there
+/// and back between any two regions; a machine without power says nothing at all.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(450);
 
 /// Dials out from `source`'s address, so that a cut between two machines is
 /// a cut in both directions.
@@ -20,7 +23,7 @@
     if source.is_ipv4() == to.is_ipv4() && !source.ip().is_unspecified() {
         socket.bind(SocketAddr::new(source.ip(), 0))?;
     }
-    let stream = tokio::time::timeout(PATIENCE, socket.connect(to))
+    let stream = tokio::time::timeout(CONNECT_PATIENCE, socket.connect(to))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
--- a/yard/src/roster.rs
+++ b/yard/src/roster.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Another engine answered at its address.
+    pub fn ended(&self) {
+        if let Sight::Answers(estimates) = &self.roster.sight {
+            estimates.lock().ended(now(), &self.name);
+        }
+    }
+
     /// The job's bytes leave.
     pub fn sent(&mut self, prompt: &Prompt) {
         if let Sight::Answers(estimates) = &self.roster.sight {
