--- a/placement/src/pools.rs
+++ b/placement/src/pools.rs
@@ -27,6 +27,10 @@
 const YOUNG_MS: u64 = 1_000;
 /// Asked for by each that asks at all, besides what it does: jobs a smoothing.
 const EVEN: f64 = 4.0;
+/// Parts grow with demand, but less: what it varies by grows with its root.
+const GROWTH: f64 = 0.7;
+/// Answers that are kept one by one.
+const GIVEN: usize = 8;
 /// Lives of a router that the leader knows to be over.
 const FORMER: usize = 4;
 
@@ -199,7 +203,8 @@
     }
 
     /// Whether a job may go, at once. `routers` is how many are known, this one
-    /// too.
+    /// too. Invariant: a new router is counted by all within a window, while its
+    /// own floor is shut.
     pub fn admit(&mut self, now: u64, tenant: &str, rate: u64, burst: u64, routers: usize) -> bool {
         let routers = self.routers(now, routers);
         let depth = self.margin.depth(rate, burst, routers);
@@ -259,8 +264,8 @@
                 (tap.part, tap.limit) = (0, tap.limit.min(tap.used));
             }
             if is_idle {
-                tap.idle.get_or_insert(number);
-                tap.taken = tap.taken.max(number.saturating_sub(1));
+                let first = *tap.idle.get_or_insert(number);
+                tap.taken = tap.taken.max(first.saturating_sub(1));
             }
             Demand {
                 tenant: tenant.clone(),
@@ -331,8 +336,7 @@
 }
 
 impl Account {
-    /// What it has used in the window beyond its floor, of which it has none while
-    /// it is young; all of it counts then.
+    /// What it has used in the window beyond its floor.
     fn beyond(&self, now: u64, window: u64, floor: u64) -> u64 {
         self.counts.since(now.saturating_sub(window)).saturating_sub(floor)
     }
@@ -343,6 +347,16 @@
         part + self.former(now)
     }
 
+    /// Where no answer comes through, older ones are kept as one.
+    fn give(&mut self, number: u64, part: u64, limit: u64) {
+        self.given.push((number, part, limit));
+        if self.given.len() > GIVEN {
+            let (_, part, limit) = self.given.remove(0);
+            self.given[0] =
+                (self.given[0].0, self.given[0].1.max(part), self.given[0].2.max(limit));
+        }
+    }
+
     fn former(&self, now: u64) -> u64 {
         if now < self.former_until {
             self.former
@@ -364,6 +378,8 @@
     level: f64,
     filled: u64,
     depth: Depth,
+    /// What it is to be, and since when.
+    wanted: (Depth, u64),
     rate: u64,
     accounts: BTreeMap<String, Account>,
 }
@@ -384,8 +400,7 @@
     /// Of a leader that begins now.
     pub fn new(now: u64, margin: Margin) -> Pools {
         let (routers, pools) = (BTreeMap::new(), BTreeMap::new());
-        let ready = now + LICENCE_MS;
-        Pools { margin, routers, pools, since: now, ready, has_heard_all: false }
+        Pools { margin, routers, pools, since: now, ready: 0, has_heard_all: false }
     }
 
     /// A router said that it admits nothing any more; what it has used stays in
@@ -404,8 +419,8 @@
         }
     }
 
-    /// Answers the demands of one beat; `routers` is how many are known, and
-    /// `terms` gives a tenant's rate and burst.
+    /// Answers the demands of one beat; `routers` is how many were known in the
+    /// last `HOLD_MS`, also silent ones, but for those that left; `terms` gives a tenant's rate and burst.
     pub fn answer(
         &mut self,
         now: u64,
@@ -431,13 +446,13 @@
                 level: depth.saved(),
                 filled: now,
                 depth,
+                wanted: (depth, now),
                 rate,
                 accounts: BTreeMap::new(),
             });
-            (pool.rate, pool.depth) = (rate, depth);
+            pool.adapt(now, rate, depth, window);
             pool.accounts.retain(|name, _| self.routers.contains_key(name));
             let limit = pool.answer(now, from, demand, window, is_ready);
-            // Without a word a router keeps the part that it has.
             let share = limit.map(|limit| (demand.tenant.clone(), limit));
             answer.shares.extend(share.map(|(tenant, limit)| Share { tenant, limit, queue_ms: 0 }));
         }
@@ -466,6 +481,15 @@
             if router.former.len() > FORMER {
                 router.former.pop_front();
             }
+            let window = self.margin.window_ms;
+            for pool in self.pools.values_mut() {
+                if let Some(account) = pool.accounts.get_mut(&from.front) {
+                    // What the former life had it may have used.
+                    let former = account.held(now, window, pool.depth.floor);
+                    let former_until = now + window;
+                    *account = Account { life, former, former_until, ..Account::default() };
+                }
+            }
         }
         (router.life, router.number, router.heard) = (life, number, now);
         if !self.has_heard_all {
@@ -473,15 +497,31 @@
                 let born = now.saturating_sub(from.age_ms);
                 self.ready = self.ready.max(born + self.margin.window_ms);
             }
+            // Before that they may yet take answers of another leader.
+            let settled = self.since + LICENCE_MS;
+            let heard = self.routers.values().filter(|router| router.heard >= settled).count();
             let is_long = now >= self.since + HOLD_MS + self.margin.window_ms;
-            self.has_heard_all = self.routers.len() >= routers || is_long;
+            self.has_heard_all = heard >= routers && now >= settled || is_long;
         }
         true
     }
 }
 
 impl Pool {
-    /// How far the router may count.
+    /// A deeper pool waits for a window, until routers know of smaller floors.
+    fn adapt(&mut self, now: u64, rate: u64, depth: Depth, window: u64) {
+        self.rate = rate;
+        if self.wanted.0 != depth {
+            self.wanted = (depth, now);
+        }
+        if depth.pool <= self.depth.pool || now >= self.wanted.1 + window {
+            self.depth = depth;
+        }
+    }
+
+    /// How far the router may count. Without a word it keeps the part that it has:
+    /// while a leader is new, and where what was used by larger terms, or is only
+    /// taken to have been used, is more than there is.
     fn answer(
         &mut self,
         now: u64,
@@ -498,13 +538,10 @@
         let charged = if account.life == from.life {
             demand.used.saturating_sub(account.used)
         } else {
-            if account.life != 0 {
-                account.former = account.held(now, window, floor);
-                account.former_until = now + window;
-            }
+            // What it admitted before this leader knew of it is in the window, but
+            // was charged by another.
             account.life = from.life;
             account.counts = Counts::told(now, &demand.lately);
-            account.given.clear();
             0
         };
         account.counts.forget(now.saturating_sub(window));
@@ -520,7 +557,7 @@
         let own = if from.age_ms < window { 0 } else { floor };
         let from_at = now.saturating_sub(window);
         let used = account.counts.since(from_at);
-        let weigh = |asked: u64| if asked > 0 { (asked as f64 + EVEN).powf(0.7) } else { 0.0 };
+        let weigh = |asked: u64| if asked > 0 { (asked as f64 + EVEN).powf(GROWTH) } else { 0.0 };
         let (mut sum, mut open) = (weigh(demand.ahead), 0);
         // Parts that others keep, and what is left of the window in all.
         let mut held = account.former(now);
@@ -528,19 +565,20 @@
         for (_, account) in self.accounts.iter().filter(|(name, _)| **name != from.front) {
             held += account.held(now, window, floor);
             let own = if account.asked > 0 { floor } else { 0 };
-            left += own as i64
-                - account.counts.since(from_at).max(0) as i64
-                - account.former(now) as i64;
+            left += own as i64 - account.counts.since(from_at) as i64 - account.former(now) as i64;
             open += account.open();
             sum += weigh(account.asked);
         }
+        if held + used.saturating_sub(own) > pool {
+            return None;
+        }
         let level = self.level.max(0.0);
         let due = (left.max(0) as f64).min(level) * weigh(demand.ahead) / sum.max(1.0);
         let room = (pool + own).saturating_sub(held + used);
         let lent = (due.round() as u64).min(room).min((level as u64).saturating_sub(open));
         let limit = demand.used + lent;
         let account = self.accounts.get_mut(&from.front).expect("entered above");
-        account.given.push((from.number, (used + lent).saturating_sub(own), limit));
+        account.give(from.number, (used + lent).saturating_sub(own), limit);
         Some(limit)
     }
 }
--- a/placement/tests/pools.rs
+++ b/placement/tests/pools.rs
@@ -350,3 +350,76 @@
         }
     }
 }
+
+/// One router and its leader, step by step: what is admitted of four jobs asked
+/// for at once, at a rate of 2 and a burst of 2, one router.
+#[test]
+fn basic_cases() {
+    let terms = |_: &str| Some((2, 2));
+    let burst = |taps: &mut Taps, now: u64, jobs: u64| {
+        (0..jobs).filter(|_| taps.admit(now, "t", 2, 2, 1)).count()
+    };
+    let number = |demand: &FrontDemand| demand.number;
+    // Rate and burst allow 33 in a window; half of it is the floor.
+    let cases: [(&str, u64, bool, bool, usize); 4] = [
+        ("a young router has nothing", 4_000, false, false, 0),
+        ("a router without a word has its floor", 20_000, false, false, 16),
+        ("with a word it has all", 20_000, true, false, 33),
+        ("a late word is none", 20_000, true, true, 16),
+    ];
+    for (what, now, is_answered, is_late, admitted) in cases {
+        let (mut taps, mut pools) = (Taps::new(0, 7, MARGIN), Pools::new(0, MARGIN));
+        let mut before = 0;
+        if is_answered {
+            before = burst(&mut taps, now - 100, 1);
+            let demand = taps.demands(now - 100, "a", 1);
+            let answer = pools.answer(now - 50, &demand, 1, terms);
+            let until = if is_late { now } else { now - 100 + LICENCE_MS };
+            taps.take(now, number(&demand), until, &answer.shares);
+        }
+        assert_eq!(before + burst(&mut taps, now, 50), admitted, "{what}");
+        assert_eq!(burst(&mut taps, now + 900, 50), 0, "{what}: the window is full");
+    }
+
+    let (mut taps, mut pools) = (Taps::new(0, 7, MARGIN), Pools::new(0, MARGIN));
+    assert!(taps.demands(9_000, "a", 1).demands.is_empty(), "nobody asked");
+    assert_eq!(burst(&mut taps, 10_000, 1), 1);
+    let demand = taps.demands(10_000, "a", 2);
+    let first = pools.answer(10_050, &demand, 1, terms);
+    assert_eq!(first.shares.len(), 1);
+    assert!(pools.answer(10_060, &demand, 1, terms).shares.is_empty(), "said twice");
+    taps.take(10_100, 2, 12_000, &first.shares);
+    // It says so for a minute, gives its part back, and is silent once that is
+    // known.
+    assert_eq!(taps.demands(60_000, "a", 3).demands.len(), 1);
+    let back = taps.demands(70_100, "a", 4);
+    assert_eq!((back.demands[0].waiting, back.demands[0].ahead), (0, 0));
+    assert_eq!(taps.demands(70_450, "a", 5).demands.len(), 1, "not yet known");
+    let answer = pools.answer(70_500, &back, 1, terms);
+    taps.take(70_550, 4, 72_100, &answer.shares);
+    assert!(taps.demands(70_800, "a", 6).demands.is_empty());
+
+    // A router that left leaves its part to others, a silent one does not.
+    for (has_left, lent) in [(true, 24), (false, 0)] {
+        let mut pools = Pools::new(0, MARGIN);
+        let mut fleet = [Taps::new(0, 7, MARGIN), Taps::new(0, 8, MARGIN)];
+        let ask = |taps: &mut Taps, pools: &mut Pools, now: u64, front: &str, number: u64| {
+            taps.admit(now, "t", 2, 2, 2);
+            let demand = taps.demands(now, front, number);
+            let answer = pools.answer(now, &demand, 2, terms);
+            taps.take(now, number, now + LICENCE_MS, &answer.shares);
+            answer.shares.first().map_or(0, |share| share.limit - demand.demands[0].used)
+        };
+        let [one, other] = &mut fleet;
+        other.admit(9_000, "t", 2, 2, 2);
+        ask(other, &mut pools, 10_000, "b", 1);
+        ask(one, &mut pools, 10_000, "a", 1);
+        ask(other, &mut pools, 10_350, "b", 2);
+        let before = ask(one, &mut pools, 10_350, "a", 2);
+        if has_left {
+            pools.leave(11_000, "b");
+        }
+        let after = ask(one, &mut pools, 30_000, "a", 3);
+        assert_eq!(after > before + lent / 3, has_left, "{before}, then {after}");
+    }
+}
