--- a/stand/src/simulator.rs
+++ b/stand/src/simulator.rs
@@ -261,6 +261,8 @@
     is_disk_dead: bool,
     was_leader: bool,
     picture_at: Index,
+    /// Nothing but beats came since its last beat.
+    is_calm: bool,
 }
 
 /// Invariants: `applied` holds, by index, the entry that was applied first
@@ -392,6 +394,7 @@
             is_disk_dead: false,
             was_leader: false,
             picture_at,
+            is_calm: false,
         });
         let life = self.machines[at].life;
         self.due(10, Due::Beat(at, life));
@@ -421,7 +424,15 @@
     fn step(&mut self, at: usize, input: Input) -> Result<(), String> {
         let now = self.now;
         let Some(live) = self.machines[at].live.as_mut() else { return Ok(()) };
+        // What `due` promises: before it, a beat finds nothing to do.
+        let is_beat = matches!(input, Input::Beat);
+        let is_early = is_beat && live.is_calm && live.node.due() > now;
+        let before = (live.node.role(), live.node.leader());
+        live.is_calm = is_beat;
         let effects = live.node.step(now, input);
+        if is_early && (!effects.is_empty() || before != (live.node.role(), live.node.leader())) {
+            return self.fail(format!("node-{at} had something to do before it was due"));
+        }
         for effect in effects {
             self.carry(at, effect)?;
         }
