--- a/directory/src/sessions.rs
+++ b/directory/src/sessions.rs
@@ -19,7 +19,7 @@
 /// How long a confirmation is put off for more beats to come along.
 const GATHER: Duration = Duration::from_millis(10);
 /// How often this node has itself confirmed without a beat.
-const CONFIRM_MS: u64 = 300;
+const CONFIRM_MS: u64 = 500;
 /// Frames waiting for one router, at the most.
 const QUEUE: usize = 1024;
 
