--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -31,6 +31,8 @@
     Heard(Message),
     Synced(u64),
     DiskFailed,
+    /// The disk takes writes again: what it holds, and the way to it.
+    DiskBack(Kept, SyncSender<(u64, Vec<Write>)>),
     Ask(Question, oneshot::Sender<Reply>),
     /// A question from another node, to be answered there.
     AskedBy(Identity, u64, Question),
@@ -61,7 +63,7 @@
     pub view: watch::Receiver<Arc<View>>,
     pub standing: watch::Receiver<Standing>,
     /// When the question was asked that a majority confirmed last.
-    confirmed: AtomicU64,
+    confirmed: Arc<AtomicU64>,
 }
 
 impl Hub {
@@ -142,6 +144,9 @@
 /// on them.
 struct Thread {
     node: Node,
+    pace: Pace,
+    /// The hub's own: it is void when what is held here is put back.
+    confirmed: Arc<AtomicU64>,
     me: Member,
     state: Arc<RwLock<State>>,
     view: watch::Sender<Arc<View>>,
@@ -184,18 +189,21 @@
     let (view, view_out) = watch::channel(Arc::new(state.view.clone()));
     let (standing, standing_out) = watch::channel(Standing::default());
     let state = Arc::new(RwLock::new(state));
+    let confirmed = Arc::new(AtomicU64::new(0));
     let hub = Arc::new(Hub {
         calls: calls.clone(),
         state: Arc::clone(&state),
         view: view_out,
         standing: standing_out,
-        confirmed: AtomicU64::new(0),
+        confirmed: Arc::clone(&confirmed),
     });
     std::thread::Builder::new()
         .name("disk".into())
-        .spawn(move || keep(segments, &writes, &calls))?;
+        .spawn(move || keep(segments, writes, &calls))?;
     let mut thread = Thread {
         node,
+        pace,
+        confirmed,
         me,
         state,
         view,
@@ -218,10 +226,15 @@
     Ok(hub)
 }
 
-/// The disk's thread: what has piled up is written and synced as one.
+/// How often a disk that failed is tried again.
+const RETRY: Duration = Duration::from_millis(1_000);
+
+/// The disk's thread: what has piled up is written and synced as one. After a
+/// failure what is on disk is not known; nothing is built on it until all that
+/// was not synced before is cut off, and the rest read back.
 fn keep(
     mut segments: Segments<Folder>,
-    writes: &Receiver<(u64, Vec<Write>)>,
+    mut writes: Receiver<(u64, Vec<Write>)>,
     calls: &SyncSender<Call>,
 ) {
     while let Ok((mut ticket, mut batch)) = writes.recv() {
@@ -232,11 +245,22 @@
         let call = match segments.write(&batch) {
             Ok(()) => Call::Synced(ticket),
             Err(error) => {
-                // What is on disk after a failed write or sync is not known;
-                // only a restart, which reads it back, may build on it.
                 log::error!("the disk failed, nothing more is written: {error}");
-                drop(calls.send(Call::DiskFailed));
-                return;
+                if calls.send(Call::DiskFailed).is_err() {
+                    return;
+                }
+                let (kept, disk);
+                (segments, kept) = loop {
+                    std::thread::sleep(RETRY);
+                    // What the node has said since its disk failed is void.
+                    while writes.try_recv().is_ok() {}
+                    match segments.reopened() {
+                        Ok(reopened) => break reopened,
+                        Err(error) => log::debug!("the disk is not back yet: {error:#}"),
+                    }
+                };
+                (disk, writes) = sync_channel(RING);
+                Call::DiskBack(kept, disk)
             }
         };
         if calls.send(call).is_err() {
@@ -286,6 +310,7 @@
             Call::Heard(message) => self.step(Input::Heard(message)),
             Call::Synced(ticket) => self.step(Input::Synced(ticket)),
             Call::DiskFailed => self.step(Input::DiskFailed),
+            Call::DiskBack(kept, disk) => self.begin_again(kept, disk),
             Call::Ask(question, reply) => self.ask(question, reply),
             Call::AskedBy(from, number, question) => {
                 let waiter = Waiter::There(from, number);
@@ -326,6 +351,34 @@
         }
     }
 
+    /// Goes on from what a disk that had failed holds, as after a restart: what
+    /// was promised is on it, and nothing else was.
+    fn begin_again(&mut self, kept: Kept, disk: SyncSender<(u64, Vec<Write>)>) {
+        self.disk = disk;
+        let node = Node::new(self.me.identity, self.pace, rand::random(), now(), kept);
+        let state = match State::restore(&node.picture().state) {
+            Ok(state) => state,
+            Err(text) => return log::error!("the picture can't be read: {text}"),
+        };
+        log::warn!("the disk takes writes again; this node goes on from what it holds");
+        self.confirmed.store(0, Ordering::Relaxed);
+        for (_, waiter) in std::mem::take(&mut self.tokens) {
+            self.deliver(waiter, Reply::Lost);
+        }
+        for (_, waiter, _) in std::mem::take(&mut self.confirms) {
+            self.deliver(waiter, Reply::Lost);
+        }
+        for (_, (_, sender)) in std::mem::take(&mut self.asked) {
+            drop(sender.send(Reply::Lost));
+        }
+        self.granted.clear();
+        self.node = node;
+        self.view.send_replace(Arc::new(state.view.clone()));
+        *self.state.write() = state;
+        // Routers come again, and get a picture of their own.
+        self.sessions.clear();
+    }
+
     /// A question from this process: answered here by the leader, else there.
     fn ask(&mut self, question: Question, reply: oneshot::Sender<Reply>) {
         if self.node.role() == Role::Leader {
--- a/ledger/src/segments.rs
+++ b/ledger/src/segments.rs
@@ -64,7 +64,8 @@
 
 /// Invariants: `number` is the highest of all segments; only that one is
 /// written; each begins with the pledge in force; `spans` holds the older ones
-/// with the last index that each may contain.
+/// with the last index that each may contain; what lies before `size` in the
+/// highest one was synced without an error.
 pub struct Segments<F: Files> {
     files: F,
     number: u64,
@@ -186,9 +187,26 @@
         if let Some((index, term)) = reset {
             bytes.extend(framed(&packed(&Record::Reset(index, term))));
         }
-        self.size = bytes.len() as u64;
+        self.size = 0;
         self.files.append(&segment(self.number), &bytes)?;
-        self.files.sync(&segment(self.number))
+        self.files.sync(&segment(self.number))?;
+        self.size = bytes.len() as u64;
+        Ok(())
+    }
+
+    /// After a failed write or sync: cuts off all that is not known to be on the
+    /// disk, and reads back what is, as a restart would. While the disk takes
+    /// nothing this fails, and may be tried again.
+    pub fn reopened(&mut self) -> anyhow::Result<(Segments<F>, Kept)>
+    where
+        F: Clone,
+    {
+        let name = segment(self.number);
+        if self.files.list()?.contains(&name) {
+            self.files.cut(&name, self.size)?;
+            self.files.sync(&name)?;
+        }
+        Segments::open(self.files.clone())
     }
 
     /// Writes one batch and syncs it. When this returned without an error the
@@ -334,6 +352,7 @@
 }
 
 /// A folder on a real disk.
+#[derive(Clone)]
 pub struct Folder {
     path: std::path::PathBuf,
 }
--- a/stand/src/simulator.rs
+++ b/stand/src/simulator.rs
@@ -2,7 +2,7 @@
 //! residency are the real ones; clock, network and disk faults are drawn from
 //! a seed. Rules are checked after every step.
 
-use ledger::node::{Effect, Input, Node, Pace, Role, Write};
+use ledger::node::{Effect, Input, Kept, Node, Pace, Role, Write};
 use ledger::pack::{packed, unpacked};
 use ledger::segments::{Files, Segments};
 use ledger::{Entry, Identity, Index, Matter, Member, Message, Term};
@@ -161,6 +161,8 @@
     pub hand_overs: u64,
     /// Entries in one message, at the most.
     pub batch: usize,
+    /// A disk that has room again is taken back into use without a restart.
+    pub mends: bool,
 }
 
 pub const CALM: Weather = Weather {
@@ -179,6 +181,7 @@
     disks_after_word: 0,
     hand_overs: 0,
     batch: 256,
+    mends: false,
 };
 
 pub const STORM: Weather = Weather {
@@ -197,8 +200,12 @@
     disks_after_word: 200,
     hand_overs: 60,
     batch: 256,
+    mends: false,
 };
 
+/// Disks that fill up again and again, and are taken back into use.
+pub const FULL: Weather = Weather { full_disks: 400, mends: true, ..STORM };
+
 /// Power that fails just after a word, and disks that are slow to keep it.
 pub const POWER: Weather = Weather {
     loss: 100,
@@ -372,10 +379,30 @@
     /// Starts a machine from what its disk has.
     fn start(&mut self, at: usize) -> Result<(), String> {
         let files = self.machines[at].files.clone();
-        let (segments, kept) = match Segments::open(files) {
-            Ok(opened) => opened,
-            Err(error) => return self.fail(format!("node-{at} can't read its disk: {error}")),
-        };
+        match Segments::open(files) {
+            Ok((segments, kept)) => self.begin(at, segments, kept),
+            Err(error) => self.fail(format!("node-{at} can't read its disk: {error}")),
+        }
+    }
+
+    /// A disk that was full is taken back into use.
+    fn mend(&mut self, at: usize) -> Result<(), String> {
+        let Some(live) = self.machines[at].live.as_mut() else { return Ok(()) };
+        if !live.is_disk_dead {
+            return Ok(());
+        }
+        match live.segments.reopened() {
+            Ok((segments, kept)) => self.begin(at, segments, kept),
+            Err(error) => self.fail(format!("node-{at} can't take its disk back: {error}")),
+        }
+    }
+
+    fn begin(
+        &mut self,
+        at: usize,
+        segments: Segments<MemoryFiles>,
+        kept: Kept,
+    ) -> Result<(), String> {
         let state = match &kept.picture {
             Some(picture) => State::restore(&picture.state)?,
             None => State::default(),
@@ -634,6 +661,10 @@
                 }
                 Due::DiskDone(at, life) if self.machines[at].life == life => self.disk_done(at)?,
                 Due::Restart(at) if self.machines[at].live.is_none() => self.start(at)?,
+                Due::Emptied(at, life) if self.machines[at].life == life && self.weather.mends => {
+                    self.machines[at].files.set_full(false);
+                    self.mend(at)?;
+                }
                 Due::Emptied(at, life) if self.machines[at].life == life => {
                     self.crash(at);
                     self.start(at)?;
--- a/stand/tests/segments.rs
+++ b/stand/tests/segments.rs
@@ -109,3 +109,30 @@
     let error = Segments::open(files).err().expect("another format is seen").to_string();
     assert!(error.contains("format is epoch 18"), "{error}");
 }
+
+/// Guards: a disk that was full is taken back into use; what was not synced when
+/// it failed is not built on, and what was synced is all there.
+#[test]
+fn a_full_disk_is_taken_back_into_use() {
+    let files = MemoryFiles::default();
+    let (mut segments, _) = Segments::open(files.clone()).expect("an empty disk opens");
+    segments.write(&[entry(1, 1), entry(2, 1)]).expect("there is room");
+    for turn in 0..3 {
+        files.set_full(true);
+        segments.write(&[entry(3 + turn, 1)]).expect_err("it is full");
+        assert!(segments.reopened().is_err(), "it is full still");
+        files.set_full(false);
+        let (again, kept) = segments.reopened().expect("there is room again");
+        segments = again;
+        assert_eq!(kept.entries.len() as u64, 2 + turn);
+        segments.write(&[entry(3 + turn, 1)]).expect("there is room");
+    }
+    assert_eq!(indices(&files).len(), 5);
+    // A sync that failed: the bytes may stand there, and don't count.
+    files.crash_after(1);
+    segments.write(&[entry(6, 1)]).expect_err("the sync fails");
+    files.set_full(false);
+    files.clone().crash_after(u32::MAX);
+    let (_, kept) = segments.reopened().expect("it is read back");
+    assert_eq!(kept.entries.len(), 5, "what was not synced is cut off");
+}
--- a/stand/tests/simulator.rs
+++ b/stand/tests/simulator.rs
@@ -1,6 +1,6 @@
 //! Fixed seeds of the simulator. Seeds that once failed stay.
 
-use stand::simulator::{Simulation, Weather, CALM, POWER, STORM, SUCCESSION};
+use stand::simulator::{Simulation, Weather, CALM, FULL, POWER, STORM, SUCCESSION};
 
 #[test]
 fn a_calm_cluster_elects_once_and_serves() {
@@ -37,6 +37,13 @@
     none_fails((1..=30).map(|seed| (seed, 5, SUCCESSION)));
 }
 
+/// Guards: an acknowledged change is never lost, while disks fill up under their
+/// nodes and are taken back into use without a restart.
+#[test]
+fn disks_that_fill_up_lose_nothing() {
+    none_fails((1..=40).map(|seed| (seed, 5, FULL)));
+}
+
 fn none_fails(runs: impl Iterator<Item = (u64, usize, Weather)>) {
     let mut failed = Vec::new();
     for (seed, nodes, weather) in runs {
