--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -324,6 +324,9 @@
     tokio::spawn(sessions::confirm(Arc::clone(&desk)));
     tokio::spawn(sessions::gossip(Arc::clone(&desk)));
     tokio::spawn(windows::run(Arc::clone(&desk)));
+    if settings.margin.is_some() {
+        tokio::spawn(listing::count(Arc::clone(&desk)));
+    }
     if let Some(listing) = ports.listing {
         tokio::spawn(listing::run(Arc::clone(&desk), listing));
     }
--- a/directory/src/listing.rs
+++ b/directory/src/listing.rs
@@ -49,6 +49,30 @@
     is_news.then_some(Command::Listed { engines, gone })
 }
 
+/// How long fewer routers are there before it is written down.
+const FEWER_MS: u64 = 60_000;
+
+/// Writes down how many routers there are, where quotas go by it: more of them at
+/// once, fewer when it has lasted.
+pub(crate) async fn count(desk: Arc<Desk>) {
+    let mut standing = desk.hub.standing.clone();
+    let mut fewer_since = None;
+    while standing.wait_for(|standing| standing.is_leader).await.is_ok() {
+        tokio::time::sleep(yard::jitter(900)).await;
+        let (seen, known) = (desk.fronts.lock().count() as u32, desk.look(|s| s.view.fleet));
+        if seen >= known {
+            fewer_since = None;
+        }
+        let since = *fewer_since.get_or_insert(yard::now());
+        let is_news = seen > known || seen < known && yard::now() > since + FEWER_MS;
+        if is_news && desk.hub.standing.borrow().is_leader {
+            let id = format!("fleet-{:016x}", rand::random::<u64>());
+            let submission = Submission { id, base: 0, command: Command::Fleet(seen) };
+            desk.submit(submission, Duration::from_millis(1_500)).await;
+        }
+    }
+}
+
 pub(crate) async fn run(desk: Arc<Desk>, listing: Listing) {
     let mut standing = desk.hub.standing.clone();
     while standing.wait_for(|standing| standing.is_leader).await.is_ok() {
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -23,7 +23,7 @@
 pub use following::{Following, Taken};
 pub use job::{Event, Job, Misstep, Outcome, State};
 pub use paces::{Meters, Paces, Place};
-pub use pools::{Margin, Pools, Taps, HOLD_MS};
+pub use pools::{Margin, Pools, Taps, HOLD_MS, OPENING};
 
 /// What an engine said of itself last, and when it was heard.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/placement/src/pools.rs
+++ b/placement/src/pools.rs
@@ -43,12 +43,18 @@
     pub window_ms: u64,
 }
 
-/// How what the margin allows in a window is divided. Invariant: all floors and
-/// the pool together are no more than that.
+/// What is kept for processes that began within the window, of the whole: what
+/// they did in a former life nobody may know, where all were lost at once.
+pub const OPENING: f64 = 0.35;
+
+/// How what the margin allows in a window is divided. Invariant: all openings, all
+/// floors and the pool together are no more than that.
 #[derive(Clone, Copy, PartialEq)]
 struct Depth {
     /// Each router's own part, in whole jobs.
     floor: u64,
+    /// The part of one that began within the window, in place of the floor.
+    opening: u64,
     /// What the leader lends.
     pool: u64,
     all: u64,
@@ -59,8 +65,11 @@
     fn depth(&self, rate: u64, burst: u64, routers: usize) -> Depth {
         let refill = (rate * self.window_ms) as f64 / 1_000.0;
         let all = ((refill + burst as f64) * self.overrun + self.extra).max(0.0) as u64;
-        let floor = all / 2 / routers.max(1) as u64;
-        Depth { floor, pool: all - floor * routers.max(1) as u64, all }
+        let routers = routers.max(1) as u64;
+        let opening = (all as f64 * OPENING) as u64 / routers;
+        let all = all - opening * routers;
+        let floor = all / 2 / routers;
+        Depth { floor, opening, pool: all - floor * routers, all }
     }
 }
 
@@ -172,8 +181,9 @@
 }
 
 /// The tenants' taps at one router. Invariants: `life` is another one for each
-/// start of a process; no tap is ever dropped, since its counts go on; floors
-/// are shut for a window after a start, since a former life may have used them.
+/// start of a process; no tap is ever dropped, since its counts go on; for a
+/// window after a start there is the opening alone, since a former life may have
+/// used the floor.
 pub struct Taps {
     life: u64,
     began: u64,
@@ -188,25 +198,28 @@
 
 impl Taps {
     pub fn new(now: u64, life: u64, margin: Margin) -> Taps {
-        let routers = [(now / HOLD_MS, 1), (0, 1)];
+        let routers = [(now / HOLD_MS, 0), (0, 0)];
         Taps { life, began: now, margin, taps: BTreeMap::new(), number: 0, routers }
     }
 
     fn routers(&mut self, now: u64, routers: usize) -> usize {
         let span = now / HOLD_MS;
         if span > self.routers[0].0 {
-            let last = if span == self.routers[0].0 + 1 { self.routers[0].1 } else { 1 };
+            let last = if span == self.routers[0].0 + 1 { self.routers[0].1 } else { 0 };
             self.routers = [(span, routers), (span - 1, last)];
         }
         self.routers[0].1 = self.routers[0].1.max(routers);
-        self.routers[0].1.max(self.routers[1].1).max(1)
+        self.routers[0].1.max(self.routers[1].1)
     }
 
-    /// Whether a job may go, at once. `routers` is how many are known, this one
-    /// too. Invariant: a new router is counted by all within a window, while its
-    /// own floor is shut.
+    /// Whether a job may go, at once. `routers` is how many there are as far as is
+    /// known, this one too; 0 stands for not known, and then none may. Invariant: a
+    /// new router is counted by all within a window, while it has no floor.
     pub fn admit(&mut self, now: u64, tenant: &str, rate: u64, burst: u64, routers: usize) -> bool {
         let routers = self.routers(now, routers);
+        if routers == 0 {
+            return false;
+        }
         let depth = self.margin.depth(rate, burst, routers);
         let (began, window) = (self.began, self.margin.window_ms);
         let tap = self.taps.entry(tenant.to_string()).or_insert_with(|| Tap {
@@ -236,7 +249,7 @@
         tap.asked += 1.0;
         tap.seen = now;
         (tap.idle, tap.is_told) = (None, false);
-        let floor = if now < began + window { 0 } else { depth.floor };
+        let floor = if now < began + window { depth.opening } else { depth.floor };
         let is_full = tap.counts.since(now.saturating_sub(window)) >= floor + tap.part;
         let is_lent = tap.used < tap.limit;
         if rate == 0 || is_full || !is_lent && tap.bucket < 1.0 {
@@ -297,7 +310,8 @@
                 continue;
             }
             let counted = tap.counts.since(now.saturating_sub(window));
-            let floor = if now < self.began + window { 0 } else { tap.depth.floor };
+            let is_young = now < self.began + window;
+            let floor = if is_young { tap.depth.opening } else { tap.depth.floor };
             tap.taken = number;
             tap.limit = share.limit;
             tap.part = (counted + share.limit.saturating_sub(tap.used)).saturating_sub(floor);
@@ -530,7 +544,7 @@
         window: u64,
         is_ready: bool,
     ) -> Option<u64> {
-        let Depth { floor, pool, .. } = self.depth;
+        let Depth { floor, opening, pool, .. } = self.depth;
         let gained = tokens(now.saturating_sub(self.filled), self.rate);
         self.level = (self.level + gained).min(self.depth.saved());
         self.filled = self.filled.max(now);
@@ -553,8 +567,9 @@
         if !is_ready {
             return None;
         }
-        // A young router has no floor yet: all that it used is of its part.
-        let own = if from.age_ms < window { 0 } else { floor };
+        // A young router has no floor yet: what it used past its opening is of its
+        // part.
+        let own = if from.age_ms < window { opening.min(floor) } else { floor };
         let from_at = now.saturating_sub(window);
         let used = account.counts.since(from_at);
         let weigh = |asked: u64| if asked > 0 { (asked as f64 + EVEN).powf(GROWTH) } else { 0.0 };
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -79,6 +79,9 @@
         #[bw(write_with = write_list)]
         gone: Vec<Name>,
     },
+    /// How many routers there are, for those that begin when all were lost.
+    #[brw(magic = 16u8)]
+    Fleet(u32),
 }
 
 /// A document that operators wrote in words of their own. Invariant: the book is
@@ -249,7 +252,7 @@
         | Command::Listed { .. } => 2,
         Command::Evacuate(_) | Command::GiveBack(_) => 3,
         Command::Move { .. } | Command::Settle { .. } | Command::Unpin { .. } => 4,
-        Command::Schedule(_) | Command::Begin(_) | Command::End(_) => 5,
+        Command::Schedule(_) | Command::Begin(_) | Command::End(_) | Command::Fleet(_) => 5,
     }
 }
 
@@ -387,6 +390,7 @@
             }
             Command::Revise { whole, text } => self.revision_events(*whole, text),
             Command::Listed { engines, gone } => Ok(self.listed_events(engines, gone)),
+            Command::Fleet(count) => Ok(vec![Event::Fleet(*count)]),
             Command::Key(place) => {
                 let is_digest = place.name.len() == 64
                     && place.name.bytes().all(|byte| byte.is_ascii_hexdigit());
--- a/residency/src/view.rs
+++ b/residency/src/view.rs
@@ -168,6 +168,8 @@
     ),
     #[brw(magic = 11u8)]
     Limits(Limits),
+    #[brw(magic = 12u8)]
+    Fleet(u32),
 }
 
 #[binrw]
@@ -208,6 +210,9 @@
     pub tenants: BTreeMap<String, Terms>,
     pub services: BTreeMap<String, Traits>,
     pub limits: Limits,
+    /// How many routers there are, as the leader last wrote it down; 0 stands for
+    /// not known.
+    pub fleet: u32,
 }
 
 impl Default for View {
@@ -224,6 +229,7 @@
             tenants: BTreeMap::new(),
             services: BTreeMap::new(),
             limits: Limits::default(),
+            fleet: 0,
         }
     }
 }
@@ -295,6 +301,7 @@
                     list.iter().map(|traits| (traits.service.clone(), traits.clone())).collect();
             }
             Event::Limits(limits) => self.limits = *limits,
+            Event::Fleet(count) => self.fleet = *count,
         }
     }
 
@@ -307,6 +314,7 @@
             Event::Tenants(self.tenants.values().cloned().collect()),
             Event::Services(self.services.values().cloned().collect()),
             Event::Limits(self.limits),
+            Event::Fleet(self.fleet),
         ];
         events.extend(places(&self.keys).into_iter().map(Event::Key));
         events.extend(self.engines.values().cloned().map(Event::Engine));
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -275,7 +275,10 @@
         }
     };
     let terms = view.tenants.get(&tenant).map_or((0, 0), |terms| (terms.pace, terms.burst));
-    let routers = router.company.read().count();
+    let routers = match view.fleet as usize {
+        0 => 0,
+        known => known.max(router.company.read().count()),
+    };
     if let Err(refusal) = router.quota.admit(&tenant, terms, routers, router.boot.quota).await {
         router.counters.one("refused-quota");
         return Err(refusal);
