Pools: a leader lends anew half a window after all processes were lost

After: routers use at most 0.7 of their part within half a window, so that half a window after the last process began a new leader that has heard all, none of them older than a window, may lend what the earlier half cannot have used.

--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -449,7 +449,7 @@
         let state = self.state.read();
         let terms =
             |tenant: &str| state.view.tenants.get(tenant).map(|terms| (terms.pace, terms.burst));
-        let routers = self.routers.load(Ordering::Relaxed);
+        let routers = self.routers.load(Ordering::Relaxed).max(state.view.fleet as usize);
         let answer = |demand| match &mut self.grants {
             Grants::Paces(paces) => paces.answer(now(), demand, terms),
             Grants::Pools(pools) => pools.answer(now(), demand, routers, terms),
--- a/placement/src/pools.rs
+++ b/placement/src/pools.rs
@@ -46,6 +46,13 @@
 /// What is kept for processes that began within the window, of the whole: what
 /// they did in a former life nobody may know, where all were lost at once.
 pub const OPENING: f64 = 0.25;
+/// What a router may use of its part of a window within half a window, so that it
+/// is known how much of what was used before a loss can still count.
+const HALF: f64 = 0.7;
+
+fn within_half(part: u64) -> u64 {
+    (part as f64 * HALF).ceil() as u64
+}
 
 /// How what the margin allows in a window is divided. Invariant: all openings, all
 /// floors and the pool together are no more than that.
@@ -57,6 +64,9 @@
     opening: u64,
     /// What the leader lends.
     pool: u64,
+    /// What it lends where all processes began within the window, and the earlier
+    /// half of it is over.
+    reborn: u64,
     all: u64,
 }
 
@@ -67,9 +77,12 @@
         let all = ((refill + burst as f64) * self.overrun + self.extra).max(0.0) as u64;
         let routers = routers.max(1) as u64;
         let opening = (all as f64 * OPENING) as u64 / routers;
+        let whole = all;
         let all = all - opening * routers;
         let floor = all / 2 / routers;
-        Depth { floor, opening, pool: all - floor * routers, all }
+        // Each router's half is rounded up.
+        let reborn = whole.saturating_sub(within_half(all) + routers + opening * routers);
+        Depth { floor, opening, pool: all - floor * routers, reborn, all }
     }
 }
 
@@ -249,8 +262,11 @@
         tap.asked += 1.0;
         tap.seen = now;
         (tap.idle, tap.is_told) = (None, false);
-        let floor = if now < began + window { depth.opening } else { depth.floor };
-        let is_full = tap.counts.since(now.saturating_sub(window)) >= floor + tap.part;
+        let is_young = now < began + window;
+        let most = tap.part + if is_young { depth.opening } else { depth.floor };
+        let lately = tap.counts.since(now.saturating_sub(window / 2));
+        let is_full = tap.counts.since(now.saturating_sub(window)) >= most
+            || !is_young && lately >= within_half(most);
         let is_lent = tap.used < tap.limit;
         if rate == 0 || is_full || !is_lent && tap.bucket < 1.0 {
             return false;
@@ -408,13 +424,32 @@
     /// Until when former lives that this leader has not known may be in a window.
     ready: u64,
     has_heard_all: bool,
+    /// A router was heard that began more than a window ago.
+    has_mature: bool,
+}
+
+/// What a leader knows of what was used before it led.
+#[derive(Clone, Copy, PartialEq)]
+enum Readiness {
+    None,
+    /// All that was used before all processes began is half over.
+    Reborn,
+    Full,
 }
 
 impl Pools {
     /// Of a leader that begins now.
     pub fn new(now: u64, margin: Margin) -> Pools {
         let (routers, pools) = (BTreeMap::new(), BTreeMap::new());
-        Pools { margin, routers, pools, since: now, ready: 0, has_heard_all: false }
+        Pools {
+            margin,
+            routers,
+            pools,
+            since: now,
+            ready: 0,
+            has_heard_all: false,
+            has_mature: false,
+        }
     }
 
     /// A router said that it admits nothing any more; what it has used stays in
@@ -449,7 +484,14 @@
         if !self.hear(now, from, routers) {
             return answer;
         }
-        let is_ready = now >= self.ready && self.has_heard_all;
+        // Where all processes were lost, only the later half of what they had used
+        // is in the window by the time that half a window has passed.
+        let is_reborn = now + window / 2 >= self.ready && !self.has_mature;
+        let readiness = match self.has_heard_all {
+            true if now >= self.ready => Readiness::Full,
+            true if is_reborn => Readiness::Reborn,
+            _ => Readiness::None,
+        };
         let all = routers.max(1);
         for demand in &from.demands {
             let Some((rate, burst)) = terms(&demand.tenant).filter(|terms| terms.0 > 0) else {
@@ -466,7 +508,7 @@
             });
             pool.adapt(now, rate, depth, window);
             pool.accounts.retain(|name, _| self.routers.contains_key(name));
-            let limit = pool.answer(now, from, demand, window, is_ready);
+            let limit = pool.answer(now, from, demand, window, readiness);
             let share = limit.map(|limit| (demand.tenant.clone(), limit));
             answer.shares.extend(share.map(|(tenant, limit)| Share { tenant, limit, queue_ms: 0 }));
         }
@@ -510,6 +552,7 @@
             if is_new {
                 let born = now.saturating_sub(from.age_ms);
                 self.ready = self.ready.max(born + self.margin.window_ms);
+                self.has_mature |= from.age_ms >= self.margin.window_ms;
             }
             // Before that they may yet take answers of another leader.
             let settled = self.since + LICENCE_MS;
@@ -542,9 +585,13 @@
         from: &FrontDemand,
         demand: &Demand,
         window: u64,
-        is_ready: bool,
+        readiness: Readiness,
     ) -> Option<u64> {
-        let Depth { floor, opening, pool, .. } = self.depth;
+        let Depth { floor, opening, pool, reborn, .. } = self.depth;
+        let (floor, pool) = match readiness {
+            Readiness::Reborn => (opening, reborn),
+            _ => (floor, pool),
+        };
         let gained = tokens(now.saturating_sub(self.filled), self.rate);
         self.level = (self.level + gained).min(self.depth.saved());
         self.filled = self.filled.max(now);
@@ -564,7 +611,7 @@
         (account.part, account.limit, account.asked) = (demand.waiting, demand.limit, demand.ahead);
         account.given.retain(|(to, ..)| *to > demand.floor);
         self.level -= charged as f64;
-        if !is_ready {
+        if readiness == Readiness::None {
             return None;
         }
         // A young router has no floor yet: what it used past its opening is of its
