Routers tell each other of their jobs at engines and of shared parts kept

Ruled out: engines' reports (priced, 100 ms old); splitting engines among routers (a queue each instead of one for all). After: Tidings between routers (a batch for neighbours, one relay in each other region); what others have at an engine counts as queue, what they sent there as kept; a shared part kept in another region is worth the way.

--- a/placement/src/estimates.rs
+++ b/placement/src/estimates.rs
@@ -11,7 +11,16 @@
 const READ_PACE: f64 = 110.0;
 /// What a job costs that goes to another region: the way there and back, and the
 /// price of its bytes, in milliseconds of waiting.
-const FAR_MS: f64 = 250.0;
+const FAR_MS: f64 = 150.0;
+/// A part that other prompts share and that is read again takes an engine's time
+/// from them, too: so many times what its reading takes is added.
+const SHARED: f64 = 4.0;
+/// What another process said of its jobs at an engine is believed for this long.
+const TOLD_MS: u64 = 1_500;
+/// What is still so is said again after this long.
+const AGAIN_MS: u64 = 600;
+/// A part that is kept is told of again after this long.
+const KEPT_AGAIN_MS: u64 = KEPT_MS / 2;
 /// How much longer a wait may be at the engine that ranks first for a prefix
 /// before the next one in rank is taken.
 const RANK_MS: f64 = 15.0;
@@ -47,6 +56,10 @@
     mark: u64,
     own: u32,
     reading: f64,
+    /// What other processes have there: jobs, tokens being read, when it was said.
+    others: HashMap<String, (u32, f64, u64)>,
+    /// What was last said of this process's own jobs there, and when.
+    said: (u32, u32, u64),
     /// How much longer first events took than was expected, smoothed, and when
     /// that was last seen.
     excess: f64,
@@ -68,6 +81,8 @@
             mark: language::mark(engine.name.as_bytes()),
             own: 0,
             reading: 0.0,
+            others: HashMap::new(),
+            said: (0, 0, 0),
             excess: 0.0,
             seen: now,
             failures: 0,
@@ -79,16 +94,28 @@
         }
     }
 
-    /// Tokens of a prompt that it has to read.
-    fn unread(&self, now: u64, prompt: &Prompt) -> f64 {
-        let mut kept = 0;
-        for part in &prompt.parts {
-            match self.kept.get(&part.chain) {
-                Some(at) if now < at + KEPT_MS => kept += part.tokens,
-                _ => break,
+    /// Tokens of a prompt that it has to read, and how many of them are of parts
+    /// that other prompts share.
+    fn unread(&self, now: u64, prompt: &Prompt) -> (f64, f64) {
+        let (mut kept, mut shared, mut is_kept) = (0, 0, true);
+        let last = prompt.parts.len().saturating_sub(1);
+        for (place, part) in prompt.parts.iter().enumerate() {
+            is_kept &= self.kept.get(&part.chain).is_some_and(|at| now < at + KEPT_MS);
+            match is_kept {
+                true => kept += part.tokens,
+                false if place < last => shared += part.tokens,
+                false => {}
             }
         }
-        f64::from(prompt.tokens_in.saturating_sub(kept))
+        (f64::from(prompt.tokens_in.saturating_sub(kept)), f64::from(shared))
+    }
+
+    /// Jobs and tokens being read there, of all processes.
+    fn load(&self, now: u64) -> (u32, f64) {
+        let told = self.others.values().filter(|(.., at)| now < at + TOLD_MS);
+        told.fold((self.own, self.reading), |(jobs, tokens), (more, reading, _)| {
+            (jobs + more, tokens + reading)
+        })
     }
 
     fn excess(&self, now: u64) -> f64 {
@@ -107,6 +134,22 @@
 pub struct Estimates {
     known: BTreeMap<String, Known>,
     evacuated: BTreeSet<String>,
+    /// Shared parts that were sent to an engine and not told of yet.
+    kept: Vec<(String, u64)>,
+}
+
+/// What one process tells the others of the engines: its jobs and the tokens being
+/// read at those where that changed, and shared parts that are kept since.
+#[derive(Debug, Default, PartialEq)]
+pub struct News {
+    pub loads: Vec<(String, u32, u32)>,
+    pub kept: Vec<(String, u64)>,
+}
+
+impl News {
+    pub fn is_empty(&self) -> bool {
+        self.loads.is_empty() && self.kept.is_empty()
+    }
 }
 
 impl Estimates {
@@ -175,9 +218,11 @@
             }
             let region = view.cell(&known.engine.cell).map(|cell| cell.region);
             let is_far = region.as_ref() != home.map(|home| &home.0);
-            let cost = (known.reading + known.unread(now, wanted.prompt)) / READ_PACE
+            let (jobs, reading) = known.load(now);
+            let (unread, shared) = known.unread(now, wanted.prompt);
+            let cost = (reading + unread + SHARED * shared) / READ_PACE
                 + known.excess(now)
-                + f64::from(known.own) * if wanted.prompt.tokens_in == 0 { 12.0 } else { 1.0 }
+                + f64::from(jobs) * if wanted.prompt.tokens_in == 0 { 12.0 } else { 1.0 }
                 + if is_far { FAR_MS } else { 0.0 };
             let draw = match wanted.prefix {
                 0 => u64::MAX / 2,
@@ -228,15 +273,50 @@
         }
     }
 
+    /// What is to be told to others now.
+    pub fn news(&mut self, now: u64) -> News {
+        let mut loads = Vec::new();
+        for (name, known) in &mut self.known {
+            let (jobs, tokens) = (known.own, known.reading as u32);
+            let (said_jobs, said_tokens, at) = known.said;
+            let is_same = (jobs, tokens) == (said_jobs, said_tokens);
+            if is_same && (jobs == 0 || now < at + AGAIN_MS) {
+                continue;
+            }
+            known.said = (jobs, tokens, now);
+            loads.push((name.clone(), jobs, tokens));
+        }
+        News { loads, kept: std::mem::take(&mut self.kept) }
+    }
+
+    /// Another process tells its news.
+    pub fn told(&mut self, now: u64, from: &str, news: &News) {
+        for (name, jobs, tokens) in &news.loads {
+            if let Some(known) = self.known.get_mut(name) {
+                known.others.retain(|_, (.., at)| now < *at + TOLD_MS);
+                known.others.insert(from.to_string(), (*jobs, f64::from(*tokens), now));
+            }
+        }
+        for (name, chain) in &news.kept {
+            if let Some(known) = self.known.get_mut(name) {
+                known.kept.insert(*chain, now);
+            }
+        }
+    }
+
     /// A job's bytes have left for an engine. Gives the time that its first event
     /// is expected to take, and the tokens that count as being read there.
     pub fn sent(&mut self, now: u64, name: &str, prompt: &Prompt) -> (f64, f64) {
         let Some(known) = self.known.get_mut(name) else { return (0.0, 0.0) };
-        let unread = known.unread(now, prompt);
-        let expected = (known.reading + unread) / READ_PACE;
+        let (unread, _) = known.unread(now, prompt);
+        let expected = (known.load(now).1 + unread) / READ_PACE;
         known.reading += unread;
-        for part in &prompt.parts {
-            known.kept.insert(part.chain, now);
+        let last = prompt.parts.len().saturating_sub(1);
+        for (place, part) in prompt.parts.iter().enumerate() {
+            let before = known.kept.insert(part.chain, now);
+            if place < last && before.is_none_or(|at| now >= at + KEPT_AGAIN_MS) {
+                self.kept.push((name.to_string(), part.chain));
+            }
         }
         if known.kept.len() > 4_096 {
             known.kept.retain(|_, at| now < *at + KEPT_MS);
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -19,7 +19,7 @@
 pub use control::{Retries, Warmth, RETRY_LIFE_MS};
 pub use elect::{elect, rank, Candidate};
 pub use engines::{may_have, Chosen, Engines, GONE_MS, SILENCE_MS};
-pub use estimates::{Estimates, Wanted};
+pub use estimates::{Estimates, News, Wanted};
 pub use following::{Following, Taken};
 pub use job::{Event, Job, Misstep, Outcome, State};
 pub use paces::{Meters, Paces, Place};
--- a/placement/tests/estimates.rs
+++ b/placement/tests/estimates.rs
@@ -163,3 +163,40 @@
     assert_eq!(many.count(), 1, "one at a time");
     assert!(chosen(&mut estimates, 12_100, &seen, &job, &[]).is_some());
 }
+
+/// What routers tell each other: a job goes past an engine that another router has
+/// filled, and to one that another router has warmed.
+#[test]
+fn what_others_have_at_engines_and_what_is_kept_there_counts() {
+    let view =
+        view(&[engine("a", "north-a", 0), engine("b", "north-a", 0), engine("far", "south-a", 0)]);
+    let (mut one, mut two) = (Estimates::default(), Estimates::default());
+    one.follow(1_000, &view);
+    two.follow(1_000, &view);
+    let first = chosen(&mut one, 1_000, &view, &prompt(7, 1), &[]).expect("all are free");
+    let (expected, tokens) = one.sent(1_000, &first, &prompt(7, 1));
+    let news = one.news(1_010);
+    assert_eq!(news.loads, vec![(first.clone(), 1, 11_000)]);
+    assert_eq!(news.kept, vec![(first.clone(), 7)], "the shared part, not the job's own");
+    assert!(one.news(1_020).is_empty(), "said once");
+    two.told(1_030, "one", &news);
+    // Reading 11,000 tokens there takes a tenth of a second, less than what reading
+    // the shared part again would cost.
+    let warm = chosen(&mut two, 1_040, &view, &prompt(7, 2), &[]).expect("all are free");
+    assert_eq!(warm, first);
+    let other = chosen(&mut two, 1_040, &view, &prompt(99, 2), &[]).expect("all are free");
+    assert_ne!(other, first, "what has nothing kept there goes past the queue");
+    one.read(&first, tokens);
+    one.began(1_100, &first, expected, 100);
+    one.release(&first);
+    let news = one.news(1_110);
+    assert_eq!(news.loads, vec![(first.clone(), 0, 0)]);
+    // A part that is kept far away alone is worth the way.
+    let mut far = Estimates::default();
+    far.follow(1_000, &view);
+    far.told(1_000, "one", &placement::News { loads: vec![], kept: vec![("far".into(), 7)] });
+    assert_eq!(chosen(&mut far, 1_010, &view, &prompt(7, 3), &[]).as_deref(), Some("far"));
+    let long = 1_000 + 30_000;
+    let near = chosen(&mut far, long, &view, &prompt(7, 3), &[]).expect("all are free");
+    assert_ne!(near, "far", "what was not told of again is taken for lost");
+}
--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -149,6 +149,11 @@
     }
 }
 
+/// Hands a frame to another router, if there is room on the way.
+pub fn tell(router: &Arc<Router>, to: SocketAddr, frame: Frame) {
+    drop(neighbour(router, to).out.try_send(frame));
+}
+
 /// Looks a key up in the region's layer. Failing is a miss.
 pub async fn look(router: &Arc<Router>, key: &str) -> Hit<Mapping> {
     let Some(to) = owner(router, key) else { return router.layers.share(key) };
@@ -204,6 +209,9 @@
                 link::send(&mut stream, &Frame::Seen { number, mapping }).await?;
             }
             Frame::Keep(mapping) => router.layers.keep_share(&mapping),
+            Frame::Tidings { from, is_relayed, loads, kept } => {
+                crate::tidings::take(&router, &from, is_relayed != 0, loads, kept);
+            }
             other => anyhow::bail!("an unexpected frame from a neighbour: {other:?}"),
         }
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod layers;
 mod ports;
 mod session;
+mod tidings;
 
 pub use door::whereabouts;
 pub use ports::{Callers, Ports, RetryPolicy, Server};
@@ -186,6 +187,9 @@
         .with_context(|| format!("listening at {}", router.boot.listen))?;
     tokio::spawn(company::accept(Arc::clone(&router), listener));
     tokio::spawn(session::run(Arc::clone(&router)));
+    if router.ports.engines_are_silent {
+        tokio::spawn(tidings::run(Arc::clone(&router)));
+    }
     let door = door::serve(Arc::clone(&router)).await?;
     let mut running = Vec::new();
     for server in servers {
--- /dev/null
+++ b/router/src/tidings.rs
@@ -0,0 +1,111 @@
+//! What routers tell each other of engines that say nothing of themselves: their
+//! jobs there, the tokens being read, and which shared parts of prompts are kept
+//! where. Soft: lost on restart, believed for a moment only.
+//!
+//! Within a region everybody tells everybody, in batches that grow with their
+//! number. To each other region one router is told, which passes it on there.
+
+use crate::{company, Router};
+use placement::News;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::{Frame, Front, Kept, Load};
+
+/// How long news wait for more of them, for each neighbour that is told.
+const BATCH_MS: u64 = 4;
+/// News for other regions wait at least this long.
+const FAR_BATCH_MS: u64 = 120;
+/// Told again where nothing changed, so that it is believed on.
+const AGAIN_MS: u64 = 600;
+
+fn frame(from: &str, is_relayed: bool, news: &News) -> Frame {
+    let load = |(engine, jobs, tokens): &(String, u32, u32)| Load {
+        engine: engine.clone(),
+        jobs: *jobs,
+        tokens: *tokens,
+    };
+    let kept = |(engine, chain): &(String, u64)| Kept { engine: engine.clone(), chain: *chain };
+    Frame::Tidings {
+        from: from.into(),
+        is_relayed: is_relayed.into(),
+        loads: news.loads.iter().map(load).collect(),
+        kept: news.kept.iter().map(kept).collect(),
+    }
+}
+
+/// The other routers of this region.
+fn near(router: &Router) -> Vec<SocketAddr> {
+    let is_near =
+        |front: &&Front| front.region == router.boot.region && front.name != router.boot.name;
+    let company = router.company.read();
+    company.fronts.iter().filter(is_near).filter_map(|f| f.address.parse().ok()).collect()
+}
+
+/// One router of each other region, by rank for this one.
+fn far(router: &Router) -> Vec<SocketAddr> {
+    let own = language::mark(router.boot.name.as_bytes());
+    let company = router.company.read();
+    let mut regions: HashMap<&str, (u64, &Front)> = HashMap::new();
+    for front in company.fronts.iter().filter(|f| f.region != router.boot.region) {
+        let rank = placement::rank(own, language::mark(front.name.as_bytes()));
+        let best = regions.entry(&front.region).or_insert((rank, front));
+        if rank > best.0 {
+            *best = (rank, front);
+        }
+    }
+    regions.values().filter_map(|(_, front)| front.address.parse().ok()).collect()
+}
+
+fn tell(router: &Arc<Router>, to: &[SocketAddr], frame: &Frame) {
+    for address in to {
+        company::tell(router, *address, frame.clone());
+    }
+}
+
+/// Takes what another router tells, and passes it on where it came from another
+/// region.
+pub fn take(router: &Arc<Router>, from: &str, is_relayed: bool, loads: Vec<Load>, kept: Vec<Kept>) {
+    let news = News {
+        loads: loads.into_iter().map(|load| (load.engine, load.jobs, load.tokens)).collect(),
+        kept: kept.into_iter().map(|kept| (kept.engine, kept.chain)).collect(),
+    };
+    router.dispatcher.roster.told(from, &news);
+    let is_far = {
+        let company = router.company.read();
+        let region = company.fronts.iter().find(|front| front.name == from).map(|f| &f.region);
+        region.is_some_and(|region| *region != router.boot.region)
+    };
+    if is_far && !is_relayed {
+        tell(router, &near(router), &frame(from, true, &news));
+    }
+}
+
+/// The loop: news as they come, in batches.
+pub async fn run(router: Arc<Router>) {
+    let mut for_far = News::default();
+    let mut told_far = yard::now();
+    loop {
+        let again = Duration::from_millis(AGAIN_MS);
+        drop(tokio::time::timeout(again, router.dispatcher.roster.news.notified()).await);
+        let neighbours = near(&router);
+        let batch = BATCH_MS * (neighbours.len() as u64 + 1);
+        tokio::time::sleep(Duration::from_millis(batch)).await;
+        let news = router.dispatcher.roster.take_news();
+        if !news.is_empty() {
+            tell(&router, &neighbours, &frame(&router.boot.name, false, &news));
+        }
+        for load in news.loads {
+            match for_far.loads.iter_mut().find(|known| known.0 == load.0) {
+                Some(known) => *known = load,
+                None => for_far.loads.push(load),
+            }
+        }
+        for_far.kept.extend(news.kept);
+        if !for_far.is_empty() && yard::now() >= told_far + FAR_BATCH_MS {
+            tell(&router, &far(&router), &frame(&router.boot.name, false, &for_far));
+            (for_far, told_far) = (News::default(), yard::now());
+        }
+    }
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,7 +10,7 @@
 use residency::{Event, Mapping, Name, Outcome, Submission};
 
 /// The epoch of these frames. Changed whenever one of them changes.
-pub const EPOCH: u16 = 5;
+pub const EPOCH: u16 = 6;
 /// How long a confirmation by a majority is a licence, counted from when it
 /// was asked for. Invariant: shorter than any bound within which a change must
 /// be in force, and well longer than an election.
@@ -357,6 +357,44 @@
     },
     #[brw(magic = 42u8)]
     Keep(Mapping),
+    /// What a router has at the engines, and which parts of prompts they keep.
+    #[brw(magic = 43u8)]
+    Tidings {
+        #[br(parse_with = read_text)]
+        #[bw(write_with = write_text)]
+        from: String,
+        /// It came from another region, and is passed on no further.
+        is_relayed: u8,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        loads: Vec<Load>,
+        #[br(parse_with = read_list)]
+        #[bw(write_with = write_list)]
+        kept: Vec<Kept>,
+    },
+}
+
+/// A router's jobs at an engine, and the tokens of them that are being read.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Load {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub engine: String,
+    pub jobs: u32,
+    pub tokens: u32,
+}
+
+/// A shared part of prompts that an engine keeps.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kept {
+    #[br(parse_with = read_text)]
+    #[bw(write_with = write_text)]
+    pub engine: String,
+    pub chain: u64,
 }
 
 #[binrw]
--- a/yard/src/roster.rs
+++ b/yard/src/roster.rs
@@ -7,7 +7,7 @@
 use hyper_util::rt::TokioIo;
 use language::Prompt;
 use parking_lot::Mutex;
-use placement::{Chosen, Engines, Estimates, Vitals, Wanted, SILENCE_MS};
+use placement::{Chosen, Engines, Estimates, News, Vitals, Wanted, SILENCE_MS};
 use residency::{Mapping, View};
 use simd_json::prelude::*;
 use std::collections::BTreeMap;
@@ -44,6 +44,8 @@
     peers: Peers,
     /// Told when room may have come up.
     pub room: Notify,
+    /// Told when there may be news for others.
+    pub news: Notify,
 }
 
 /// A job's place at an engine, given back when dropped.
@@ -70,6 +72,7 @@
                 if let Some((_, _, tokens)) = self.reading {
                     estimates.read(&self.name, tokens);
                 }
+                self.roster.news.notify_one();
             }
         }
         self.roster.room.notify_waiters();
@@ -129,6 +132,7 @@
         if let Sight::Answers(estimates) = &self.roster.sight {
             let (expected, tokens) = estimates.lock().sent(now(), &self.name, prompt);
             self.reading = Some((now(), expected, tokens));
+            self.roster.news.notify_one();
         }
     }
 
@@ -145,6 +149,7 @@
             let mut estimates = estimates.lock();
             estimates.read(&self.name, tokens);
             estimates.began(now(), &self.name, expected, now() - at);
+            self.roster.news.notify_one();
         }
     }
 }
@@ -157,6 +162,7 @@
             readers: Mutex::default(),
             peers,
             room: Notify::new(),
+            news: Notify::new(),
         })
     }
 
@@ -168,6 +174,7 @@
             readers: Mutex::default(),
             peers,
             room: Notify::new(),
+            news: Notify::new(),
         })
     }
 
@@ -295,6 +302,20 @@
         }
     }
 
+    /// What is to be told to other processes now.
+    pub fn take_news(&self) -> News {
+        match &self.sight {
+            Sight::Vitals(_) => News::default(),
+            Sight::Answers(estimates) => estimates.lock().news(now()),
+        }
+    }
+
+    pub fn told(&self, from: &str, news: &News) {
+        if let Sight::Answers(estimates) = &self.sight {
+            estimates.lock().told(now(), from, news);
+        }
+    }
+
     /// Whether an engine is listed.
     pub fn is_listed(&self, name: &str) -> bool {
         match &self.sight {
