A way back that is shorter: links before the first sounding, doors with the first licence

Routers that had no licence yet refused at once with 'come back in 0.05 s', and a client's one further try met the same. After: links are dialled at the start, a frame waits up to 600 ms for the other side; a router that begins opens its doors with its first licence, at the latest after 800 ms, and says when to come back.

--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -25,7 +25,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
-use wire::{Front, Question, Reply};
+use wire::{Frame, Front, Question, Reply};
 use yard::counters::Counters;
 use yard::dispatch::Dispatcher;
 use yard::quota::Quota;
@@ -320,6 +320,12 @@
             Err(text) => log::warn!("does not found a cluster: {text}"),
         }
     }
+    // The links are there before the first sounding needs them.
+    for member in desk.hub.standing.borrow().members.all() {
+        if member.identity != desk.member.identity {
+            desk.links.send(&member.address, Frame::Introduce(desk.member.clone()));
+        }
+    }
     tokio::spawn(links::join(Arc::clone(&desk)));
     tokio::spawn(sessions::confirm(Arc::clone(&desk)));
     tokio::spawn(sessions::gossip(Arc::clone(&desk)));
--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -12,11 +12,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use wire::{Frame, Kind, Question, Reply};
-use yard::link;
+use yard::{link, now};
 
 const QUEUE: usize = 1024;
 /// Without a leader for this long, a node asks whether it still counts in.
 const ALONE_MS: u64 = 3_000;
+/// A frame that can't be sent waits for the other side for so long.
+const HELD_MS: u64 = 600;
 
 /// One way out to each address. Invariant: a frame is sent once or dropped;
 /// whoever needs an answer asks again.
@@ -56,24 +58,47 @@
 
     async fn carry(self: Arc<Links>, address: String, mut frames: mpsc::Receiver<Frame>) {
         let Ok(to) = address.parse() else { return };
+        // A frame that waits for the other side to come up, and since when.
+        let mut held: Option<(Frame, u64)> = None;
         loop {
-            let Some(first) = frames.recv().await else { return };
-            if let Err(error) = self.connected(to, first, &mut frames).await {
-                log::debug!(to = address.as_str(); "link: {error:#}");
+            let (first, since) = match held.take() {
+                Some(held) => held,
+                None => match frames.recv().await {
+                    Some(frame) => (frame, now()),
+                    None => return,
+                },
+            };
+            match link::dial(self.source, to, Kind::Directory, &self.me.name).await {
+                Ok(stream) => {
+                    if let Err(error) = self.connected(to, stream, first, &mut frames).await {
+                        log::debug!(to = address.as_str(); "link: {error:#}");
+                    }
+                    tokio::time::sleep(yard::jitter(60)).await;
+                    // What waited all that time is stale by now.
+                    while frames.try_recv().is_ok() {}
+                }
+                Err(error) => {
+                    log::debug!(to = address.as_str(); "link: {error:#}");
+                    tokio::time::sleep(yard::jitter(30)).await;
+                    // The newest one is sent as soon as the other side is there,
+                    // unless it is stale by then.
+                    held = Some((first, since));
+                    while let Ok(newer) = frames.try_recv() {
+                        held = Some((newer, now()));
+                    }
+                    held = held.filter(|(_, since)| now() < since + HELD_MS);
+                }
             }
-            tokio::time::sleep(yard::jitter(60)).await;
-            // What waited all that time is stale by now.
-            while frames.try_recv().is_ok() {}
         }
     }
 
     async fn connected(
         &self,
         to: SocketAddr,
+        mut stream: TcpStream,
         first: Frame,
         frames: &mut mpsc::Receiver<Frame>,
     ) -> anyhow::Result<()> {
-        let mut stream = link::dial(self.source, to, Kind::Directory, &self.me.name).await?;
         link::send(&mut stream, &Frame::Introduce(self.me.clone())).await?;
         link::send(&mut stream, &first).await?;
         let (mut reader, mut writer) = stream.split();
@@ -162,16 +187,16 @@
 /// lost with the leader that proposed it.
 pub async fn join(desk: Arc<Desk>) {
     let mut said = String::new();
-    let mut led = yard::now();
+    let mut led = now();
     loop {
         let standing = desk.hub.standing.borrow().clone();
         let known = standing.members.get(desk.member.identity).cloned();
         let is_blank = standing.cluster == 0;
         let has_moved = known.is_some_and(|known| known != desk.member);
         if standing.leader.is_some() {
-            led = yard::now();
+            led = now();
         }
-        if is_blank || has_moved || yard::now() > led + ALONE_MS {
+        if is_blank || has_moved || now() > led + ALONE_MS {
             let others = |seed: &SocketAddr| seed.to_string() != desk.member.address;
             for seed in desk.seeds().into_iter().filter(others) {
                 match ask_in(&desk, seed).await {
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -30,11 +30,26 @@
         .await
         .with_context(|| format!("listening at {address}"))?;
     let view = router.view.subscribe();
+    let opened = {
+        let router = Arc::clone(&router);
+        Box::pin(async move { open(&router).await })
+    };
     let handler: web::Handler = Arc::new(move |request| {
         let router = Arc::clone(&router);
         Box::pin(async move { answer(router, request).await })
     });
-    Ok(doors::serve(listener, Box::new(move || view.borrow().limits), handler))
+    Ok(doors::serve(listener, Box::new(move || view.borrow().limits), handler, opened))
+}
+
+/// A router that begins opens its doors with its first licence: whoever comes a
+/// moment before waits at them, and not past this.
+const OPEN_PATIENCE: Duration = Duration::from_millis(800);
+
+async fn open(router: &Router) {
+    let until = tokio::time::Instant::now() + OPEN_PATIENCE;
+    while router.leave().is_err() && tokio::time::Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
 }
 
 /// The caller's own id for its job, where it is fit for logs, or a drawn one.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -108,6 +108,10 @@
         // One that never had a licence knows nothing that was in force.
         let outlive = if licence > 0 { self.boot.outlive } else { 0 };
         if now() >= licence + outlive {
+            if licence == 0 {
+                let text = "this router has just begun, and waits for its first licence";
+                return Err(Refusal::not_run(503, "starting", text).retry(1_000));
+            }
             let text = "this router has no recent licence; ask another";
             return Err(Refusal::not_run(503, "no-licence", text));
         }
--- a/yard/src/doors.rs
+++ b/yard/src/doors.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use residency::Limits;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -144,12 +145,13 @@
     }
 }
 
-/// Serves a listener until it is told to shut. When a caller leaves, the
-/// handler's work is dropped where it stands.
+/// Serves a listener from when it is `opened` until it is told to shut. When a
+/// caller leaves, the handler's work is dropped where it stands.
 pub fn serve(
     listener: TcpListener,
     limits: Box<dyn Fn() -> Limits + Send + Sync>,
     handler: Handler,
+    opened: impl Future<Output = ()> + Send + 'static,
 ) -> Arc<Doors> {
     let doors = Arc::new(Doors {
         stages: Mutex::default(),
@@ -158,7 +160,11 @@
         shut: Notify::new(),
         limits,
     });
-    tokio::spawn(Arc::clone(&doors).accept(listener, handler));
+    let accepting = Arc::clone(&doors);
+    tokio::spawn(async move {
+        opened.await;
+        accepting.accept(listener, handler).await;
+    });
     tokio::spawn(Arc::clone(&doors).look_through());
     doors
 }
