--- a/placement/src/estimates.rs
+++ b/placement/src/estimates.rs
@@ -64,6 +64,7 @@
     /// that was last seen.
     excess: f64,
     seen: u64,
+    /// Failures since it was last known to be well.
     failures: u32,
     suspect_until: u64,
     full_until: u64,
@@ -230,6 +231,7 @@
             };
             let is_avoided = wanted.avoid.iter().any(|avoided| avoided == name)
                 || now < known.full_until
+                || known.failures > 0
                 || now < known.suspect_until;
             match is_avoided {
                 true => suspects.push((known.suspect_until, name.clone(), is_cold)),
@@ -342,6 +344,21 @@
         }
     }
 
+    /// Engines that failed, and whose time has come to be looked at: one that can be
+    /// reached gets work again. No job is the one to find out.
+    pub fn suspects(&self, now: u64) -> Vec<(String, String)> {
+        let is_due = |known: &&Known| known.failures > 0 && now >= known.suspect_until;
+        let due = self.known.values().filter(is_due);
+        due.map(|known| (known.engine.name.clone(), known.engine.address.clone())).collect()
+    }
+
+    /// It could be reached.
+    pub fn reached(&mut self, name: &str) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.failures = 0;
+        }
+    }
+
     /// It turned a job away.
     pub fn declined(&mut self, now: u64, name: &str) {
         if let Some(known) = self.known.get_mut(name) {
--- a/placement/tests/estimates.rs
+++ b/placement/tests/estimates.rs
@@ -104,6 +104,12 @@
     assert!(last.is_some(), "one of the suspects is better than a refusal");
     let been = vec!["a".to_string(), "b".to_string()];
     assert_eq!(chosen(&mut estimates, 1_002, &view, &job, &been), None);
+    // When its time has come it is looked at, and gets work when it was reached.
+    assert!(estimates.suspects(1_100).is_empty(), "not yet");
+    let due = estimates.suspects(3_000);
+    assert_eq!(due.len(), 1, "the one that failed, not the one that was full");
+    estimates.reached("a");
+    assert!(estimates.suspects(3_001).is_empty());
     // A life that ended is another engine; nothing of it is carried over.
     let mut next = view.clone();
     next.take(&Event::EngineGone(Name("a".into())));
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -192,6 +192,7 @@
     tokio::spawn(company::accept(Arc::clone(&router), listener));
     tokio::spawn(session::run(Arc::clone(&router)));
     if router.ports.engines_are_silent {
+        tokio::spawn(Arc::clone(&router.dispatcher.roster).probe());
         tokio::spawn(tidings::run(Arc::clone(&router)));
     }
     let door = door::serve(Arc::clone(&router)).await?;
--- a/yard/src/dispatch.rs
+++ b/yard/src/dispatch.rs
@@ -694,7 +694,10 @@
                         self.lanes.give(&self.seat.name, self.kept_ms, lane);
                     }
                 }
-                Event::StreamBroke => self.counters.one("answers-broken"),
+                Event::StreamBroke => {
+                    self.counters.one("answers-broken");
+                    self.seat.suspect();
+                }
                 _ => self.counters.one("callers-left"),
             }
             log::info!(job = self.id.as_str(), engine = self.seat.name.as_str();
--- a/yard/src/roster.rs
+++ b/yard/src/roster.rs
@@ -1,7 +1,7 @@
 //! The engines as they are now: one loop holds a vitals stream open to each
 //! engine that the view lists, and to no other, around `placement`'s counts.
 
-use crate::{jitter, now};
+use crate::{jitter, link, now};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::TokioIo;
@@ -17,6 +17,8 @@
 use tokio::sync::{watch, Notify};
 
 const LINE_CAP: usize = 4096;
+/// How often engines that failed are looked at.
+const PROBE_MS: u64 = 500;
 
 /// The marks of the processes that may begin work at cold engines, this one's
 /// first; none where this one may not.
@@ -221,7 +223,7 @@
     }
 
     async fn stream(&self, name: &str, address: SocketAddr) -> anyhow::Result<()> {
-        let stream = crate::link::connect(self.source, address).await?;
+        let stream = link::connect(self.source, address).await?;
         let (mut sender, connection) =
             hyper::client::conn::http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await?;
         let driver = Aborting(tokio::spawn(connection).abort_handle());
@@ -316,6 +318,26 @@
         }
     }
 
+    /// Looks at engines that failed, until each can be reached again.
+    pub async fn probe(self: Arc<Roster>) {
+        let Sight::Answers(estimates) = &self.sight else { return };
+        loop {
+            tokio::time::sleep(jitter(PROBE_MS)).await;
+            let due = estimates.lock().suspects(now());
+            for (name, address) in due {
+                let (roster, source) = (Arc::clone(&self), self.source);
+                let Ok(address) = address.parse() else { continue };
+                tokio::spawn(async move {
+                    let reached = link::connect(source, address).await;
+                    if let (Ok(_), Sight::Answers(estimates)) = (reached, &roster.sight) {
+                        estimates.lock().reached(&name);
+                        roster.room.notify_waiters();
+                    }
+                });
+            }
+        }
+    }
+
     /// Whether an engine is listed.
     pub fn is_listed(&self, name: &str) -> bool {
         match &self.sight {
