Young routers' openings go at once

Their buckets began empty, so that after a loss of all a backlog met 429 though the opening was there.

--- a/placement/src/pools.rs
+++ b/placement/src/pools.rs
@@ -268,11 +268,13 @@
         let is_full = tap.counts.since(now.saturating_sub(window)) >= most
             || !is_young && lately >= within_half(most);
         let is_lent = tap.used < tap.limit;
-        if rate == 0 || is_full || !is_lent && tap.bucket < 1.0 {
+        // A young router's opening is small enough to go at once.
+        let is_free = is_lent || is_young || tap.bucket >= 1.0;
+        if rate == 0 || is_full || !is_free {
             return false;
         }
         if !is_lent {
-            tap.bucket -= 1.0;
+            tap.bucket = (tap.bucket - 1.0).max(0.0);
         }
         tap.used += 1;
         tap.counts.forget(now.saturating_sub(LATELY_MS[3].max(window)));
