Doors: a body that is announced too long is refused before any of it comes

Before: the body was held back first, so a caller that sent a head with a length beyond the limit and waited for leave got 408 after ten seconds. Now 413 at once.

--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -152,6 +152,11 @@
     let (head, body) = request.into_parts();
     let view = router.view.borrow().clone();
     let longest = router.boot.body.min(usize::try_from(view.limits.body).unwrap_or(usize::MAX));
+    if body.size_hint().lower() > longest as u64 {
+        // Not a byte of it has to come for that.
+        router.leave()?;
+        return Err(long_body(longest));
+    }
     let mut body = Some(body);
     let mut held = BytesMut::new();
     let mut is_ended = body.as_ref().is_some_and(|body| body.is_end_stream());
@@ -178,8 +183,7 @@
     let mut body = body.take().expect("it is taken here alone");
     let announced = body.size_hint().lower() as usize;
     if held.len() + announced > longest {
-        let text = format!("a body holds {longest} bytes at the most");
-        return Err(Refusal::not_run(413, "long-body", text));
+        return Err(long_body(longest));
     }
     let rule = &view.program.routes[route];
     log::info!(job = id; "its body is here");
@@ -289,6 +293,10 @@
     route_keyed(router, job, &parts, carried, &keyed).await
 }
 
+fn long_body(longest: usize) -> Refusal {
+    Refusal::not_run(413, "long-body", format!("a body holds {longest} bytes at the most"))
+}
+
 /// The rest of a caller's body, with a bound on its length.
 fn rest_of(body: Body, left: usize) -> Rest {
     let limited = http_body_util::Limited::new(body, left);
