--- a/placement/src/estimates.rs
+++ b/placement/src/estimates.rs
@@ -11,10 +11,10 @@
 const READ_PACE: f64 = 110.0;
 /// What a job costs that goes to another region: the way there and back, and the
 /// price of its bytes, in milliseconds of waiting.
-const FAR_MS: f64 = 150.0;
+const FAR_MS: f64 = 220.0;
 /// A part that other prompts share and that is read again takes an engine's time
 /// from them, too: so many times what its reading takes is added.
-const SHARED: f64 = 4.0;
+const SHARED: f64 = 6.0;
 /// What another process said of its jobs at an engine is believed for this long.
 const TOLD_MS: u64 = 1_500;
 /// What is still so is said again after this long.
