Company told by what is new, not whole once a second

Ruled out: telling only a region's routers and a count, since callers are told of routers elsewhere, and cold engines are shared by the marks of all.

Now a session begins with the whole list, and goes on with what came, left or changed, by a state machine that is the same at both ends. A frame with nothing new still goes as often as before: routers go by when they were told last. What finds no place in the queue is news again the next time. The wire's epoch is 6.

--- a/directory/src/sessions.rs
+++ b/directory/src/sessions.rs
@@ -2,6 +2,7 @@
 
 use crate::hub::Call;
 use crate::Desk;
+use placement::Company;
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -13,8 +14,8 @@
 
 /// A router that was not heard of for this long is not counted as there.
 const FRONT_AGE_MS: u64 = 3_000;
-/// Who is there is told when it changes, and this often in any case, so that
-/// nobody is forgotten.
+/// What is new of who is there is told when it changes, and this often in any
+/// case, also where it is nothing: a router goes by when it was told last.
 const COMPANY_MS: u64 = 900;
 const GOSSIP_MS: u64 = 500;
 /// How long a confirmation is put off for more beats to come along.
@@ -99,12 +100,15 @@
     let teller = Arc::clone(&desk);
     let mut changes = desk.company.subscribe();
     let told = tokio::spawn(async move {
+        let mut told = Company::default();
         while let Some(out) = company.upgrade() {
-            let frame = Frame::Company {
-                fronts: teller.fronts.lock().list(false),
-                directories: teller.hub.standing.borrow().members.all().cloned().collect(),
-            };
-            drop(out.try_send(frame));
+            let fronts = teller.fronts.lock().list(false);
+            let members = teller.hub.standing.borrow().members.all().cloned().collect();
+            let news = told.news(fronts, members);
+            // What finds no place is news again the next time.
+            if out.try_send(Frame::Company(news.clone())).is_ok() {
+                told.take(&news);
+            }
             drop(out);
             drop(tokio::time::timeout(yard::jitter(COMPANY_MS), changes.changed()).await);
         }
--- /dev/null
+++ b/placement/src/company.rs
@@ -0,0 +1,70 @@
+//! Who else is there, as a router knows it by its session: told whole at first,
+//! and from then on by what is new.
+
+use ledger::Member;
+use residency::Name;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::{Front, News};
+
+/// The same at both ends of a session. Invariant: a directory node takes in what
+/// it has put on its way to the router, and the router takes it in in this order,
+/// so that both have the same.
+#[derive(Default)]
+pub struct Company {
+    fronts: BTreeMap<String, Front>,
+    directories: Vec<Member>,
+    has_begun: bool,
+}
+
+/// Whether a router's report says the same to the other routers. Its age and the
+/// epoch that it has are nothing to them, but for whether it has one.
+fn is_same(one: &Front, other: &Front) -> bool {
+    let said = |front: &Front| (front.is_leaving, front.epoch > 0);
+    said(one) == said(other)
+        && one.address == other.address
+        && one.door == other.door
+        && one.zone == other.zone
+        && one.region == other.region
+}
+
+impl Company {
+    pub fn fronts(&self) -> impl Iterator<Item = &Front> {
+        self.fronts.values()
+    }
+
+    pub fn directories(&self) -> &[Member] {
+        &self.directories
+    }
+
+    /// What is to be said for the other end to have these; it may be nothing.
+    pub fn news(&self, fronts: Vec<Front>, directories: Vec<Member>) -> News {
+        let names: BTreeSet<&str> = fronts.iter().map(|front| front.name.as_str()).collect();
+        let gone = self.fronts.keys().filter(|name| !names.contains(name.as_str()));
+        let gone = gone.map(|name| Name(name.clone())).collect();
+        let is_news =
+            |front: &Front| self.fronts.get(&front.name).is_none_or(|known| !is_same(known, front));
+        let is_known = self.has_begun && directories == self.directories;
+        News {
+            is_first: u8::from(!self.has_begun),
+            gone,
+            fronts: fronts.into_iter().filter(|front| is_news(front)).collect(),
+            directories: if is_known { Vec::new() } else { directories },
+        }
+    }
+
+    pub fn take(&mut self, news: &News) {
+        if news.is_first != 0 {
+            *self = Company::default();
+        }
+        self.has_begun = true;
+        for front in &news.fronts {
+            self.fronts.insert(front.name.clone(), front.clone());
+        }
+        for name in &news.gone {
+            self.fronts.remove(&name.0);
+        }
+        if !news.directories.is_empty() {
+            self.directories = news.directories.clone();
+        }
+    }
+}
--- /dev/null
+++ b/placement/tests/company.rs
@@ -0,0 +1,97 @@
+//! Company told by what is new: both ends have the same, and little is said.
+
+use ledger::Member;
+use placement::Company;
+use wire::{Front, News};
+
+fn front(number: u64, epoch: u64, is_leaving: bool, age_ms: u64) -> Front {
+    Front {
+        name: format!("router-{number}"),
+        region: "north".into(),
+        zone: "north-a".into(),
+        door: format!("127.0.0.{number}:1"),
+        address: format!("127.0.0.{number}:2"),
+        epoch,
+        age_ms,
+        is_leaving: is_leaving.into(),
+    }
+}
+
+fn members(count: u64) -> Vec<Member> {
+    let member = |identity| Member {
+        identity,
+        name: format!("node-{identity}"),
+        region: "north".into(),
+        zone: "north-a".into(),
+        address: format!("127.0.1.{identity}:1"),
+        desk: format!("127.0.1.{identity}:2"),
+    };
+    (1..=count).map(member).collect()
+}
+
+fn said(company: &Company) -> Vec<(String, String, bool, u8)> {
+    let said = |front: &Front| {
+        (front.name.clone(), front.address.clone(), front.epoch > 0, front.is_leaving)
+    };
+    company.fronts().map(said).collect()
+}
+
+/// Guards: a router knows of the others what a whole list would tell it, whatever
+/// comes, leaves, restarts, and is not sent because the way is full.
+#[test]
+fn both_ends_have_what_a_whole_list_says() {
+    for seed in 0..200 {
+        let mut state: u64 = seed * 7_919 + 1;
+        let mut draw = |below: u64| {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888);
+            (state >> 33) % below
+        };
+        let (mut node, mut router) = (Company::default(), Company::default());
+        let mut there: Vec<Front> = Vec::new();
+        let mut nodes = 1;
+        for step in 0..200 {
+            match draw(6) {
+                0 => there.push(front(step + 1, 0, false, 0)),
+                1 if !there.is_empty() => drop(there.remove(draw(there.len() as u64) as usize)),
+                2 if !there.is_empty() => {
+                    let at = draw(there.len() as u64) as usize;
+                    there[at].is_leaving = 1 - there[at].is_leaving;
+                }
+                3 if !there.is_empty() => {
+                    let at = draw(there.len() as u64) as usize;
+                    there[at].epoch += draw(2);
+                }
+                4 => nodes = 1 + draw(5),
+                _ => {}
+            }
+            if draw(40) == 0 {
+                // Another session: its node has told this router nothing yet.
+                node = Company::default();
+            }
+            let news = node.news(there.clone(), members(nodes));
+            if draw(5) == 0 {
+                continue;
+            }
+            node.take(&news);
+            router.take(&news);
+            let mut wanted = Company::default();
+            wanted.take(&Company::default().news(there.clone(), members(nodes)));
+            assert_eq!(said(&router), said(&wanted), "seed {seed}, step {step}");
+            assert_eq!(router.directories(), members(nodes), "seed {seed}, step {step}");
+        }
+    }
+}
+
+#[test]
+fn ages_and_epochs_are_no_news() {
+    let list = |epoch, age| (1..=350).map(|n| front(n, epoch, false, age)).collect::<Vec<_>>();
+    let mut node = Company::default();
+    let first = node.news(list(1, 0), members(8));
+    assert_eq!((first.is_first, first.fronts.len(), first.directories.len()), (1, 350, 8));
+    node.take(&first);
+    let nothing =
+        News { is_first: 0, fronts: Vec::new(), gone: Vec::new(), directories: Vec::new() };
+    assert_eq!(node.news(list(2, 700), members(8)), nothing);
+    let length = wire::encode(&wire::Frame::Company(nothing)).len();
+    assert!(length <= 32, "nothing new is said in {length} bytes");
+}
--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
-use wire::{Frame, Front, Kind};
+use wire::{Frame, Front, Kind, News};
 use yard::{link, now};
 
 /// A neighbour that takes longer is a miss.
@@ -20,11 +20,10 @@
 
 type Looks = Arc<Mutex<HashMap<u64, oneshot::Sender<Option<Mapping>>>>>;
 
-/// Soft knowledge, replaced whenever a directory node tells it anew.
+/// Soft knowledge, from what a directory node tells.
 #[derive(Default)]
 pub struct Company {
-    pub fronts: Vec<Front>,
-    pub directories: Vec<Member>,
+    known: placement::Company,
     /// The marks of the routers that may begin work at cold engines.
     marks: Vec<u64>,
     /// When it was last told, and since when it has told of this router.
@@ -39,15 +38,25 @@
 const SETTLED_MS: u64 = 1_300;
 
 impl Company {
-    pub fn take(&mut self, name: &str, fronts: Vec<Front>, directories: Vec<Member>) {
+    pub fn take(&mut self, name: &str, news: &News) {
         let (at, has_gap) = (now(), now() >= self.told + SETTLED_MS);
-        let is_listed = fronts.iter().any(|front| front.name == name);
+        self.known.take(news);
+        let is_listed = self.fronts().any(|front| front.name == name);
         self.listed = self.listed.filter(|_| !has_gap).or(Some(at)).filter(|_| is_listed);
         self.told = at;
-        let own = language::mark(name.as_bytes());
-        let marks = fronts.iter().map(|front| language::mark(front.name.as_bytes()));
-        self.marks = std::iter::once(own).chain(marks.filter(|mark| *mark != own)).collect();
-        (self.fronts, self.directories) = (fronts, directories);
+        if news.is_first != 0 || !news.fronts.is_empty() || !news.gone.is_empty() {
+            let own = language::mark(name.as_bytes());
+            let marks = self.known.fronts().map(|front| language::mark(front.name.as_bytes()));
+            self.marks = std::iter::once(own).chain(marks.filter(|mark| *mark != own)).collect();
+        }
+    }
+
+    pub fn fronts(&self) -> impl Iterator<Item = &Front> {
+        self.known.fronts()
+    }
+
+    pub fn directories(&self) -> &[Member] {
+        self.known.directories()
     }
 
     /// How many routers there were when it was last told, this one among them; 0
@@ -81,7 +90,7 @@
             && front.is_leaving == 0
             && front.name != router.boot.name
     };
-    router.company.read().fronts.iter().filter(is_one).count()
+    router.company.read().fronts().filter(is_one).count()
 }
 
 /// The router that holds a key's share of the region's cache, by rendezvous
@@ -90,8 +99,7 @@
     let company = router.company.read();
     let own = (router.boot.name.as_str(), None);
     let others = company
-        .fronts
-        .iter()
+        .fronts()
         .filter(|front| front.region == router.boot.region && front.is_leaving == 0)
         .filter(|front| front.name != router.boot.name)
         .filter_map(|front| Some((front.name.as_str(), Some(front.address.parse().ok()?))));
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -577,8 +577,7 @@
         .map_or(Vec::new(), |terms| terms.homes.iter().map(|home| home.0.as_str()).collect());
     let company = router.company.read();
     let mut fronts: Vec<(u8, usize, u32, &wire::Front)> = company
-        .fronts
-        .iter()
+        .fronts()
         .filter(|front| front.is_leaving == 0 && !view.evacuated.contains(&front.zone))
         .filter_map(|front| {
             let home = homes.iter().position(|home| *home == front.region);
--- a/router/src/forward.rs
+++ b/router/src/forward.rs
@@ -44,7 +44,7 @@
         false => homes.iter().position(|home| home.0 == region).map(|at| at + 1),
     };
     let mut nodes: Vec<(usize, u32, SocketAddr)> = company
-        .directories
+        .directories()
         .iter()
         .filter_map(|member| {
             Some((place(&member.region)?, rand::random(), member.address.parse().ok()?))
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -62,7 +62,7 @@
 fn ways(router: &Router) -> Vec<SocketAddr> {
     let company = router.company.read();
     let mut ways: Vec<(u8, u32, SocketAddr)> = company
-        .directories
+        .directories()
         .iter()
         .filter_map(|member| {
             let far = match () {
@@ -206,9 +206,7 @@
             router.counters.one("changes");
             log::info!(epoch = epoch; "in force");
         }
-        Frame::Company { fronts, directories } => {
-            router.company.write().take(&router.boot.name, fronts, directories);
-        }
+        Frame::Company(news) => router.company.write().take(&router.boot.name, &news),
         Frame::Resolved { number, answer } => {
             if let Some(sender) = router.questions.open.lock().remove(&number) {
                 drop(sender.send(answer));
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,7 +10,7 @@
 use residency::{Event, Mapping, Name, Outcome, Submission};
 
 /// The epoch of these frames. Changed whenever one of them changes.
-pub const EPOCH: u16 = 5;
+pub const EPOCH: u16 = 6;
 /// How long a confirmation by a majority is a licence, counted from when it
 /// was asked for. Invariant: shorter than any bound within which a change must
 /// be in force, and well longer than an election.
@@ -63,6 +63,26 @@
     pub is_leaving: u8,
 }
 
+/// What is new of the other routers and of the directory nodes.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// The first of a session: what was known before counts no more.
+    pub is_first: u8,
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub fronts: Vec<Front>,
+    /// Routers that are there no more, by name.
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub gone: Vec<Name>,
+    /// Where all directory nodes listen; none stands for no change.
+    #[br(parse_with = read_list)]
+    #[bw(write_with = write_list)]
+    pub directories: Vec<Member>,
+}
+
 /// What a process that admits jobs says of one tenant's pace. Counts are since it
 /// began, so that a beat that is lost or said twice changes nothing.
 #[binrw]
@@ -258,16 +278,9 @@
         #[bw(write_with = write_list)]
         events: Vec<Event>,
     },
-    /// Who else is there: routers, and where directory nodes listen.
+    /// Who else is there, as far as the router was not told in this session.
     #[brw(magic = 24u8)]
-    Company {
-        #[br(parse_with = read_list)]
-        #[bw(write_with = write_list)]
-        fronts: Vec<Front>,
-        #[br(parse_with = read_list)]
-        #[bw(write_with = write_list)]
-        directories: Vec<Member>,
-    },
+    Company(News),
     /// The key alone.
     #[brw(magic = 25u8)]
     Resolve {
@@ -418,6 +431,29 @@
     Later,
 }
 
+/// The name of a kind of frame, by the number that it begins with.
+pub fn kind_of(first: u8) -> &'static str {
+    match first {
+        1 => "hello",
+        2 => "refused",
+        10 => "ledger",
+        11 => "ask",
+        12 => "reply",
+        13 => "fronts",
+        14..=16 => "join",
+        20 => "beat",
+        21 => "licence",
+        22 => "picture",
+        23 => "change",
+        24 => "company",
+        25 => "resolve",
+        26 => "resolved",
+        30..=39 => "job",
+        40..=42 => "cache",
+        _ => "unknown",
+    }
+}
+
 /// A frame with its length before it.
 pub fn encode(frame: &Frame) -> Vec<u8> {
     let body = packed(frame);
