--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -35,6 +35,7 @@
     match (request.method().as_str(), path.as_str()) {
         ("GET", "/vitals") => vitals(desk),
         ("GET", "/counters") => web::json(200, &desk.counters.value()),
+        ("GET", "/traffic") => web::json(200, &yard::traffic::value()),
         ("GET", "/status") => status(desk),
         ("GET", "/book") => book(desk),
         ("GET", "/explain") => explain(desk, &request),
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -244,6 +244,7 @@
             web::json(if is_well { 200 } else { 503 }, &value)
         }
         ("GET", "/counters") => web::json(200, &router.counters.value()),
+        ("GET", "/traffic") => web::json(200, &yard::traffic::value()),
         (_, path) => {
             let text = format!("there is no {path} for this method");
             web::json(404, &simd_json::json!({ "code": "no-such-page", "text": text }))
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -134,7 +134,7 @@
 
 /// A second octet that is this fleet's alone, for as long as the listener
 /// that marks it as taken is kept.
-fn free_octet() -> anyhow::Result<(u8, std::net::TcpListener)> {
+pub fn free_octet() -> anyhow::Result<(u8, std::net::TcpListener)> {
     let start = std::process::id() as usize;
     for step in 0..200 {
         let octet = 20 + ((start + step) % 200) as u8;
--- a/yard/src/lib.rs
+++ b/yard/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod quota;
 pub mod roster;
+pub mod traffic;
 pub mod web;
 
 use nix::time::{clock_gettime, ClockId};
--- a/yard/src/link.rs
+++ b/yard/src/link.rs
@@ -1,5 +1,6 @@
 //! Framed TCP links between rushport's own processes.
 
+use crate::traffic;
 use anyhow::{anyhow, bail, Context};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,7 +45,10 @@
 }
 
 pub async fn send(to: &mut (impl AsyncWrite + Unpin), frame: &Frame) -> anyhow::Result<()> {
-    Ok(to.write_all(&wire::encode(frame)).await?)
+    let bytes = wire::encode(frame);
+    to.write_all(&bytes).await?;
+    traffic::sent(&bytes);
+    Ok(())
 }
 
 /// Reads one frame. `None`: the other side closed between frames.
@@ -68,6 +72,7 @@
     if read < length {
         bail!("the connection ended within a frame");
     }
+    traffic::received(&bytes);
     wire::decode(&bytes).map(Some).map_err(|text| anyhow!("an unreadable frame: {text}"))
 }
 
