Company: no list is put together while nobody came, left or changed

Cause: told by what is new, directory nodes spent more than before: a list of all routers was put together and compared for each session every second.

Now a session looks at the count of changes first, and at the list only where that or the members are others than when it was told. The count rises for all that is news to other routers, their doors and places too.

--- a/directory/src/sessions.rs
+++ b/directory/src/sessions.rs
@@ -2,7 +2,8 @@
 
 use crate::hub::Call;
 use crate::Desk;
-use placement::Company;
+use ledger::Member;
+use placement::{is_same, Company};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -41,8 +42,8 @@
 }
 
 impl Fronts {
-    /// Takes reports in; says whether one came, left, or has another word on
-    /// whether it leaves or is ready.
+    /// Takes reports in; says whether one came, left, or says something else to the
+    /// other routers.
     pub fn take(&mut self, fronts: Vec<Front>, is_here: bool) -> bool {
         let at = now();
         let count = self.known.len();
@@ -52,11 +53,9 @@
             let is_younger =
                 self.known.get(&front.name).is_none_or(|(_, before, _)| *before <= heard);
             if is_younger && front.age_ms < FRONT_AGE_MS {
-                let shape =
-                    |front: &Front| (front.is_leaving, front.epoch > 0, front.address.clone());
-                let (name, told) = (front.name.clone(), shape(&front));
-                let before = self.known.insert(name, (front, heard, is_here));
-                is_other |= before.is_none_or(|(front, _, _)| shape(&front) != told);
+                let before = self.known.get(&front.name);
+                is_other |= before.is_none_or(|(before, _, _)| !is_same(before, &front));
+                self.known.insert(front.name.clone(), (front, heard, is_here));
             }
         }
         self.known.retain(|_, (_, heard, _)| at - *heard < FRONT_AGE_MS);
@@ -100,14 +99,21 @@
     let teller = Arc::clone(&desk);
     let mut changes = desk.company.subscribe();
     let told = tokio::spawn(async move {
-        let mut told = Company::default();
+        let (mut told, mut last) = (Company::default(), None);
         while let Some(out) = company.upgrade() {
-            let fronts = teller.fronts.lock().list(false);
-            let members = teller.hub.standing.borrow().members.all().cloned().collect();
-            let news = told.news(fronts, members);
+            // Looked at before the lists: what changes after that is news the next time.
+            let seen = *changes.borrow_and_update();
+            let members: Vec<Member> =
+                teller.hub.standing.borrow().members.all().cloned().collect();
+            let news = match last == Some(seen) && members == told.directories() {
+                true => told.nothing(),
+                false => told.news(teller.fronts.lock().list(false), members),
+            };
             // What finds no place is news again the next time.
+            last = None;
             if out.try_send(Frame::Company(news.clone())).is_ok() {
                 told.take(&news);
+                last = Some(seen);
             }
             drop(out);
             drop(tokio::time::timeout(yard::jitter(COMPANY_MS), changes.changed()).await);
--- a/placement/src/company.rs
+++ b/placement/src/company.rs
@@ -18,7 +18,7 @@
 
 /// Whether a router's report says the same to the other routers. Its age and the
 /// epoch that it has are nothing to them, but for whether it has one.
-fn is_same(one: &Front, other: &Front) -> bool {
+pub fn is_same(one: &Front, other: &Front) -> bool {
     let said = |front: &Front| (front.is_leaving, front.epoch > 0);
     said(one) == said(other)
         && one.address == other.address
@@ -52,6 +52,16 @@
         }
     }
 
+    /// What is said where nothing came, left or changed.
+    pub fn nothing(&self) -> News {
+        News {
+            is_first: u8::from(!self.has_begun),
+            fronts: Vec::new(),
+            gone: Vec::new(),
+            directories: Vec::new(),
+        }
+    }
+
     pub fn take(&mut self, news: &News) {
         if news.is_first != 0 {
             *self = Company::default();
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use allowance::{Allowance, Bound};
 pub use cache::{Cache, Hit};
-pub use company::Company;
+pub use company::{is_same, Company};
 pub use control::{Retries, Warmth, RETRY_LIFE_MS};
 pub use elect::{elect, rank, Candidate};
 pub use engines::{may_have, Chosen, Engines, GONE_MS, SILENCE_MS};
--- a/placement/tests/company.rs
+++ b/placement/tests/company.rs
@@ -92,6 +92,7 @@
     let nothing =
         News { is_first: 0, fronts: Vec::new(), gone: Vec::new(), directories: Vec::new() };
     assert_eq!(node.news(list(2, 700), members(8)), nothing);
+    assert_eq!(node.nothing(), nothing);
     let length = wire::encode(&wire::Frame::Company(nothing)).len();
     assert!(length <= 32, "nothing new is said in {length} bytes");
 }
