--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -107,6 +107,8 @@
     beat: tokio::sync::Notify,
     /// For jobs whose key no router could read.
     quota: Quota,
+    /// Quotas go by pools.
+    has_margin: bool,
     job_places: Arc<tokio::sync::Semaphore>,
     job_bytes: Arc<tokio::sync::Semaphore>,
 }
@@ -299,6 +301,7 @@
         company: tokio::sync::watch::Sender::new(0),
         beat: tokio::sync::Notify::new(),
         quota: Quota::default(),
+        has_margin: settings.margin.is_some(),
         job_places: Arc::new(tokio::sync::Semaphore::new(jobs)),
         job_bytes: Arc::new(tokio::sync::Semaphore::new(settings.bytes)),
     });
--- a/directory/src/sessions.rs
+++ b/directory/src/sessions.rs
@@ -2,6 +2,8 @@
 
 use crate::hub::Call;
 use crate::Desk;
+use ledger::Member;
+use placement::{is_same, Company};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -13,8 +15,8 @@
 
 /// A router that was not heard of for this long is not counted as there.
 const FRONT_AGE_MS: u64 = 3_000;
-/// Who is there is told when it changes, and this often in any case, so that
-/// nobody is forgotten.
+/// What is new of who is there is told when it changes, and this often in any
+/// case, also where it is nothing: a router goes by when it was told last.
 const COMPANY_MS: u64 = 900;
 const GOSSIP_MS: u64 = 500;
 /// How long a confirmation is put off for more beats to come along.
@@ -40,8 +42,8 @@
 }
 
 impl Fronts {
-    /// Takes reports in; says whether one came, left, or has another word on
-    /// whether it leaves or is ready.
+    /// Takes reports in; says whether one came, left, or says something else to the
+    /// other routers.
     pub fn take(&mut self, fronts: Vec<Front>, is_here: bool) -> bool {
         let at = now();
         let count = self.known.len();
@@ -51,11 +53,9 @@
             let is_younger =
                 self.known.get(&front.name).is_none_or(|(_, before, _)| *before <= heard);
             if is_younger && front.age_ms < FRONT_AGE_MS {
-                let shape =
-                    |front: &Front| (front.is_leaving, front.epoch > 0, front.address.clone());
-                let (name, told) = (front.name.clone(), shape(&front));
-                let before = self.known.insert(name, (front, heard, is_here));
-                is_other |= before.is_none_or(|(front, _, _)| shape(&front) != told);
+                let before = self.known.get(&front.name);
+                is_other |= before.is_none_or(|(before, _, _)| !is_same(before, &front));
+                self.known.insert(front.name.clone(), (front, heard, is_here));
             }
         }
         self.known.retain(|_, (_, heard, _)| at - *heard < FRONT_AGE_MS);
@@ -99,12 +99,22 @@
     let teller = Arc::clone(&desk);
     let mut changes = desk.company.subscribe();
     let told = tokio::spawn(async move {
+        let (mut told, mut last) = (Company::default(), None);
         while let Some(out) = company.upgrade() {
-            let frame = Frame::Company {
-                fronts: teller.fronts.lock().list(false),
-                directories: teller.hub.standing.borrow().members.all().cloned().collect(),
+            // Looked at before the lists: what changes after that is news the next time.
+            let seen = *changes.borrow_and_update();
+            let members: Vec<Member> =
+                teller.hub.standing.borrow().members.all().cloned().collect();
+            let news = match last == Some(seen) && members == told.directories() {
+                true => told.nothing(),
+                false => told.news(teller.fronts.lock().list(false), members),
             };
-            drop(out.try_send(frame));
+            // What finds no place is news again the next time.
+            last = None;
+            if out.try_send(Frame::Company(news.clone())).is_ok() {
+                told.take(&news);
+                last = Some(seen);
+            }
             drop(out);
             drop(tokio::time::timeout(yard::jitter(COMPANY_MS), changes.changed()).await);
         }
@@ -176,7 +186,9 @@
         number += 1;
         let own = desk.quota.demands(&format!("{:016x}", desk.member.identity), number);
         let said = beats.iter().map(|beat| &beat.demand).chain([&own]);
-        let demands = said.filter(|demand| !demand.demands.is_empty()).cloned().collect();
+        // Where quotas go by pools a router counts as heard also without a demand.
+        let is_told = |demand: &&FrontDemand| desk.has_margin || !demand.demands.is_empty();
+        let demands = said.filter(is_told).cloned().collect();
         match desk.hub.ask(Question::Confirm { demands }).await {
             Reply::Confirmed { index, shares } => {
                 desk.hub.note_confirmed(at);
--- a/router/src/tidings.rs
+++ b/router/src/tidings.rs
@@ -40,7 +40,7 @@
     let is_near =
         |front: &&Front| front.region == router.boot.region && front.name != router.boot.name;
     let company = router.company.read();
-    company.fronts.iter().filter(is_near).filter_map(|f| f.address.parse().ok()).collect()
+    company.fronts().filter(is_near).filter_map(|f| f.address.parse().ok()).collect()
 }
 
 /// One router of each other region, by rank for this one.
@@ -48,7 +48,7 @@
     let own = language::mark(router.boot.name.as_bytes());
     let company = router.company.read();
     let mut regions: HashMap<&str, (u64, &Front)> = HashMap::new();
-    for front in company.fronts.iter().filter(|f| f.region != router.boot.region) {
+    for front in company.fronts().filter(|f| f.region != router.boot.region) {
         let rank = placement::rank(own, language::mark(front.name.as_bytes()));
         let best = regions.entry(&front.region).or_insert((rank, front));
         if rank > best.0 {
@@ -74,7 +74,7 @@
     router.dispatcher.roster.told(from, &news);
     let is_far = {
         let company = router.company.read();
-        let region = company.fronts.iter().find(|front| front.name == from).map(|f| &f.region);
+        let region = company.fronts().find(|front| front.name == from).map(|f| &f.region);
         region.is_some_and(|region| *region != router.boot.region)
     };
     if is_far && !is_relayed {
