--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -388,6 +388,10 @@
                 }
                 self.revision_events(true, text)
             }
+            Command::Revise { .. } if self.sheet.revision > 0 => Err(format!(
+                "the book is what document {} reads as; send a revision of that",
+                self.sheet.revision
+            )),
             Command::Revise { whole, text } => self.revision_events(*whole, text),
             Command::Listed { engines, gone } => Ok(self.listed_events(engines, gone)),
             Command::Fleet(count) => Ok(vec![Event::Fleet(*count)]),
--- a/residency/tests/state.rs
+++ b/residency/tests/state.rs
@@ -333,3 +333,34 @@
     let damaged = &bench.state.picture()[..40];
     assert!(State::restore(damaged).is_err());
 }
+
+/// Guards: what is read back is what is in force. A book that was adopted with its
+/// document is not revised past it.
+#[test]
+fn an_adopted_book_is_revised_by_documents_alone() {
+    use residency::Sheet;
+    let mut state = State::default();
+    let submission = |id: &str, command: Command| Submission { id: id.into(), base: 0, command };
+    let adopt = |revision: u64, based: u64| Command::Adopt {
+        sheet: Sheet { revision, based, text: format!("document {revision}") },
+        text: "{}".into(),
+    };
+    let revise = Command::Revise { whole: true, text: "{}".into() };
+    let cases = [
+        ("a", revise.clone(), true),
+        ("b", adopt(5, 0), true),
+        ("c", revise, false),
+        ("d", adopt(9, 4), false),
+        ("e", adopt(5, 5), false),
+        ("f", adopt(9, 5), true),
+    ];
+    for (epoch, (id, command, is_taken)) in cases.into_iter().enumerate() {
+        let (outcome, _) = state.apply(epoch as u64 + 1, &submission(id, command));
+        let was_taken = matches!(outcome, residency::Outcome::Applied { .. });
+        assert_eq!(was_taken, is_taken, "{id}: {outcome:?}");
+    }
+    assert_eq!((state.sheet().revision, &*state.sheet().text), (9, "document 9"));
+    let back = State::restore(&state.picture()).expect("its picture reads");
+    assert_eq!(back.sheet(), state.sheet());
+    assert!(back.has_taken("f") && !back.has_taken("c"));
+}
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -467,6 +467,17 @@
         for engine in self.of(Kind::Engine) {
             epoch = self.submit(engine.listing("serving")).await?;
         }
+        // A node that no majority has confirmed yet takes no job.
+        for node in self.of(Kind::Directory) {
+            wait(Duration::from_secs(30), &format!("{} confirmed", node.name), async || {
+                let status = ask(node.desk(), "GET", "/status", &OwnedValue::null()).await?;
+                let is_recent = status.get("recent").and_then(|v| v.as_bool()).unwrap_or(false);
+                let at = status.get("epoch").and_then(|v| v.as_u64()).unwrap_or(0);
+                anyhow::ensure!(is_recent && at >= epoch, "it has {at}, recent: {is_recent}");
+                Ok(())
+            })
+            .await?;
+        }
         self.in_force(epoch, Duration::from_secs(30)).await
     }
 
--- a/yard/src/dispatch.rs
+++ b/yard/src/dispatch.rs
@@ -352,6 +352,7 @@
                             "engine can't be reached: {error}");
                         self.counters.one("connect-failed");
                         seat.suspect();
+                        self.lanes.forget(&seat.name);
                         avoid.push(seat.name.clone());
                         step(job, Event::ConnectFailed);
                         continue;
@@ -486,6 +487,7 @@
                         "the answer was lost: {error}");
                     self.counters.one("answers-lost");
                     seat.suspect();
+                    self.lanes.forget(&seat.name);
                     avoid.push(seat.name.clone());
                     step(job, Event::AnswerLost);
                     if job.state() == State::Broken {
--- a/yard/src/lanes.rs
+++ b/yard/src/lanes.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Lets go of the lanes to an engine that failed: they may hang as well.
+    pub fn forget(&self, engine: &str) {
+        drop(self.ready.lock().remove(engine));
+    }
+
     /// Lets go of the lanes to engines that are gone, and of those past their time.
     pub fn sweep(&self, is_known: impl Fn(&str) -> bool) {
         self.ready.lock().retain(|engine, lanes| {
