--- a/ledger/src/lib.rs
+++ b/consensus/src/lib.rs
@@ -1,20 +1,20 @@
 //! Agreement among directory nodes, and the disk beneath it.
 //!
-//! `node` decides: terms, votes, replication, membership, pictures. `segments`
-//! keeps: checksummed segments with pictures beside them, over the small
+//! `node` decides: terms, votes, replication, membership, snapshots. `segments`
+//! keeps: checksummed segments with snapshots beside them, over the small
 //! `Files` trait. Neither has a clock, a socket or a task; time, input and
 //! randomness are arguments, effects are returned values.
 
 pub mod node;
 pub mod pack;
-pub mod segments;
+pub mod wal;
 
 use binrw::binrw;
 use pack::{read_bytes, read_list, read_text, write_bytes, write_list, write_text};
 use std::fmt;
 
-pub type Identity = u64;
-pub type Index = u64;
+pub type NodeId = u64;
+pub type LogIndex = u64;
 pub type Term = u64;
 
 /// One directory node as the others know it. Invariant: an identity belongs
@@ -23,7 +23,7 @@
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
-    pub identity: Identity,
+    pub identity: NodeId,
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub name: String,
@@ -47,7 +47,7 @@
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq, Default)]
-pub struct Members {
+pub struct Membership {
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
     pub voters: Vec<Member>,
@@ -57,19 +57,19 @@
     /// Identities that are never let in again.
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
-    pub retired: Vec<Identity>,
+    pub retired: Vec<NodeId>,
 }
 
-impl Members {
+impl Membership {
     pub fn all(&self) -> impl Iterator<Item = &Member> {
         self.voters.iter().chain(&self.learners)
     }
 
-    pub fn get(&self, identity: Identity) -> Option<&Member> {
+    pub fn get(&self, identity: NodeId) -> Option<&Member> {
         self.all().find(|member| member.identity == identity)
     }
 
-    pub fn is_voter(&self, identity: Identity) -> bool {
+    pub fn is_voter(&self, identity: NodeId) -> bool {
         self.voters.iter().any(|member| member.identity == identity)
     }
 
@@ -81,7 +81,7 @@
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
-pub enum Matter {
+pub enum EntryPayload {
     /// A new leader's first entry; it says nothing.
     #[brw(magic = 0u8)]
     Blank,
@@ -92,16 +92,16 @@
         Vec<u8>,
     ),
     #[brw(magic = 2u8)]
-    Members(Members),
+    Membership(Membership),
 }
 
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    pub index: Index,
+    pub index: LogIndex,
     pub term: Term,
-    pub matter: Matter,
+    pub payload: EntryPayload,
 }
 
 /// The whole state as of one entry. Invariant: `members` is the membership in
@@ -109,12 +109,12 @@
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
-pub struct Picture {
-    pub index: Index,
+pub struct Snapshot {
+    pub index: LogIndex,
     pub term: Term,
-    /// The cluster this picture belongs to; drawn when it was founded.
+    /// The cluster this snapshot belongs to; drawn when it was founded.
     pub cluster: u64,
-    pub members: Members,
+    pub members: Membership,
     #[br(parse_with = read_bytes)]
     #[bw(write_with = write_bytes)]
     pub state: Vec<u8>,
@@ -125,10 +125,10 @@
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Copy, Debug, PartialEq, Default)]
-pub struct Pledge {
+pub struct HardState {
     pub term: Term,
     /// 0 stands for no vote.
-    pub vote: Identity,
+    pub vote: NodeId,
     /// 0 stands for a node that belongs to no cluster yet.
     pub cluster: u64,
 }
@@ -137,8 +137,8 @@
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
 pub struct Message {
-    pub from: Identity,
-    pub to: Identity,
+    pub from: NodeId,
+    pub to: NodeId,
     pub cluster: u64,
     pub term: Term,
     pub body: Body,
@@ -150,53 +150,53 @@
 pub enum Body {
     /// Asks whether a vote would be given; changes nothing at the asked.
     #[brw(magic = 0u8)]
-    Sound { last_index: Index, last_term: Term },
+    PreVote { last_index: LogIndex, last_term: Term },
     #[brw(magic = 1u8)]
-    SoundAnswer {
+    PreVoteResponse {
         #[br(map = |n: u8| n != 0)]
         #[bw(map = |b: &bool| u8::from(*b))]
         granted: bool,
     },
     #[brw(magic = 2u8)]
     Vote {
-        last_index: Index,
+        last_index: LogIndex,
         last_term: Term,
         /// The leader itself asked for this election.
         #[br(map = |n: u8| n != 0)]
         #[bw(map = |b: &bool| u8::from(*b))]
-        handed: bool,
+        is_transfer: bool,
     },
     #[brw(magic = 3u8)]
-    VoteAnswer {
+    VoteResponse {
         #[br(map = |n: u8| n != 0)]
         #[bw(map = |b: &bool| u8::from(*b))]
         granted: bool,
     },
     #[brw(magic = 4u8)]
-    Append {
-        prior_index: Index,
+    AppendEntries {
+        prior_index: LogIndex,
         prior_term: Term,
-        commit: Index,
+        commit: LogIndex,
         round: u64,
         #[br(parse_with = read_list)]
         #[bw(write_with = write_list)]
         entries: Vec<Entry>,
     },
     #[brw(magic = 5u8)]
-    AppendAnswer {
+    AppendEntriesResponse {
         #[br(map = |n: u8| n != 0)]
         #[bw(map = |b: &bool| u8::from(*b))]
-        fits: bool,
+        is_match: bool,
         /// Synced on the sender's disk and the same as the leader's up to
-        /// here; where `fits` is false, where to try next.
-        matched: Index,
+        /// here; where `is_match` is false, where to try next.
+        matched: LogIndex,
         round: u64,
     },
     #[brw(magic = 6u8)]
-    Install { round: u64, picture: Picture },
+    InstallSnapshot { round: u64, snapshot: Snapshot },
     /// The leader asks the receiver to take over at once.
     #[brw(magic = 7u8)]
-    Stand,
+    TimeoutNow,
 }
 
 impl fmt::Display for Member {
--- a/ledger/src/node.rs
+++ b/consensus/src/node.rs
@@ -6,7 +6,8 @@
 //! after the question.
 
 use crate::{
-    Body, Entry, Identity, Index, Matter, Member, Members, Message, Picture, Pledge, Term,
+    Body, Entry, EntryPayload, HardState, LogIndex, Member, Membership, Message, NodeId, Snapshot,
+    Term,
 };
 use std::collections::{BTreeMap, VecDeque};
 
@@ -14,7 +15,7 @@
 /// beat is well shorter than an election, an election well shorter than the
 /// routers' licence.
 #[derive(Clone, Copy)]
-pub struct Pace {
+pub struct Timing {
     pub beat: u64,
     /// A follower waits this long, and up to twice as long, for its leader.
     pub election: u64,
@@ -28,9 +29,9 @@
     pub batch: usize,
 }
 
-impl Default for Pace {
+impl Default for Timing {
     fn default() -> Self {
-        Pace { beat: 80, election: 400, stall: 600, voters: 5, backlog: 512, batch: 256 }
+        Timing { beat: 80, election: 400, stall: 600, voters: 5, backlog: 512, batch: 256 }
     }
 }
 
@@ -38,21 +39,21 @@
 
 pub enum Input {
     /// Time went by.
-    Beat,
-    Heard(Message),
+    Tick,
+    Received(Message),
     /// The write with this ticket, and all before it, are on disk.
     Synced(u64),
     /// The disk failed; nothing more will be synced.
     DiskFailed,
-    Found(Member, u64),
+    Bootstrap(Member, u64),
     Propose(Token, Vec<u8>),
-    Admit(Token, Member),
-    Retire(Token, Identity),
-    Confirm(Token),
+    AddLearner(Token, Member),
+    RemoveMember(Token, NodeId),
+    ReadIndex(Token),
     /// Hand leadership over, if led from here.
-    HandOver,
-    /// The state machine's picture as of an applied index.
-    Pictured(Index, Vec<u8>),
+    TransferLeadership,
+    /// The state machine's snapshot as of an applied index.
+    SnapshotTaken(LogIndex, Vec<u8>),
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -61,20 +62,20 @@
     Busy,
     /// A change of membership is under way, or this one makes no sense.
     Unfit(String),
-    /// Leadership was lost with the matter open; it may or may not hold.
+    /// Leadership was lost with the payload open; it may or may not hold.
     Lost,
 }
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Write {
-    Pledge(Pledge),
+    HardState(HardState),
     /// Entries from here on are void.
-    Cut(Index),
+    Truncate(LogIndex),
     Entry(Entry),
     /// A whole new beginning: what was before it is void.
-    Install(Picture),
-    /// A picture of what is in the log already.
-    Picture(Picture),
+    InstallSnapshot(Snapshot),
+    /// A snapshot of what is in the log already.
+    Snapshot(Snapshot),
 }
 
 #[derive(Debug, PartialEq)]
@@ -85,17 +86,17 @@
     /// Entries that count, in order, with the token of a local proposal.
     Apply(Entry, Option<Token>),
     /// The state machine is replaced by this.
-    Restore(Picture),
+    Restore(Snapshot),
     /// The leader led throughout since the question; state up to this index
     /// must be applied before the question is answered.
-    Confirmed(Token, Index),
+    ReadReady(Token, LogIndex),
     Refused(Token, Refusal),
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Role {
     Follower,
-    Sounding,
+    PreCandidate,
     Candidate,
     Leader,
 }
@@ -103,67 +104,67 @@
 /// How far another node is. Invariant: `matched` is only what that node said
 /// is synced, and only rises within a term.
 struct Peer {
-    next: Index,
-    matched: Index,
+    next: LogIndex,
+    matched: LogIndex,
     round: u64,
-    heard: u64,
-    /// When a whole picture was last sent; none is sent again for a while.
-    pictured: Option<u64>,
+    last_heard: u64,
+    /// When a whole snapshot was last sent; none is sent again for a while.
+    snapshot_sent: Option<u64>,
 }
 
 /// Invariants: `base < entry.index` for all in `log`, which has no gap;
 /// `applied <= commit <= last`; `synced <= last`; a message is let out only
-/// when the pledge it rests on is synced; `term` never falls.
+/// when the hard_state it rests on is synced; `term` never falls.
 pub struct Node {
-    identity: Identity,
-    pace: Pace,
+    identity: NodeId,
+    pace: Timing,
     seed: u64,
     now: u64,
     role: Role,
-    pledge: Pledge,
-    leader: Option<Identity>,
-    picture: Picture,
+    hard_state: HardState,
+    leader: Option<NodeId>,
+    snapshot: Snapshot,
     log: VecDeque<Entry>,
-    members: Members,
+    members: Membership,
     /// Memberships by the index they came in with, newest last.
-    memberships: Vec<(Index, Members)>,
-    commit: Index,
-    applied: Index,
-    synced: Index,
+    membership_history: Vec<(LogIndex, Membership)>,
+    commit: LogIndex,
+    applied: LogIndex,
+    synced: LogIndex,
     ticket: u64,
     synced_ticket: u64,
     /// Unsynced writes: ticket, last index then, when.
-    writing: VecDeque<(u64, Index, u64)>,
-    pledge_ticket: u64,
+    writing: VecDeque<(u64, LogIndex, u64)>,
+    hard_state_ticket: u64,
     held: VecDeque<(u64, Message)>,
     is_broken: bool,
-    heard_leader: Option<u64>,
-    expires: u64,
-    granted: Vec<Identity>,
-    peers: BTreeMap<Identity, Peer>,
+    leader_heard_at: Option<u64>,
+    election_due: u64,
+    votes: Vec<NodeId>,
+    peers: BTreeMap<NodeId, Peer>,
     round: u64,
-    beat_due: u64,
-    confirms: VecDeque<(u64, Index, Token)>,
-    waiting: BTreeMap<Index, (Term, Token)>,
+    heartbeat_due: u64,
+    reads: VecDeque<(u64, LogIndex, Token)>,
+    waiting: BTreeMap<LogIndex, (Term, Token)>,
     pending: Vec<Write>,
     effects: Vec<Effect>,
 }
 
 /// What a disk gave back at the start.
 #[derive(Default, Clone)]
-pub struct Kept {
-    pub pledge: Pledge,
-    pub picture: Option<Picture>,
+pub struct PersistedState {
+    pub hard_state: HardState,
+    pub snapshot: Option<Snapshot>,
     pub entries: Vec<Entry>,
 }
 
 impl Node {
-    pub fn new(identity: Identity, pace: Pace, seed: u64, now: u64, kept: Kept) -> Node {
-        let picture = kept.picture.unwrap_or(Picture {
+    pub fn new(identity: NodeId, pace: Timing, seed: u64, now: u64, kept: PersistedState) -> Node {
+        let snapshot = kept.snapshot.unwrap_or(Snapshot {
             index: 0,
             term: 0,
-            cluster: kept.pledge.cluster,
-            members: Members::default(),
+            cluster: kept.hard_state.cluster,
+            members: Membership::default(),
             state: Vec::new(),
         });
         let mut node = Node {
@@ -172,72 +173,72 @@
             seed: seed | 1,
             now,
             role: Role::Follower,
-            pledge: kept.pledge,
+            hard_state: kept.hard_state,
             leader: None,
-            members: picture.members.clone(),
-            memberships: vec![(picture.index, picture.members.clone())],
-            commit: picture.index,
-            applied: picture.index,
-            synced: picture.index,
-            picture,
+            members: snapshot.members.clone(),
+            membership_history: vec![(snapshot.index, snapshot.members.clone())],
+            commit: snapshot.index,
+            applied: snapshot.index,
+            synced: snapshot.index,
+            snapshot,
             log: VecDeque::new(),
             ticket: 0,
             synced_ticket: 0,
             writing: VecDeque::new(),
-            pledge_ticket: 0,
+            hard_state_ticket: 0,
             held: VecDeque::new(),
             is_broken: false,
-            heard_leader: None,
-            expires: 0,
-            granted: Vec::new(),
+            leader_heard_at: None,
+            election_due: 0,
+            votes: Vec::new(),
             peers: BTreeMap::new(),
             round: 0,
-            beat_due: 0,
-            confirms: VecDeque::new(),
+            heartbeat_due: 0,
+            reads: VecDeque::new(),
             waiting: BTreeMap::new(),
             pending: Vec::new(),
             effects: Vec::new(),
         };
         for entry in kept.entries {
-            node.keep(entry);
+            node.append_in_memory(entry);
         }
         node.synced = node.last();
-        node.rise();
+        node.reset_first_election_timer();
         node
     }
 
-    pub fn identity(&self) -> Identity {
+    pub fn identity(&self) -> NodeId {
         self.identity
     }
     pub fn role(&self) -> Role {
         self.role
     }
-    pub fn leader(&self) -> Option<Identity> {
+    pub fn leader(&self) -> Option<NodeId> {
         self.leader
     }
     pub fn term(&self) -> Term {
-        self.pledge.term
+        self.hard_state.term
     }
     pub fn cluster(&self) -> u64 {
-        self.pledge.cluster
+        self.hard_state.cluster
     }
-    pub fn members(&self) -> &Members {
+    pub fn members(&self) -> &Membership {
         &self.members
     }
-    pub fn picture(&self) -> &Picture {
-        &self.picture
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
     }
-    pub fn commit(&self) -> Index {
+    pub fn commit(&self) -> LogIndex {
         self.commit
     }
-    pub fn applied(&self) -> Index {
+    pub fn applied(&self) -> LogIndex {
         self.applied
     }
     pub fn kept(&self) -> usize {
         self.log.len()
     }
-    pub fn last(&self) -> Index {
-        self.log.back().map_or(self.picture.index, |entry| entry.index)
+    pub fn last(&self) -> LogIndex {
+        self.log.back().map_or(self.snapshot.index, |entry| entry.index)
     }
     /// Whether the oldest unsynced write has waited too long.
     pub fn is_stalled(&self) -> bool {
@@ -245,7 +246,7 @@
             || self.writing.front().is_some_and(|(_, _, since)| self.now - since > self.pace.stall)
     }
     /// What each other node is known, by the leader, to have synced.
-    pub fn progress(&self) -> impl Iterator<Item = (Identity, Index)> + '_ {
+    pub fn progress(&self) -> impl Iterator<Item = (NodeId, LogIndex)> + '_ {
         self.peers.iter().map(|(identity, peer)| (*identity, peer.matched))
     }
 
@@ -255,17 +256,17 @@
         let stall = self.pace.stall;
         let stalls = self.writing.front().map_or(u64::MAX, |(_, _, since)| since + stall + 1);
         if self.role != Role::Leader {
-            return self.expires;
+            return self.election_due;
         }
-        // The moment at which fewer than a majority were heard lately.
-        let heard = |voter: &Member| match voter.identity == self.identity {
+        // The moment at which fewer than a majority were last_heard lately.
+        let last_heard = |voter: &Member| match voter.identity == self.identity {
             true => u64::MAX,
-            false => self.peers.get(&voter.identity).map_or(0, |peer| peer.heard),
+            false => self.peers.get(&voter.identity).map_or(0, |peer| peer.last_heard),
         };
-        let mut heard: Vec<u64> = self.members.voters.iter().map(heard).collect();
-        heard.sort_unstable_by(|a, b| b.cmp(a));
-        let last = heard.get(self.members.majority() - 1).copied().unwrap_or(0);
-        self.beat_due.min(stalls).min(last.saturating_add(self.pace.election))
+        let mut last_heard: Vec<u64> = self.members.voters.iter().map(last_heard).collect();
+        last_heard.sort_unstable_by(|a, b| b.cmp(a));
+        let last = last_heard.get(self.members.majority() - 1).copied().unwrap_or(0);
+        self.heartbeat_due.min(stalls).min(last.saturating_add(self.pace.election))
     }
 
     fn random(&mut self, below: u64) -> u64 {
@@ -277,79 +278,79 @@
 
     /// The first wait after a start is a shorter one: a leader that is there beats
     /// well within it, and a sounding disturbs nobody.
-    fn rise(&mut self) {
-        self.expires = self.now + self.pace.election / 3 + self.random(self.pace.election / 2);
+    fn reset_first_election_timer(&mut self) {
+        self.election_due = self.now + self.pace.election / 3 + self.random(self.pace.election / 2);
     }
 
     /// Begins a new wait for a leader.
-    fn rest(&mut self) {
-        self.expires = self.now + self.pace.election + self.random(self.pace.election);
+    fn reset_election_timer(&mut self) {
+        self.election_due = self.now + self.pace.election + self.random(self.pace.election);
     }
 
-    fn term_at(&self, index: Index) -> Option<Term> {
-        if index == self.picture.index {
-            return Some(self.picture.term);
+    fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.snapshot.index {
+            return Some(self.snapshot.term);
         }
         let first = self.log.front()?.index;
         self.log.get(index.checked_sub(first)? as usize).map(|entry| entry.term)
     }
 
     fn last_term(&self) -> Term {
-        self.log.back().map_or(self.picture.term, |entry| entry.term)
+        self.log.back().map_or(self.snapshot.term, |entry| entry.term)
     }
 
     /// Takes an entry into memory; a membership is in force from here on.
-    fn keep(&mut self, entry: Entry) {
+    fn append_in_memory(&mut self, entry: Entry) {
         assert_eq!(entry.index, self.last() + 1, "the log has no gap");
-        if let Matter::Members(members) = &entry.matter {
+        if let EntryPayload::Membership(members) = &entry.payload {
             self.members = members.clone();
-            self.memberships.push((entry.index, members.clone()));
+            self.membership_history.push((entry.index, members.clone()));
         }
         self.log.push_back(entry);
     }
 
     fn append(&mut self, entry: Entry) {
         self.pending.push(Write::Entry(entry.clone()));
-        self.keep(entry);
+        self.append_in_memory(entry);
     }
 
-    fn cut(&mut self, from: Index) {
+    fn cut(&mut self, from: LogIndex) {
         assert!(from > self.commit, "what counts is never cut");
         while self.log.back().is_some_and(|entry| entry.index >= from) {
             self.log.pop_back();
         }
-        while self.memberships.last().is_some_and(|(index, _)| *index >= from) {
-            self.memberships.pop();
+        while self.membership_history.last().is_some_and(|(index, _)| *index >= from) {
+            self.membership_history.pop();
         }
-        if let Some((_, members)) = self.memberships.last() {
+        if let Some((_, members)) = self.membership_history.last() {
             self.members = members.clone();
         }
         self.synced = self.synced.min(from - 1);
         for (_, last, _) in &mut self.writing {
             *last = (*last).min(from - 1);
         }
-        self.pending.push(Write::Cut(from));
+        self.pending.push(Write::Truncate(from));
     }
 
-    fn promise(&mut self, pledge: Pledge) {
-        assert!(pledge.term >= self.pledge.term, "a term never falls");
-        self.pledge = pledge;
-        self.pending.push(Write::Pledge(pledge));
+    fn persist_hard_state(&mut self, hard_state: HardState) {
+        assert!(hard_state.term >= self.hard_state.term, "a term never falls");
+        self.hard_state = hard_state;
+        self.pending.push(Write::HardState(hard_state));
     }
 
-    fn send(&mut self, to: Identity, body: Body) {
+    fn send(&mut self, to: NodeId, body: Body) {
         if to == self.identity {
             return;
         }
         let message = Message {
             from: self.identity,
             to,
-            cluster: self.pledge.cluster,
-            term: self.pledge.term,
+            cluster: self.hard_state.cluster,
+            term: self.hard_state.term,
             body,
         };
-        let rests_on_pledge = self.pending.iter().any(|write| matches!(write, Write::Pledge(_)));
-        let ticket = if rests_on_pledge { self.ticket + 1 } else { self.pledge_ticket };
+        let rests_on_pledge = self.pending.iter().any(|write| matches!(write, Write::HardState(_)));
+        let ticket = if rests_on_pledge { self.ticket + 1 } else { self.hard_state_ticket };
         if ticket > self.synced_ticket {
             self.held.push_back((ticket, message));
         } else {
@@ -363,8 +364,8 @@
             return;
         }
         self.ticket += 1;
-        if self.pending.iter().any(|write| matches!(write, Write::Pledge(_))) {
-            self.pledge_ticket = self.ticket;
+        if self.pending.iter().any(|write| matches!(write, Write::HardState(_))) {
+            self.hard_state_ticket = self.ticket;
         }
         self.writing.push_back((self.ticket, self.last(), self.now));
         let writes = std::mem::take(&mut self.pending);
@@ -375,29 +376,29 @@
     pub fn step(&mut self, now: u64, input: Input) -> Vec<Effect> {
         self.now = self.now.max(now);
         match input {
-            Input::Beat => self.beat(),
-            Input::Heard(message) => self.hear(message),
+            Input::Tick => self.tick(),
+            Input::Received(message) => self.receive(message),
             Input::Synced(ticket) => self.on_synced(ticket),
             Input::DiskFailed => {
                 self.is_broken = true;
                 self.step_down();
             }
-            Input::Found(member, cluster) => self.found(member, cluster),
-            Input::Propose(token, bytes) => self.propose(token, Matter::Command(bytes)),
-            Input::Admit(token, member) => self.admit(token, member),
-            Input::Retire(token, identity) => self.retire(token, identity),
-            Input::Confirm(token) => self.confirm(token),
-            Input::HandOver => self.hand_over(),
-            Input::Pictured(index, state) => self.pictured(index, state),
+            Input::Bootstrap(member, cluster) => self.bootstrap(member, cluster),
+            Input::Propose(token, bytes) => self.propose(token, EntryPayload::Command(bytes)),
+            Input::AddLearner(token, member) => self.add_learner(token, member),
+            Input::RemoveMember(token, identity) => self.remove_member(token, identity),
+            Input::ReadIndex(token) => self.read_index(token),
+            Input::TransferLeadership => self.transfer_leadership(),
+            Input::SnapshotTaken(index, state) => self.snapshot_sent(index, state),
         }
-        self.count();
+        self.advance_commit();
         self.flush();
         std::mem::take(&mut self.effects)
     }
 
-    fn beat(&mut self) {
+    fn tick(&mut self) {
         if self.role == Role::Leader {
-            let in_touch = |peer: &Peer| self.now - peer.heard < self.pace.election;
+            let in_touch = |peer: &Peer| self.now - peer.last_heard < self.pace.election;
             let live = self.members.voters.iter().filter(|voter| {
                 voter.identity == self.identity
                     || self.peers.get(&voter.identity).is_some_and(in_touch)
@@ -406,79 +407,84 @@
                 return self.step_down();
             }
             self.promote();
-            if self.now >= self.beat_due {
+            if self.now >= self.heartbeat_due {
                 self.broadcast();
             }
-        } else if self.now >= self.expires {
+        } else if self.now >= self.election_due {
             // A sounding whose messages were lost is made again before long: it
             // disturbs nobody.
-            self.expires = self.now + self.pace.election / 2 + self.random(self.pace.election / 2);
+            self.election_due =
+                self.now + self.pace.election / 2 + self.random(self.pace.election / 2);
             self.leader = None;
             if self.members.is_voter(self.identity) && !self.is_stalled() {
-                self.role = Role::Sounding;
-                self.granted = vec![self.identity];
-                let body = Body::Sound { last_index: self.last(), last_term: self.last_term() };
-                self.ask_voters(body);
+                self.role = Role::PreCandidate;
+                self.votes = vec![self.identity];
+                let body = Body::PreVote { last_index: self.last(), last_term: self.last_term() };
+                self.send_to_voters(body);
                 self.tally();
             }
         }
     }
 
-    fn ask_voters(&mut self, body: Body) {
-        let voters: Vec<Identity> = self.members.voters.iter().map(|v| v.identity).collect();
+    fn send_to_voters(&mut self, body: Body) {
+        let voters: Vec<NodeId> = self.members.voters.iter().map(|v| v.identity).collect();
         for voter in voters {
             self.send(voter, body.clone());
         }
     }
 
-    fn stand(&mut self, handed: bool) {
+    fn campaign(&mut self, is_transfer: bool) {
         self.role = Role::Candidate;
         self.leader = None;
-        self.granted = vec![self.identity];
-        self.rest();
-        let pledge = Pledge { term: self.pledge.term + 1, vote: self.identity, ..self.pledge };
-        self.promise(pledge);
-        let body = Body::Vote { last_index: self.last(), last_term: self.last_term(), handed };
-        self.ask_voters(body);
+        self.votes = vec![self.identity];
+        self.reset_election_timer();
+        let hard_state =
+            HardState { term: self.hard_state.term + 1, vote: self.identity, ..self.hard_state };
+        self.persist_hard_state(hard_state);
+        let body = Body::Vote { last_index: self.last(), last_term: self.last_term(), is_transfer };
+        self.send_to_voters(body);
         self.tally();
     }
 
     fn tally(&mut self) {
-        let votes =
-            self.members.voters.iter().filter(|v| self.granted.contains(&v.identity)).count();
+        let votes = self.members.voters.iter().filter(|v| self.votes.contains(&v.identity)).count();
         if votes < self.members.majority() {
             return;
         }
         match self.role {
-            Role::Sounding => self.stand(false),
+            Role::PreCandidate => self.campaign(false),
             // Its own vote counts only when synced; a majority of others may
-            // have been quicker, but leading rests on the pledge all the same.
+            // have been quicker, but leading rests on the hard_state all the same.
             Role::Candidate
-                if self.pledge_ticket <= self.synced_ticket && !self.has_unsynced_pledge() =>
+                if self.hard_state_ticket <= self.synced_ticket && !self.has_unsynced_pledge() =>
             {
-                self.lead()
+                self.become_leader()
             }
             _ => {}
         }
     }
 
     fn has_unsynced_pledge(&self) -> bool {
-        self.pending.iter().any(|write| matches!(write, Write::Pledge(_)))
+        self.pending.iter().any(|write| matches!(write, Write::HardState(_)))
     }
 
-    fn lead(&mut self) {
+    fn become_leader(&mut self) {
         self.role = Role::Leader;
         self.leader = Some(self.identity);
         self.peers.clear();
-        self.confirms.clear();
-        let entry = Entry { index: self.last() + 1, term: self.pledge.term, matter: Matter::Blank };
+        self.reads.clear();
+        let entry = Entry {
+            index: self.last() + 1,
+            term: self.hard_state.term,
+            payload: EntryPayload::Blank,
+        };
         self.append(entry);
         self.broadcast();
     }
 
     fn step_down(&mut self) {
         if self.role == Role::Leader {
-            for (_, _, token) in std::mem::take(&mut self.confirms) {
+            for (_, _, token) in std::mem::take(&mut self.reads) {
                 self.effects.push(Effect::Refused(token, Refusal::NotLeader));
             }
             for (_, (_, token)) in std::mem::take(&mut self.waiting) {
@@ -487,45 +493,48 @@
         }
         self.role = Role::Follower;
         self.leader = None;
-        self.heard_leader = None;
-        self.rest();
+        self.leader_heard_at = None;
+        self.reset_election_timer();
     }
 
-    /// Brings every other member up, by entries, a picture or an empty beat.
+    /// Brings every other member up, by entries, a snapshot or an empty beat.
     fn broadcast(&mut self) {
         self.round += 1;
-        self.beat_due = self.now + self.pace.beat;
-        let others: Vec<Identity> =
+        self.heartbeat_due = self.now + self.pace.beat;
+        let others: Vec<NodeId> =
             self.members.all().map(|m| m.identity).filter(|id| *id != self.identity).collect();
         self.peers.retain(|identity, _| others.contains(identity));
         for other in others {
-            self.feed(other);
+            self.replicate_to(other);
         }
     }
 
-    fn feed(&mut self, to: Identity) {
+    fn replicate_to(&mut self, to: NodeId) {
         let (last, now, round) = (self.last(), self.now, self.round);
         let peer = self.peers.entry(to).or_insert(Peer {
             next: last + 1,
             matched: 0,
             round: 0,
-            heard: now,
-            pictured: None,
+            last_heard: now,
+            snapshot_sent: None,
         });
         let prior_index = peer.next - 1;
         let Some(prior_term) = self.term_at(prior_index) else {
             let peer = self.peers.get_mut(&to).expect("entered above");
-            if peer.pictured.is_none_or(|at| now - at > 2_000) {
-                peer.pictured = Some(now);
-                let picture = self.picture.clone();
-                self.send(to, Body::Install { round, picture });
+            if peer.snapshot_sent.is_none_or(|at| now - at > 2_000) {
+                peer.snapshot_sent = Some(now);
+                let snapshot = self.snapshot.clone();
+                self.send(to, Body::InstallSnapshot { round, snapshot });
             } else {
-                // The picture is on its way; the beat keeps the peer from
+                // The snapshot is on its way; the beat keeps the peer from
                 // standing for election meanwhile.
                 let (prior_index, prior_term) = (last, self.last_term());
                 let entries = Vec::new();
                 let commit = 0;
-                self.send(to, Body::Append { prior_index, prior_term, commit, round, entries });
+                self.send(
+                    to,
+                    Body::AppendEntries { prior_index, prior_term, commit, round, entries },
+                );
             }
             return;
         };
@@ -538,11 +547,11 @@
             .skip(if self.log.is_empty() { 0 } else { from })
             .take(self.pace.batch)
             .take_while(|entry| {
-                let fits = size < 2 << 20;
-                if let Matter::Command(bytes) = &entry.matter {
+                let is_match = size < 2 << 20;
+                if let EntryPayload::Command(bytes) = &entry.payload {
                     size += bytes.len();
                 }
-                fits
+                is_match
             })
             .cloned()
             .collect();
@@ -550,121 +559,124 @@
             self.peers.get_mut(&to).expect("entered above").next = entry.index + 1;
         }
         let commit = self.commit;
-        self.send(to, Body::Append { prior_index, prior_term, commit, round, entries });
+        self.send(to, Body::AppendEntries { prior_index, prior_term, commit, round, entries });
     }
 
-    fn hear(&mut self, message: Message) {
+    fn receive(&mut self, message: Message) {
         let Message { from, to, cluster, term, body } = message;
         // A blank node follows whichever cluster admitted it, and no other.
-        let is_leading = matches!(body, Body::Append { .. } | Body::Install { .. });
-        let is_joining = self.pledge.cluster == 0 && is_leading && cluster != 0;
-        if to != self.identity || (cluster != self.pledge.cluster && !is_joining) {
+        let is_leading = matches!(body, Body::AppendEntries { .. } | Body::InstallSnapshot { .. });
+        let is_joining = self.hard_state.cluster == 0 && is_leading && cluster != 0;
+        if to != self.identity || (cluster != self.hard_state.cluster && !is_joining) {
             return;
         }
-        let is_steady = self.heard_leader.is_some_and(|at| self.now - at < self.pace.election)
+        let is_steady = self.leader_heard_at.is_some_and(|at| self.now - at < self.pace.election)
             || self.role == Role::Leader;
         match body {
-            Body::Sound { last_index, last_term } => {
-                let granted = term >= self.pledge.term
+            Body::PreVote { last_index, last_term } => {
+                let granted = term >= self.hard_state.term
                     && !is_steady
                     && (last_term, last_index) >= (self.last_term(), self.last());
-                return self.send(from, Body::SoundAnswer { granted });
+                return self.send(from, Body::PreVoteResponse { granted });
             }
-            Body::Vote { handed: false, .. } if is_steady => return,
+            Body::Vote { is_transfer: false, .. } if is_steady => return,
             _ => {}
         }
-        if term > self.pledge.term || is_joining {
+        if term > self.hard_state.term || is_joining {
             // A sounding's refusal from a later term teaches the term, too.
-            let was_sounding = matches!(body, Body::SoundAnswer { granted: true });
+            let was_sounding = matches!(body, Body::PreVoteResponse { granted: true });
             if !was_sounding {
                 if self.role != Role::Follower {
                     self.step_down();
                 }
                 self.leader = None;
-                let term = term.max(self.pledge.term);
-                self.promise(Pledge { term, vote: 0, cluster });
+                let term = term.max(self.hard_state.term);
+                self.persist_hard_state(HardState { term, vote: 0, cluster });
             }
         }
-        if term < self.pledge.term {
+        if term < self.hard_state.term {
             // Who sounds may be ahead of those it asks, by a vote that was lost: a
             // grant counts all the same.
-            if matches!(body, Body::SoundAnswer { granted: true }) && self.role == Role::Sounding {
+            if matches!(body, Body::PreVoteResponse { granted: true })
+                && self.role == Role::PreCandidate
+            {
                 return self.grant(from);
             }
             // The stale sender learns of the newer term from any answer.
             if is_leading {
-                let body = Body::AppendAnswer { fits: false, matched: self.last(), round: 0 };
+                let body =
+                    Body::AppendEntriesResponse { is_match: false, matched: self.last(), round: 0 };
                 self.send(from, body);
             }
             return;
         }
         match body {
-            Body::Sound { .. } => {}
-            Body::SoundAnswer { granted } => {
-                if granted && self.role == Role::Sounding {
+            Body::PreVote { .. } => {}
+            Body::PreVoteResponse { granted } => {
+                if granted && self.role == Role::PreCandidate {
                     self.grant(from);
                 }
             }
             Body::Vote { last_index, last_term, .. } => {
-                let is_free = self.pledge.vote == 0 || self.pledge.vote == from;
+                let is_free = self.hard_state.vote == 0 || self.hard_state.vote == from;
                 let is_behind = (last_term, last_index) < (self.last_term(), self.last());
                 let granted = is_free && !is_behind && !self.is_stalled();
                 if granted {
-                    if self.pledge.vote == 0 {
-                        let pledge = Pledge { vote: from, ..self.pledge };
-                        self.promise(pledge);
+                    if self.hard_state.vote == 0 {
+                        let hard_state = HardState { vote: from, ..self.hard_state };
+                        self.persist_hard_state(hard_state);
                     }
-                    self.rest();
+                    self.reset_election_timer();
                 }
-                self.send(from, Body::VoteAnswer { granted });
+                self.send(from, Body::VoteResponse { granted });
             }
-            Body::VoteAnswer { granted } => {
+            Body::VoteResponse { granted } => {
                 if granted && self.role == Role::Candidate {
                     self.grant(from);
                 }
             }
-            Body::Append { prior_index, prior_term, commit, round, entries } => {
+            Body::AppendEntries { prior_index, prior_term, commit, round, entries } => {
                 self.follow(from);
-                self.take(from, prior_index, prior_term, commit, round, entries);
+                self.handle_append_entries(from, prior_index, prior_term, commit, round, entries);
             }
-            Body::Install { round, picture } => {
+            Body::InstallSnapshot { round, snapshot } => {
                 self.follow(from);
-                self.install(from, round, picture);
+                self.install(from, round, snapshot);
             }
-            Body::AppendAnswer { fits, matched, round } => {
+            Body::AppendEntriesResponse { is_match, matched, round } => {
                 if self.role == Role::Leader {
-                    self.on_answer(from, fits, matched, round);
+                    self.on_answer(from, is_match, matched, round);
                 }
             }
-            Body::Stand => {
+            Body::TimeoutNow => {
                 if self.members.is_voter(self.identity) && !self.is_stalled() {
-                    self.stand(true);
+                    self.campaign(true);
                 }
             }
         }
     }
 
-    fn grant(&mut self, from: Identity) {
-        if !self.granted.contains(&from) {
-            self.granted.push(from);
+    fn grant(&mut self, from: NodeId) {
+        if !self.votes.contains(&from) {
+            self.votes.push(from);
         }
         self.tally();
     }
 
-    fn follow(&mut self, leader: Identity) {
+    fn follow(&mut self, leader: NodeId) {
         assert!(self.role != Role::Leader, "a term has one leader");
         self.role = Role::Follower;
         self.leader = Some(leader);
-        self.heard_leader = Some(self.now);
-        self.rest();
+        self.leader_heard_at = Some(self.now);
+        self.reset_election_timer();
     }
 
-    fn take(
+    fn handle_append_entries(
         &mut self,
-        from: Identity,
-        prior_index: Index,
+        from: NodeId,
+        prior_index: LogIndex,
         prior_term: Term,
-        commit: Index,
+        commit: LogIndex,
         round: u64,
         entries: Vec<Entry>,
     ) {
@@ -672,12 +684,13 @@
         if !is_whole {
             return;
         }
-        // What the picture covers is known to count; skip over it.
-        let floor = self.picture.index;
+        // What the snapshot covers is known to count; skip over it.
+        let floor = self.snapshot.index;
         let is_known = prior_index < floor || self.term_at(prior_index) == Some(prior_term);
         if !is_known {
             let matched = self.last().min(prior_index.saturating_sub(1)).max(self.commit);
-            return self.send(from, Body::AppendAnswer { fits: false, matched, round });
+            return self
+                .send(from, Body::AppendEntriesResponse { is_match: false, matched, round });
         }
         let reach = entries.last().map_or(prior_index, |entry| entry.index);
         for entry in entries {
@@ -691,56 +704,56 @@
         }
         self.commit = self.commit.max(commit.min(reach));
         let matched = reach.max(floor).min(self.synced);
-        self.send(from, Body::AppendAnswer { fits: true, matched, round });
+        self.send(from, Body::AppendEntriesResponse { is_match: true, matched, round });
     }
 
-    fn install(&mut self, from: Identity, round: u64, picture: Picture) {
-        if picture.index <= self.commit {
+    fn install(&mut self, from: NodeId, round: u64, snapshot: Snapshot) {
+        if snapshot.index <= self.commit {
             // It says nothing new.
-        } else if self.term_at(picture.index) == Some(picture.term) {
-            // The log leads to the picture, and what comes after it may have been
+        } else if self.term_at(snapshot.index) == Some(snapshot.term) {
+            // The log leads to the snapshot, and what comes after it may have been
             // answered for: it stays.
-            self.commit = picture.index;
+            self.commit = snapshot.index;
         } else {
             self.log.clear();
-            self.members = picture.members.clone();
-            self.memberships = vec![(picture.index, picture.members.clone())];
-            self.commit = picture.index;
-            self.applied = picture.index;
-            self.synced = self.picture.index;
+            self.members = snapshot.members.clone();
+            self.membership_history = vec![(snapshot.index, snapshot.members.clone())];
+            self.commit = snapshot.index;
+            self.applied = snapshot.index;
+            self.synced = self.snapshot.index;
             for (_, last, _) in &mut self.writing {
                 *last = (*last).min(self.synced);
             }
-            self.picture = picture.clone();
-            self.pending.push(Write::Install(picture.clone()));
-            self.effects.push(Effect::Restore(picture));
+            self.snapshot = snapshot.clone();
+            self.pending.push(Write::InstallSnapshot(snapshot.clone()));
+            self.effects.push(Effect::Restore(snapshot));
         }
         let matched = self.synced.min(self.commit);
-        self.send(from, Body::AppendAnswer { fits: true, matched, round });
+        self.send(from, Body::AppendEntriesResponse { is_match: true, matched, round });
     }
 
-    fn on_answer(&mut self, from: Identity, fits: bool, matched: Index, round: u64) {
+    fn on_answer(&mut self, from: NodeId, is_match: bool, matched: LogIndex, round: u64) {
         let last = self.last();
         let now = self.now;
         let Some(peer) = self.peers.get_mut(&from) else { return };
-        peer.heard = now;
+        peer.last_heard = now;
         peer.round = peer.round.max(round);
-        if fits {
+        if is_match {
             peer.matched = peer.matched.max(matched.min(last));
             peer.next = peer.next.max(peer.matched + 1);
             if peer.matched > 0 {
-                peer.pictured = None;
+                peer.snapshot_sent = None;
             }
         } else {
             peer.next = (matched + 1).min(last + 1).max(peer.matched + 1);
         }
-        let (next, pictured) = (self.peers[&from].next, self.peers[&from].pictured);
-        // While a picture is on its way nothing is pushed out of turn.
-        let has_matter = self.term_at(next - 1).is_some() || pictured.is_none();
-        if has_matter && (!fits || next <= last) {
-            self.feed(from);
+        let (next, snapshot_sent) = (self.peers[&from].next, self.peers[&from].snapshot_sent);
+        // While a snapshot is on its way nothing is pushed out of turn.
+        let has_matter = self.term_at(next - 1).is_some() || snapshot_sent.is_none();
+        if has_matter && (!is_match || next <= last) {
+            self.replicate_to(from);
         }
-        self.settle_confirms();
+        self.settle_reads();
     }
 
     fn on_synced(&mut self, ticket: u64) {
@@ -753,7 +766,7 @@
         self.synced = synced;
         while self.held.front().is_some_and(|(t, _)| *t <= ticket) {
             let (_, message) = self.held.pop_front().expect("looked at above");
-            if message.term == self.pledge.term {
+            if message.term == self.hard_state.term {
                 self.effects.push(Effect::Send(message));
             }
         }
@@ -764,7 +777,10 @@
                 // word for it, which `take` has checked up to the last append.
                 let matched = self.synced;
                 let claim = self.claim(matched);
-                self.send(leader, Body::AppendAnswer { fits: true, matched: claim, round: 0 });
+                self.send(
+                    leader,
+                    Body::AppendEntriesResponse { is_match: true, matched: claim, round: 0 },
+                );
             }
             _ => {}
         }
@@ -772,17 +788,17 @@
 
     /// Entries of the leader's own term can only have come from it; they and
     /// all before them are the same as its own. Otherwise only the commit is.
-    fn claim(&self, synced: Index) -> Index {
+    fn claim(&self, synced: LogIndex) -> LogIndex {
         match self.term_at(synced) {
-            Some(term) if term == self.pledge.term => synced,
+            Some(term) if term == self.hard_state.term => synced,
             _ => synced.min(self.commit),
         }
     }
 
     /// Counts what a majority has synced, and applies what counts.
-    fn count(&mut self) {
+    fn advance_commit(&mut self) {
         if self.role == Role::Leader {
-            let mut marks: Vec<Index> = self
+            let mut marks: Vec<LogIndex> = self
                 .members
                 .voters
                 .iter()
@@ -793,10 +809,10 @@
                 .collect();
             marks.sort_unstable_by(|a, b| b.cmp(a));
             let mark = marks.get(self.members.majority() - 1).copied().unwrap_or(0);
-            if mark > self.commit && self.term_at(mark) == Some(self.pledge.term) {
+            if mark > self.commit && self.term_at(mark) == Some(self.hard_state.term) {
                 self.commit = mark;
-                self.beat_due = self.now;
-                self.settle_confirms();
+                self.heartbeat_due = self.now;
+                self.settle_reads();
             }
         }
         while self.applied < self.commit {
@@ -812,9 +828,9 @@
                 None => None,
             };
             self.applied = index;
-            // A node that comes back applies memberships again that were before it.
-            let was_removed = matches!(&entry.matter, Matter::Members(_))
-                && self.memberships.last().is_some_and(|(newest, _)| *newest == index)
+            // A node that comes back applies membership_history again that were before it.
+            let was_removed = matches!(&entry.payload, EntryPayload::Membership(_))
+                && self.membership_history.last().is_some_and(|(newest, _)| *newest == index)
                 && self.members.get(self.identity).is_none();
             self.effects.push(Effect::Apply(entry, token));
             if was_removed && self.role == Role::Leader {
@@ -824,55 +840,55 @@
         }
     }
 
-    fn found(&mut self, member: Member, cluster: u64) {
-        assert!(self.pledge.cluster == 0, "a cluster is founded once, by a blank node");
-        self.promise(Pledge { term: 1, vote: 0, cluster });
-        let members = Members { voters: vec![member], ..Members::default() };
-        self.append(Entry { index: 1, term: 1, matter: Matter::Members(members) });
-        self.stand(true);
+    fn bootstrap(&mut self, member: Member, cluster: u64) {
+        assert!(self.hard_state.cluster == 0, "a cluster is founded once, by a blank node");
+        self.persist_hard_state(HardState { term: 1, vote: 0, cluster });
+        let members = Membership { voters: vec![member], ..Membership::default() };
+        self.append(Entry { index: 1, term: 1, payload: EntryPayload::Membership(members) });
+        self.campaign(true);
     }
 
-    fn propose(&mut self, token: Token, matter: Matter) {
+    fn propose(&mut self, token: Token, payload: EntryPayload) {
         if self.role != Role::Leader {
             return self.effects.push(Effect::Refused(token, Refusal::NotLeader));
         }
         if (self.last() - self.commit) as usize >= self.pace.backlog || self.is_stalled() {
             return self.effects.push(Effect::Refused(token, Refusal::Busy));
         }
-        let entry = Entry { index: self.last() + 1, term: self.pledge.term, matter };
+        let entry = Entry { index: self.last() + 1, term: self.hard_state.term, payload };
         self.waiting.insert(entry.index, (entry.term, token));
         self.append(entry);
         // Entries go out with the next beat, which is now: those proposed in
         // one turn of the edge's loop travel together.
-        self.beat_due = self.now;
+        self.heartbeat_due = self.now;
     }
 
     /// A membership may change only when the one before it counts and the
     /// leader has committed in its own term.
     pub fn is_settled(&self) -> bool {
-        let newest = self.memberships.last().map_or(0, |(index, _)| *index);
-        newest <= self.commit && self.term_at(self.commit) == Some(self.pledge.term)
+        let newest = self.membership_history.last().map_or(0, |(index, _)| *index);
+        newest <= self.commit && self.term_at(self.commit) == Some(self.hard_state.term)
     }
 
-    fn change(&mut self, token: Option<Token>, members: Members) {
+    fn change(&mut self, token: Option<Token>, members: Membership) {
         match token {
-            Some(token) => self.propose(token, Matter::Members(members)),
+            Some(token) => self.propose(token, EntryPayload::Membership(members)),
             None => {
-                let matter = Matter::Members(members);
-                let entry = Entry { index: self.last() + 1, term: self.pledge.term, matter };
+                let payload = EntryPayload::Membership(members);
+                let entry = Entry { index: self.last() + 1, term: self.hard_state.term, payload };
                 self.append(entry);
-                self.beat_due = self.now;
+                self.heartbeat_due = self.now;
             }
         }
     }
 
-    fn admit(&mut self, token: Token, member: Member) {
+    fn add_learner(&mut self, token: Token, member: Member) {
         if self.role != Role::Leader {
             return self.effects.push(Effect::Refused(token, Refusal::NotLeader));
         }
         if let Some(known) = self.members.get(member.identity) {
             if *known == member {
-                return self.effects.push(Effect::Confirmed(token, self.commit));
+                return self.effects.push(Effect::ReadReady(token, self.commit));
             }
         }
         if !self.is_settled() {
@@ -901,18 +917,18 @@
                 || self
                     .peers
                     .get(&old)
-                    .is_some_and(|p| self.now - p.heard < 2 * self.pace.election);
+                    .is_some_and(|p| self.now - p.last_heard < 2 * self.pace.election);
             if is_alive {
                 let text = format!("a node named {} is alive", member.name);
                 return self.effects.push(Effect::Refused(token, Refusal::Unfit(text)));
             }
-            return self.retire(token, old);
+            return self.remove_member(token, old);
         }
         members.learners.push(member);
         self.change(Some(token), members);
     }
 
-    fn retire(&mut self, token: Token, identity: Identity) {
+    fn remove_member(&mut self, token: Token, identity: NodeId) {
         let refuse = |text: &str| Effect::Refused(token, Refusal::Unfit(text.into()));
         if self.role != Role::Leader {
             return self.effects.push(Effect::Refused(token, Refusal::NotLeader));
@@ -941,12 +957,12 @@
         if self.members.voters.len() >= self.pace.voters || !self.is_settled() {
             return;
         }
-        let admitted = self.memberships.last().map_or(0, |(index, _)| *index);
+        let admitted = self.membership_history.last().map_or(0, |(index, _)| *index);
         let in_zone = |zone: &str| self.members.voters.iter().filter(|v| v.zone == zone).count();
         let ready = self.members.learners.iter().filter(|learner| {
             self.peers.get(&learner.identity).is_some_and(|peer| {
                 peer.matched >= admitted.max(self.commit.saturating_sub(8))
-                    && self.now - peer.heard < self.pace.election
+                    && self.now - peer.last_heard < self.pace.election
             })
         });
         let Some(elect) = ready.min_by_key(|learner| in_zone(&learner.zone)).cloned() else {
@@ -958,22 +974,22 @@
         self.change(None, members);
     }
 
-    fn confirm(&mut self, token: Token) {
+    fn read_index(&mut self, token: Token) {
         if self.role != Role::Leader {
             return self.effects.push(Effect::Refused(token, Refusal::NotLeader));
         }
-        if self.confirms.len() >= self.pace.backlog * 4 {
+        if self.reads.len() >= self.pace.backlog * 4 {
             return self.effects.push(Effect::Refused(token, Refusal::Busy));
         }
-        self.confirms.push_back((self.round + 1, self.commit, token));
-        self.beat_due = self.now;
-        self.settle_confirms();
+        self.reads.push_back((self.round + 1, self.commit, token));
+        self.heartbeat_due = self.now;
+        self.settle_reads();
     }
 
-    fn settle_confirms(&mut self) {
+    fn settle_reads(&mut self) {
         // Before its first own entry counts, a leader does not know how far
         // its predecessors had come.
-        if self.role != Role::Leader || self.term_at(self.commit) != Some(self.pledge.term) {
+        if self.role != Role::Leader || self.term_at(self.commit) != Some(self.hard_state.term) {
             return;
         }
         let mut rounds: Vec<u64> = self
@@ -987,13 +1003,13 @@
             .collect();
         rounds.sort_unstable_by(|a, b| b.cmp(a));
         let reached = rounds.get(self.members.majority() - 1).copied().unwrap_or(0);
-        while self.confirms.front().is_some_and(|(round, _, _)| *round <= reached) {
-            let (_, index, token) = self.confirms.pop_front().expect("looked at above");
-            self.effects.push(Effect::Confirmed(token, index.max(self.commit)));
+        while self.reads.front().is_some_and(|(round, _, _)| *round <= reached) {
+            let (_, index, token) = self.reads.pop_front().expect("looked at above");
+            self.effects.push(Effect::ReadReady(token, index.max(self.commit)));
         }
     }
 
-    fn hand_over(&mut self) {
+    fn transfer_leadership(&mut self) {
         if self.role != Role::Leader {
             return;
         }
@@ -1003,32 +1019,33 @@
             .voters
             .iter()
             .filter_map(|voter| Some((voter.identity, self.peers.get(&voter.identity)?)))
-            .filter(|(_, peer)| now - peer.heard < self.pace.election)
+            .filter(|(_, peer)| now - peer.last_heard < self.pace.election)
             .max_by_key(|(_, peer)| peer.matched)
             .map(|(identity, _)| identity);
         if let Some(heir) = heir {
-            self.send(heir, Body::Stand);
+            self.send(heir, Body::TimeoutNow);
         }
     }
 
-    fn pictured(&mut self, index: Index, state: Vec<u8>) {
-        if index <= self.picture.index || index > self.applied {
+    fn snapshot_sent(&mut self, index: LogIndex, state: Vec<u8>) {
+        if index <= self.snapshot.index || index > self.applied {
             return;
         }
-        let term = self.term_at(index).expect("what is applied and past the picture is in the log");
+        let term =
+            self.term_at(index).expect("what is applied and past the snapshot is in the log");
         let members = self
-            .memberships
+            .membership_history
             .iter()
             .rev()
             .find(|(at, _)| *at <= index)
             .map(|(_, members)| members.clone())
-            .expect("a membership stands at the picture or before it");
-        self.memberships.retain(|(at, _)| *at > index);
-        self.memberships.insert(0, (index, members.clone()));
+            .expect("a membership stands at the snapshot or before it");
+        self.membership_history.retain(|(at, _)| *at > index);
+        self.membership_history.insert(0, (index, members.clone()));
         while self.log.front().is_some_and(|entry| entry.index <= index) {
             self.log.pop_front();
         }
-        self.picture = Picture { index, term, cluster: self.pledge.cluster, members, state };
-        self.pending.push(Write::Picture(self.picture.clone()));
+        self.snapshot = Snapshot { index, term, cluster: self.hard_state.cluster, members, state };
+        self.pending.push(Write::Snapshot(self.snapshot.clone()));
     }
 }
--- a/ledger/src/segments.rs
+++ b/consensus/src/wal.rs
@@ -1,12 +1,12 @@
-//! The log on disk: checksummed segments, pictures beside them.
+//! The log on disk: checksummed segments, snapshots beside them.
 //!
 //! A record is a length, a checksum and a body. What a crash tore off the end
 //! of the last segment is cut away; damage anywhere else stops the node, since
 //! what was synced must not quietly go missing.
 
-use crate::node::{Kept, Write};
+use crate::node::{PersistedState, Write};
 use crate::pack::{packed, unpacked};
-use crate::{Entry, Index, Picture, Pledge, Term};
+use crate::{Entry, HardState, LogIndex, Snapshot, Term};
 use binrw::binrw;
 use std::fmt;
 use std::io;
@@ -44,14 +44,14 @@
 #[brw(big)]
 enum Record {
     #[brw(magic = 1u8)]
-    Pledge(Pledge),
+    HardState(HardState),
     #[brw(magic = 2u8)]
-    Cut(Index),
+    Cut(LogIndex),
     #[brw(magic = 3u8)]
     Entry(Entry),
     /// The log before here is void; it goes on after this index.
     #[brw(magic = 4u8)]
-    Reset(Index, Term),
+    Reset(LogIndex, Term),
 }
 
 const SEGMENT: &[u8; 4] = b"RPLG";
@@ -63,25 +63,25 @@
 const RECORD_CAP: usize = 64 << 20;
 
 /// Invariants: `number` is the highest of all segments; only that one is
-/// written; each begins with the pledge in force; `spans` holds the older ones
+/// written; each begins with the hard_state in force; `spans` holds the older ones
 /// with the last index that each may contain; what lies before `size` in the
 /// highest one was synced without an error.
-pub struct Segments<F: Files> {
+pub struct WriteAheadLog<F: Files> {
     files: F,
     number: u64,
     size: u64,
-    last: Index,
-    pledge: Pledge,
-    spans: Vec<(u64, Index)>,
-    pictures: Vec<Index>,
+    last: LogIndex,
+    hard_state: HardState,
+    spans: Vec<(u64, LogIndex)>,
+    snapshots: Vec<LogIndex>,
 }
 
 fn segment(number: u64) -> String {
     format!("segment-{number:012}")
 }
 
-fn picture_name(index: Index) -> String {
-    format!("picture-{index:016}")
+fn picture_name(index: LogIndex) -> String {
+    format!("snapshot-{index:016}")
 }
 
 fn framed(bytes: &[u8]) -> Vec<u8> {
@@ -132,17 +132,17 @@
     numbers
 }
 
-impl<F: Files> Segments<F> {
+impl<F: Files> WriteAheadLog<F> {
     /// Reads a folder back and begins a new segment in it.
-    pub fn open(mut files: F) -> anyhow::Result<(Segments<F>, Kept)> {
+    pub fn open(mut files: F) -> anyhow::Result<(WriteAheadLog<F>, PersistedState)> {
         let names = files.list()?;
         for name in names.iter().filter(|name| name.ends_with(".part")) {
             files.remove(name)?;
         }
-        let mut kept = Kept::default();
-        let pictures = numbers(&names, "picture-");
-        if let Some(index) = pictures.last() {
-            kept.picture = Some(read_picture(&files, &picture_name(*index))?);
+        let mut kept = PersistedState::default();
+        let snapshots = numbers(&names, "snapshot-");
+        if let Some(index) = snapshots.last() {
+            kept.snapshot = Some(read_picture(&files, &picture_name(*index))?);
         }
         let mut spans = Vec::new();
         let numbers = numbers(&names, "segment-");
@@ -153,7 +153,7 @@
             }
             spans.push((*number, kept.entries.last().map_or(0, |entry| entry.index)));
         }
-        let (base, base_term) = kept.picture.as_ref().map_or((0, 0), |p| (p.index, p.term));
+        let (base, base_term) = kept.snapshot.as_ref().map_or((0, 0), |p| (p.index, p.term));
         let is_other_branch =
             kept.entries.iter().any(|entry| entry.index == base && entry.term != base_term);
         let count = kept.entries.len();
@@ -164,26 +164,26 @@
             let file = segment(numbers.first().copied().unwrap_or(0));
             return Err(Damage { file, offset: HEAD as u64, text }.into());
         }
-        let mut segments = Segments {
+        let mut segments = WriteAheadLog {
             files,
             number: numbers.last().copied().unwrap_or(0),
             size: 0,
             last: kept.entries.last().map_or(base, |entry| entry.index),
-            pledge: kept.pledge,
+            hard_state: kept.hard_state,
             spans,
-            pictures,
+            snapshots,
         };
         segments.turn(was_reset.then_some((base, base_term)))?;
         Ok((segments, kept))
     }
 
-    fn turn(&mut self, reset: Option<(Index, Term)>) -> io::Result<()> {
+    fn turn(&mut self, reset: Option<(LogIndex, Term)>) -> io::Result<()> {
         if self.size > 0 {
             self.spans.push((self.number, self.last));
         }
         self.number += 1;
         let mut bytes = head(SEGMENT);
-        bytes.extend(framed(&packed(&Record::Pledge(self.pledge))));
+        bytes.extend(framed(&packed(&Record::HardState(self.hard_state))));
         if let Some((index, term)) = reset {
             bytes.extend(framed(&packed(&Record::Reset(index, term))));
         }
@@ -197,7 +197,7 @@
     /// After a failed write or sync: cuts off all that is not known to be on the
     /// disk, and reads back what is, as a restart would. While the disk takes
     /// nothing this fails, and may be tried again.
-    pub fn reopened(&mut self) -> anyhow::Result<(Segments<F>, Kept)>
+    pub fn reopened(&mut self) -> anyhow::Result<(WriteAheadLog<F>, PersistedState)>
     where
         F: Clone,
     {
@@ -206,7 +206,7 @@
             self.files.cut(&name, self.size)?;
             self.files.sync(&name)?;
         }
-        Segments::open(self.files.clone())
+        WriteAheadLog::open(self.files.clone())
     }
 
     /// Writes one batch and syncs it. When this returned without an error the
@@ -215,11 +215,11 @@
         let mut bytes = Vec::new();
         for write in batch {
             match write {
-                Write::Pledge(pledge) => {
-                    self.pledge = *pledge;
-                    bytes.extend(framed(&packed(&Record::Pledge(*pledge))));
+                Write::HardState(hard_state) => {
+                    self.hard_state = *hard_state;
+                    bytes.extend(framed(&packed(&Record::HardState(*hard_state))));
                 }
-                Write::Cut(from) => {
+                Write::Truncate(from) => {
                     self.last = self.last.min(from - 1);
                     bytes.extend(framed(&packed(&Record::Cut(*from))));
                 }
@@ -227,18 +227,18 @@
                     self.last = entry.index;
                     bytes.extend(framed(&packed(&Record::Entry(entry.clone()))));
                 }
-                Write::Install(picture) => {
+                Write::InstallSnapshot(snapshot) => {
                     self.put(&std::mem::take(&mut bytes))?;
-                    self.write_picture(picture)?;
-                    self.last = picture.index;
-                    self.turn(Some((picture.index, picture.term)))?;
-                    self.clear(picture.index)?;
+                    self.write_picture(snapshot)?;
+                    self.last = snapshot.index;
+                    self.turn(Some((snapshot.index, snapshot.term)))?;
+                    self.clear(snapshot.index)?;
                 }
-                Write::Picture(picture) => {
+                Write::Snapshot(snapshot) => {
                     self.put(&std::mem::take(&mut bytes))?;
-                    self.write_picture(picture)?;
+                    self.write_picture(snapshot)?;
                     self.turn(None)?;
-                    self.clear(picture.index)?;
+                    self.clear(snapshot.index)?;
                 }
             }
         }
@@ -260,24 +260,24 @@
         Ok(())
     }
 
-    fn write_picture(&mut self, picture: &Picture) -> io::Result<()> {
-        let name = picture_name(picture.index);
+    fn write_picture(&mut self, snapshot: &Snapshot) -> io::Result<()> {
+        let name = picture_name(snapshot.index);
         let part = format!("{name}.part");
         let mut bytes = head(PICTURE);
-        bytes.extend(framed(&packed(picture)));
+        bytes.extend(framed(&packed(snapshot)));
         self.files.append(&part, &bytes)?;
         self.files.sync(&part)?;
         self.files.rename(&part, &name)?;
-        self.pictures.push(picture.index);
+        self.snapshots.push(snapshot.index);
         Ok(())
     }
 
-    /// Removes what the picture at `index` stands for.
-    fn clear(&mut self, index: Index) -> io::Result<()> {
-        for old in self.pictures.iter().filter(|old| **old != index) {
+    /// Removes what the snapshot at `index` stands for.
+    fn clear(&mut self, index: LogIndex) -> io::Result<()> {
+        for old in self.snapshots.iter().filter(|old| **old != index) {
             self.files.remove(&picture_name(*old))?;
         }
-        self.pictures.retain(|old| *old == index);
+        self.snapshots.retain(|old| *old == index);
         // From the oldest on, so that no segment is missing in between.
         while self.spans.first().is_some_and(|(_, last)| *last <= index) {
             self.files.remove(&segment(self.spans[0].0))?;
@@ -287,13 +287,13 @@
     }
 }
 
-fn read_picture(files: &impl Files, name: &str) -> anyhow::Result<Picture> {
+fn read_picture(files: &impl Files, name: &str) -> anyhow::Result<Snapshot> {
     let bytes = files.read(name)?;
     check_head(name, &bytes, PICTURE)?;
     let damage = |text: String| Damage { file: name.into(), offset: HEAD as u64, text };
     let (body, end) = record(&bytes, HEAD).map_err(|text| damage(text.into()))?;
     if end != bytes.len() {
-        return Err(damage("something follows the picture".into()).into());
+        return Err(damage("something follows the snapshot".into()).into());
     }
     Ok(unpacked(body).map_err(damage)?)
 }
@@ -303,7 +303,7 @@
     files: &mut impl Files,
     number: u64,
     is_last: bool,
-    kept: &mut Kept,
+    kept: &mut PersistedState,
 ) -> anyhow::Result<bool> {
     let name = segment(number);
     let bytes = files.read(&name)?;
@@ -330,7 +330,7 @@
             }
         };
         match unpacked::<Record>(body).map_err(damage)? {
-            Record::Pledge(pledge) => kept.pledge = pledge,
+            Record::HardState(hard_state) => kept.hard_state = hard_state,
             Record::Cut(from) => kept.entries.retain(|entry| entry.index < from),
             Record::Reset(..) => kept.entries.clear(),
             Record::Entry(entry) => {
--- a/ledger/tests/back.rs
+++ b/consensus/tests/back.rs
@@ -1,7 +1,7 @@
 //! A node that comes back with a log that goes further than it.
 
-use ledger::node::{Effect, Input, Kept, Node, Pace, Role};
-use ledger::{Body, Entry, Matter, Member, Members, Message, Pledge};
+use consensus::node::{Effect, Input, Node, PersistedState, Role, Timing};
+use consensus::{Body, Entry, EntryPayload, HardState, Member, Membership, Message};
 
 const CLUSTER: u64 = 7;
 
@@ -16,9 +16,9 @@
     }
 }
 
-fn members(voters: &[u64]) -> Matter {
+fn members(voters: &[u64]) -> EntryPayload {
     let voters = voters.iter().copied().map(member).collect();
-    Matter::Members(Members { voters, ..Members::default() })
+    EntryPayload::Membership(Membership { voters, ..Membership::default() })
 }
 
 /// Guards: service returns after everything stopped. A leader that comes back
@@ -26,16 +26,16 @@
 /// removed by those.
 #[test]
 fn a_leader_that_applies_memberships_from_before_it_goes_on_leading() {
-    let entry = |index, matter| Entry { index, term: 1, matter };
+    let entry = |index, payload| Entry { index, term: 1, payload };
     let entries = vec![
         entry(1, members(&[2])),
         entry(2, members(&[2, 3])),
         entry(3, members(&[1, 2, 3])),
-        entry(4, Matter::Command(vec![1])),
+        entry(4, EntryPayload::Command(vec![1])),
     ];
-    let pledge = Pledge { term: 3, vote: 0, cluster: CLUSTER };
-    let kept = Kept { pledge, picture: None, entries };
-    let mut node = Node::new(1, Pace::default(), 9, 1_000, kept);
+    let hard_state = HardState { term: 3, vote: 0, cluster: CLUSTER };
+    let kept = PersistedState { hard_state, snapshot: None, entries };
+    let mut node = Node::new(1, Timing::default(), 9, 1_000, kept);
     let mut now = 1_000;
     let mut applied = 0;
     let mut step = |node: &mut Node, now: u64, input: Input| {
@@ -51,17 +51,17 @@
         }
         applied
     };
-    while node.role() != Role::Sounding {
+    while node.role() != Role::PreCandidate {
         now += 50;
-        step(&mut node, now, Input::Beat);
+        step(&mut node, now, Input::Tick);
     }
     let heard = |term: u64, body: Body| {
-        Input::Heard(Message { from: 2, to: 1, cluster: CLUSTER, term, body })
+        Input::Received(Message { from: 2, to: 1, cluster: CLUSTER, term, body })
     };
-    step(&mut node, now, heard(3, Body::SoundAnswer { granted: true }));
-    step(&mut node, now, heard(4, Body::VoteAnswer { granted: true }));
+    step(&mut node, now, heard(3, Body::PreVoteResponse { granted: true }));
+    step(&mut node, now, heard(4, Body::VoteResponse { granted: true }));
     assert_eq!(node.role(), Role::Leader);
-    let answer = Body::AppendAnswer { fits: true, matched: 5, round: 1 };
+    let answer = Body::AppendEntriesResponse { is_match: true, matched: 5, round: 1 };
     assert_eq!(step(&mut node, now + 10, heard(4, answer)), 5, "it applies the whole log");
     assert_eq!(node.role(), Role::Leader);
 }
--- a/ledger/tests/founding.rs
+++ b/consensus/tests/founding.rs
@@ -1,8 +1,8 @@
 //! A first seed founds, the others ask to be let in: in virtual time, over links
 //! of 55 ms, with a founder that ends while it is at it.
 
-use ledger::node::{Effect, Input, Kept, Node, Pace, Refusal, Role, Write};
-use ledger::{Matter, Member, Message};
+use consensus::node::{Effect, Input, Node, PersistedState, Refusal, Role, Timing, Write};
+use consensus::{EntryPayload, Member, Message};
 use std::collections::BTreeMap;
 
 const DELAY: u64 = 55;
@@ -23,7 +23,7 @@
     member: Member,
     node: Option<Node>,
     /// What is on its disk.
-    kept: Kept,
+    kept: PersistedState,
     life: u64,
     /// No input came since its last beat.
     is_calm: bool,
@@ -56,7 +56,7 @@
         let machine = |at: usize| Machine {
             member: member(at, 1 + at as u64),
             node: None,
-            kept: Kept::default(),
+            kept: PersistedState::default(),
             life: 0,
             is_calm: false,
         };
@@ -88,12 +88,12 @@
         machine.life += 1;
         machine.is_calm = false;
         let (identity, kept) = (machine.member.identity, machine.kept.clone());
-        let is_blank = kept.pledge.cluster == 0;
-        machine.node = Some(Node::new(identity, Pace::default(), seed, self.now, kept));
+        let is_blank = kept.hard_state.cluster == 0;
+        machine.node = Some(Node::new(identity, Timing::default(), seed, self.now, kept));
         if at == 0 && is_blank {
             self.founded += 1;
             let (member, cluster) = (self.machines[0].member.clone(), 77 + self.founded as u64);
-            self.step(0, Input::Found(member, cluster));
+            self.step(0, Input::Bootstrap(member, cluster));
         }
         // A connection is made first.
         self.due(2 * DELAY, Due::Ask(at));
@@ -103,7 +103,7 @@
         let now = self.now;
         let machine = &mut self.machines[at];
         let Some(node) = machine.node.as_mut() else { return };
-        machine.is_calm = matches!(input, Input::Beat);
+        machine.is_calm = matches!(input, Input::Tick);
         let life = machine.life;
         for effect in node.step(now, input) {
             match effect {
@@ -137,7 +137,7 @@
                 // What `due` promises: before it, a beat finds nothing to do.
                 let is_early = machine.is_calm && node.due() > self.now;
                 let before = self.order;
-                self.step(at, Input::Beat);
+                self.step(at, Input::Tick);
                 assert!(!is_early || self.order == before, "node {at} had something to do");
             }
         }
@@ -150,17 +150,17 @@
             Due::Heard(message) => {
                 let to = self.machines.iter().position(|m| m.member.identity == message.to);
                 if let Some(to) = to {
-                    self.step(to, Input::Heard(message));
+                    self.step(to, Input::Received(message));
                 }
             }
             Due::Synced(at, life, ticket, writes) if self.machines[at].life == life => {
                 let kept = &mut self.machines[at].kept;
                 for write in writes {
                     match write {
-                        Write::Pledge(pledge) => kept.pledge = pledge,
+                        Write::HardState(hard_state) => kept.hard_state = hard_state,
                         Write::Entry(entry) => kept.entries.push(entry),
-                        Write::Cut(from) => kept.entries.retain(|entry| entry.index < from),
-                        Write::Install(_) | Write::Picture(_) => {}
+                        Write::Truncate(from) => kept.entries.retain(|entry| entry.index < from),
+                        Write::InstallSnapshot(_) | Write::Snapshot(_) => {}
                     }
                 }
                 self.step(at, Input::Synced(ticket));
@@ -184,7 +184,7 @@
                 let leader = self.machines.iter().position(leads);
                 let leader = leader.filter(|at| knows == Some(self.machines[*at].member.identity));
                 if let Some(leader) = leader {
-                    self.step(leader, Input::Admit(9, member));
+                    self.step(leader, Input::AddLearner(9, member));
                 }
             }
             Due::Up(at) => self.up(at, 5 + self.now),
@@ -288,11 +288,11 @@
     world.run(9_000, |w| w.machines[4].node.is_some() && w.voters() == 5).expect("five voters");
     world.due(1, Due::Down(0));
     world.run(9_500, |_| false);
-    world.machines[0].kept = Kept::default();
+    world.machines[0].kept = PersistedState::default();
     world.machines[0].member = member(0, 99);
     // It does not found: that was at the first start.
     world.machines[0].life += 1;
-    let node = Node::new(99, Pace::default(), 3, world.now, Kept::default());
+    let node = Node::new(99, Timing::default(), 3, world.now, PersistedState::default());
     world.machines[0].node = Some(node);
     world.due(2 * DELAY, Due::Ask(0));
     let is_back = |w: &World| {
@@ -303,5 +303,5 @@
     let back = world.run(20_000, is_back).expect("it is a voter again");
     assert!(back < 9_500 + 4_000, "after {back} ms");
     let commands = world.machines[1].kept.entries.iter();
-    assert!(commands.filter(|e| matches!(e.matter, Matter::Command(_))).count() == 0);
+    assert!(commands.filter(|e| matches!(e.payload, EntryPayload::Command(_))).count() == 0);
 }
--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -66,7 +66,7 @@
 }
 
 fn members(standing: &Standing) -> OwnedValue {
-    let describe = |member: &ledger::Member, kind: &str| {
+    let describe = |member: &consensus::Member, kind: &str| {
         let synced = standing.progress.iter().find(|(id, _)| *id == member.identity);
         json!({
             "name": member.name.clone(),
--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -3,10 +3,10 @@
 //! bounded ring.
 
 use crate::links::Links;
-use ledger::node::{Effect, Input, Kept, Node, Pace, Refusal as No, Role, Write};
-use ledger::pack::{packed, unpacked};
-use ledger::segments::{Folder, Segments};
-use ledger::{Identity, Matter, Member, Members, Message};
+use consensus::node::{Effect, Input, Node, PersistedState, Refusal as No, Role, Timing, Write};
+use consensus::pack::{packed, unpacked};
+use consensus::wal::{Folder, WriteAheadLog};
+use consensus::{EntryPayload, Member, Membership, Message, NodeId};
 use parking_lot::RwLock;
 use placement::{Margin, Paces, Pools};
 use residency::{Event, Mapping, State, Submission, View};
@@ -32,10 +32,10 @@
     Synced(u64),
     DiskFailed,
     /// The disk takes writes again: what it holds, and the way to it.
-    DiskBack(Kept, SyncSender<(u64, Vec<Write>)>),
+    DiskBack(PersistedState, SyncSender<(u64, Vec<Write>)>),
     Ask(Question, oneshot::Sender<Reply>),
     /// A question from another node, to be answered there.
-    AskedBy(Identity, u64, Question),
+    AskedBy(NodeId, u64, Question),
     Replied(u64, Reply),
     Found(oneshot::Sender<Result<(), String>>),
     Attach(mpsc::Sender<Frame>),
@@ -46,15 +46,15 @@
 #[derive(Clone, Default)]
 pub struct Standing {
     pub is_leader: bool,
-    pub leader: Option<Identity>,
+    pub leader: Option<NodeId>,
     pub term: u64,
     pub cluster: u64,
-    pub members: Members,
+    pub members: Membership,
     pub commit: u64,
     pub applied: u64,
     pub last: u64,
     pub is_stalled: bool,
-    pub progress: Vec<(Identity, u64)>,
+    pub progress: Vec<(NodeId, u64)>,
 }
 
 pub struct Hub {
@@ -153,7 +153,7 @@
 
 enum Waiter {
     Here(oneshot::Sender<Reply>),
-    There(Identity, u64),
+    There(NodeId, u64),
 }
 
 /// Invariants: only this thread steps the node and changes the state; events
@@ -161,7 +161,7 @@
 /// on them.
 struct Thread {
     node: Node,
-    pace: Pace,
+    pace: Timing,
     /// The hub's own: it is void when what is held here is put back.
     confirmed: Arc<AtomicU64>,
     me: Member,
@@ -193,17 +193,17 @@
 #[allow(clippy::too_many_arguments)]
 pub fn start(
     me: Member,
-    pace: Pace,
+    pace: Timing,
     picture_every: u64,
     is_confirmed_by: usize,
     margin: Option<Margin>,
-    segments: Segments<Folder>,
-    kept: Kept,
+    segments: WriteAheadLog<Folder>,
+    kept: PersistedState,
     links: Arc<Links>,
     counters: Arc<Counters>,
 ) -> anyhow::Result<Arc<Hub>> {
     let node = Node::new(me.identity, pace, rand::random(), now(), kept);
-    let state = State::restore(&node.picture().state)
+    let state = State::restore(&node.snapshot().state)
         .map_err(|text| anyhow::anyhow!("the picture can't be read: {text}"))?;
     let (calls, ring) = sync_channel(RING);
     let (disk, writes) = sync_channel(RING);
@@ -257,7 +257,7 @@
 /// failure what is on disk is not known; nothing is built on it until all that
 /// was not synced before is cut off, and the rest read back.
 fn keep(
-    mut segments: Segments<Folder>,
+    mut segments: WriteAheadLog<Folder>,
     mut writes: Receiver<(u64, Vec<Write>)>,
     calls: &SyncSender<Call>,
 ) {
@@ -310,7 +310,7 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            self.step(Input::Beat);
+            self.step(Input::Tick);
             self.expire();
             self.picture();
             self.publish();
@@ -331,7 +331,7 @@
 
     fn handle(&mut self, call: Call) {
         match call {
-            Call::Heard(message) => self.step(Input::Heard(message)),
+            Call::Heard(message) => self.step(Input::Received(message)),
             Call::Synced(ticket) => self.step(Input::Synced(ticket)),
             Call::DiskFailed => self.step(Input::DiskFailed),
             Call::DiskBack(kept, disk) => self.begin_again(kept, disk),
@@ -356,7 +356,7 @@
             Call::Found(reply) => {
                 let answer = match self.node.cluster() {
                     0 => {
-                        self.step(Input::Found(self.me.clone(), rand::random::<u64>() | 1));
+                        self.step(Input::Bootstrap(self.me.clone(), rand::random::<u64>() | 1));
                         Ok(())
                     }
                     cluster => Err(format!("this node belongs to cluster {cluster:016x} already")),
@@ -371,16 +371,16 @@
                     self.sessions.push(session);
                 }
             }
-            Call::HandOver => self.step(Input::HandOver),
+            Call::HandOver => self.step(Input::TransferLeadership),
         }
     }
 
     /// Goes on from what a disk that had failed holds, as after a restart: what
     /// was promised is on it, and nothing else was.
-    fn begin_again(&mut self, kept: Kept, disk: SyncSender<(u64, Vec<Write>)>) {
+    fn begin_again(&mut self, kept: PersistedState, disk: SyncSender<(u64, Vec<Write>)>) {
         self.disk = disk;
         let node = Node::new(self.me.identity, self.pace, rand::random(), now(), kept);
-        let state = match State::restore(&node.picture().state) {
+        let state = match State::restore(&node.snapshot().state) {
             Ok(state) => state,
             Err(text) => return log::error!("the picture can't be read: {text}"),
         };
@@ -424,7 +424,7 @@
             Question::Confirm { demands } => {
                 let shares = self.grant(&demands);
                 self.granted.insert(token, shares);
-                Input::Confirm(token)
+                Input::ReadIndex(token)
             }
             Question::Submit(submission) => {
                 // A repeat, a conflict or a refusal needs no entry.
@@ -437,8 +437,8 @@
                 }
                 Input::Propose(token, packed(&submission))
             }
-            Question::Admit(member) => Input::Admit(token, member),
-            Question::Retire { identity } => Input::Retire(token, identity),
+            Question::Admit(member) => Input::AddLearner(token, member),
+            Question::Retire { identity } => Input::RemoveMember(token, identity),
         };
         self.tokens.insert(token, waiter);
         self.step(input);
@@ -485,14 +485,14 @@
                 }
                 Effect::Apply(entry, token) => {
                     let waiter = token.and_then(|token| self.tokens.remove(&token));
-                    let reply = match &entry.matter {
-                        Matter::Blank => None,
-                        Matter::Members(members) => {
+                    let reply = match &entry.payload {
+                        EntryPayload::Blank => None,
+                        EntryPayload::Membership(members) => {
                             log::info!(index = entry.index; "members: {} voters, {} learners",
                                 members.voters.len(), members.learners.len());
                             Some(Reply::Changed)
                         }
-                        Matter::Command(bytes) => Some(self.apply(entry.index, bytes)),
+                        EntryPayload::Command(bytes) => Some(self.apply(entry.index, bytes)),
                     };
                     if let (Some(waiter), Some(reply)) = (waiter, reply) {
                         self.deliver(waiter, reply);
@@ -507,7 +507,7 @@
                     // Routers come again, and get a picture of their own.
                     self.sessions.clear();
                 }
-                Effect::Confirmed(token, index) => {
+                Effect::ReadReady(token, index) => {
                     let shares = self.granted.remove(&token).unwrap_or_default();
                     if let Some(waiter) = self.tokens.remove(&token) {
                         self.confirms.push((index, waiter, shares));
@@ -582,10 +582,10 @@
     }
 
     fn picture(&mut self) {
-        if self.node.applied() >= self.node.picture().index + self.picture_every {
+        if self.node.applied() >= self.node.snapshot().index + self.picture_every {
             let state = self.state.read().picture();
             let index = self.node.applied();
-            self.step(Input::Pictured(index, state));
+            self.step(Input::SnapshotTaken(index, state));
         }
     }
 
--- a/directory/src/jobs.rs
+++ b/directory/src/jobs.rs
@@ -208,7 +208,11 @@
     let mut route = None;
     with_head(&mut |head| route = view.program.route(head));
     let Some(route) = route else {
-        return Ok(Err(Refusal::not_run(404, "no-route", "no route fits this method and path")));
+        return Ok(Err(Refusal::not_run(
+            404,
+            "no-route",
+            "no route is_match this method and path",
+        )));
     };
     let mut held = Vec::new();
     let mut is_ended = false;
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -15,9 +15,9 @@
 pub use listing::Listing;
 
 use anyhow::Context;
-use ledger::node::Pace;
-use ledger::segments::{Folder, Segments};
-use ledger::Member;
+use consensus::node::Timing;
+use consensus::wal::{Folder, WriteAheadLog};
+use consensus::Member;
 use parking_lot::{Mutex, RwLock};
 use residency::{Sheet, State, Submission, View};
 use std::io::Write;
@@ -53,7 +53,7 @@
     /// Addresses of directory nodes, in an order that is the same everywhere at
     /// the first start of all.
     pub seeds: Vec<SocketAddr>,
-    pub pace: Pace,
+    pub pace: Timing,
     /// Forwarded jobs at a time, at the most; with 0, mappings alone.
     pub jobs: usize,
     /// Bytes of forwarded bodies held at a time.
@@ -222,14 +222,14 @@
     lock.try_lock().with_context(|| format!("{data} is in use by another process"))?;
     let identity = identity(folder)?;
     let log = folder.join("log");
-    let (segments, kept) = Segments::open(Folder::open(&log)?).map_err(|error| {
+    let (segments, kept) = WriteAheadLog::open(Folder::open(&log)?).map_err(|error| {
         anyhow::anyhow!(
             "{}: {error}. Nothing was changed. Way back: if the other nodes are well, \
              move this data folder aside and start the node again; it joins as a new one.",
             log.display()
         )
     })?;
-    let founds = is_founder(&settings, folder, kept.pledge.cluster)?;
+    let founds = is_founder(&settings, folder, kept.hard_state.cluster)?;
     let mut builder = match settings.flavour {
         Flavour::CurrentThread => tokio::runtime::Builder::new_current_thread(),
         Flavour::MultiThread => tokio::runtime::Builder::new_multi_thread(),
@@ -244,8 +244,8 @@
     settings: Settings,
     ports: Ports,
     identity: u64,
-    segments: Segments<Folder>,
-    kept: ledger::node::Kept,
+    segments: WriteAheadLog<Folder>,
+    kept: consensus::node::PersistedState,
     founds: bool,
 ) -> anyhow::Result<()> {
     let Settings { listen, jobs, address, .. } = settings;
--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -2,7 +2,7 @@
 
 use crate::hub::Call;
 use crate::{jobs, sessions, Desk};
-use ledger::{Identity, Member};
+use consensus::{Member, NodeId};
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -29,7 +29,7 @@
     runtime: tokio::runtime::Handle,
     out: Mutex<HashMap<String, mpsc::Sender<Frame>>>,
     /// Where those who introduced themselves are to be found.
-    known: Mutex<HashMap<Identity, String>>,
+    known: Mutex<HashMap<NodeId, String>>,
 }
 
 impl Links {
@@ -38,7 +38,7 @@
         Arc::new(Links { me, source, runtime, out: Default::default(), known: Default::default() })
     }
 
-    pub fn send_to(self: &Arc<Links>, to: Identity, frame: Frame) {
+    pub fn send_to(self: &Arc<Links>, to: NodeId, frame: Frame) {
         let address = self.known.lock().get(&to).cloned();
         if let Some(address) = address {
             self.send(&address, frame);
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -1,7 +1,7 @@
 //! The directory daemon with our own interface: settings by flags and a JSON file.
 
+use consensus::node::Timing;
 use directory::{Flavour, Ports, Settings};
-use ledger::node::Pace;
 use yard::boot::{setting, Boot, Setting};
 
 const SETTINGS: &[Setting] = &[
@@ -42,7 +42,7 @@
         desk,
         data: boot.text("data").into(),
         seeds: boot.addresses("seeds"),
-        pace: Pace { voters: boot.count("voters", 1, 9) as usize, ..Pace::default() },
+        pace: Timing { voters: boot.count("voters", 1, 9) as usize, ..Timing::default() },
         jobs: boot.count("jobs", 0, 100_000) as usize,
         bytes: boot.count("bytes", 1 << 20, 1 << 31) as usize,
         picture_every: boot.count("picture-every", 16, 1 << 20),
--- a/directory/src/sessions.rs
+++ b/directory/src/sessions.rs
@@ -2,7 +2,7 @@
 
 use crate::hub::Call;
 use crate::Desk;
-use ledger::Member;
+use consensus::Member;
 use placement::{is_same, Company};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
--- a/placement/src/company.rs
+++ b/placement/src/company.rs
@@ -1,7 +1,7 @@
 //! Who else is there, as a router knows it by its session: told whole at first,
 //! and from then on by what is new.
 
-use ledger::Member;
+use consensus::Member;
 use residency::Name;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::{Front, News};
--- a/placement/tests/company.rs
+++ b/placement/tests/company.rs
@@ -1,6 +1,6 @@
 //! Company told by what is new: both ends have the same, and little is said.
 
-use ledger::Member;
+use consensus::Member;
 use placement::Company;
 use wire::{Front, News};
 
--- a/residency/src/lib.rs
+++ b/residency/src/lib.rs
@@ -13,7 +13,7 @@
 pub use view::{Cell, Engine, EngineState, Event, Limits, Place, Terms, Touch, Traits, View};
 
 use binrw::binrw;
-use ledger::pack::{read_list, read_text, write_list, write_text};
+use consensus::pack::{read_list, read_text, write_list, write_text};
 
 /// Where the jobs of one key may go, as a directory node resolved it.
 /// Invariants: `cells` all lie in `regions`, the serving one first; `regions`
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -4,7 +4,7 @@
     book, key, Book, Engine, EngineState, Event, Mapping, Name, Place, Terms, Touch, Traits, View,
 };
 use binrw::binrw;
-use ledger::pack::{packed, read_list, read_text, unpacked, write_list, write_text};
+use consensus::pack::{packed, read_list, read_text, unpacked, write_list, write_text};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/residency/src/view.rs
+++ b/residency/src/view.rs
@@ -1,7 +1,7 @@
 //! What a router knows: a picture of it, then changes.
 
 use binrw::binrw;
-use ledger::pack::{read_list, read_text, write_list, write_text};
+use consensus::pack::{read_list, read_text, write_list, write_text};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[binrw]
--- a/router/src/company.rs
+++ b/router/src/company.rs
@@ -2,7 +2,7 @@
 //! shared cache, spread over its routers.
 
 use crate::Router;
-use ledger::Member;
+use consensus::Member;
 use parking_lot::Mutex;
 use placement::Hit;
 use residency::Mapping;
--- a/stand/src/simulator.rs
+++ b/stand/src/simulator.rs
@@ -2,10 +2,10 @@
 //! residency are the real ones; clock, network and disk faults are drawn from
 //! a seed. Rules are checked after every step.
 
-use ledger::node::{Effect, Input, Kept, Node, Pace, Role, Write};
-use ledger::pack::{packed, unpacked};
-use ledger::segments::{Files, Segments};
-use ledger::{Entry, Identity, Index, Matter, Member, Message, Term};
+use consensus::node::{Effect, Input, Node, PersistedState, Role, Timing, Write};
+use consensus::pack::{packed, unpacked};
+use consensus::wal::{Files, WriteAheadLog};
+use consensus::{Entry, EntryPayload, LogIndex, Member, Message, NodeId, Term};
 use parking_lot::Mutex;
 use residency::{Command, Name, Outcome, State, Submission};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -246,7 +246,7 @@
 }
 
 struct Machine {
-    identity: Identity,
+    identity: NodeId,
     name: String,
     zone: String,
     files: MemoryFiles,
@@ -262,12 +262,12 @@
 
 struct Live {
     node: Node,
-    segments: Segments<MemoryFiles>,
+    segments: WriteAheadLog<MemoryFiles>,
     state: State,
     writes: VecDeque<(u64, Vec<Write>)>,
     is_disk_dead: bool,
     was_leader: bool,
-    picture_at: Index,
+    picture_at: LogIndex,
     /// Nothing but beats came since its last beat.
     is_calm: bool,
 }
@@ -282,14 +282,14 @@
     queue: BTreeMap<(u64, u64), Due>,
     machines: Vec<Machine>,
     cuts: BTreeSet<(usize, usize)>,
-    leaders: BTreeMap<Term, Identity>,
-    applied: BTreeMap<Index, u64>,
+    leaders: BTreeMap<Term, NodeId>,
+    applied: BTreeMap<LogIndex, u64>,
     /// The highest index whose entry was acknowledged to whoever proposed it.
-    acknowledged: Index,
+    acknowledged: LogIndex,
     /// Open questions: token to the index acknowledged when it was asked.
-    asked: BTreeMap<u64, Index>,
+    asked: BTreeMap<u64, LogIndex>,
     tokens: u64,
-    ids: BTreeMap<String, Index>,
+    ids: BTreeMap<String, LogIndex>,
     report: Report,
     acknowledged_at: u64,
     doomed: Option<usize>,
@@ -368,7 +368,7 @@
         }
     }
 
-    fn place(&self, identity: Identity) -> Option<usize> {
+    fn place(&self, identity: NodeId) -> Option<usize> {
         self.machines.iter().position(|machine| machine.identity == identity)
     }
 
@@ -379,7 +379,7 @@
     /// Starts a machine from what its disk has.
     fn start(&mut self, at: usize) -> Result<(), String> {
         let files = self.machines[at].files.clone();
-        match Segments::open(files) {
+        match WriteAheadLog::open(files) {
             Ok((segments, kept)) => self.begin(at, segments, kept),
             Err(error) => self.fail(format!("node-{at} can't read its disk: {error}")),
         }
@@ -400,16 +400,16 @@
     fn begin(
         &mut self,
         at: usize,
-        segments: Segments<MemoryFiles>,
-        kept: Kept,
+        segments: WriteAheadLog<MemoryFiles>,
+        kept: PersistedState,
     ) -> Result<(), String> {
-        let state = match &kept.picture {
+        let state = match &kept.snapshot {
             Some(picture) => State::restore(&picture.state)?,
             None => State::default(),
         };
-        let picture_at = kept.picture.as_ref().map_or(0, |picture| picture.index);
+        let picture_at = kept.snapshot.as_ref().map_or(0, |picture| picture.index);
         let seed = self.draw(u64::MAX);
-        let pace = Pace { batch: self.weather.batch, ..Pace::default() };
+        let pace = Timing { batch: self.weather.batch, ..Timing::default() };
         let node = Node::new(self.machines[at].identity, pace, seed, self.now, kept);
         self.machines[at].life += 1;
         self.machines[at].is_blank = node.cluster() == 0;
@@ -452,7 +452,7 @@
         let now = self.now;
         let Some(live) = self.machines[at].live.as_mut() else { return Ok(()) };
         // What `due` promises: before it, a beat finds nothing to do.
-        let is_beat = matches!(input, Input::Beat);
+        let is_beat = matches!(input, Input::Tick);
         let is_early = is_beat && live.is_calm && live.node.due() > now;
         let before = (live.node.role(), live.node.leader());
         live.is_calm = is_beat;
@@ -484,7 +484,7 @@
                 live.picture_at = picture.index;
                 self.report.pictures_installed += 1;
             }
-            Effect::Confirmed(token, index) => {
+            Effect::ReadReady(token, index) => {
                 if let Some(floor) = self.asked.remove(&token) {
                     self.report.confirmed += 1;
                     if index < floor {
@@ -533,7 +533,7 @@
         };
         let now = self.now;
         let live = self.machines[at].live.as_mut().expect("it just stepped");
-        if let Matter::Command(bytes) = &entry.matter {
+        if let EntryPayload::Command(bytes) = &entry.payload {
             let submission: Submission = unpacked(bytes)?;
             let before = live.state.epoch();
             let (outcome, _) = live.state.apply(entry.index, &submission);
@@ -573,7 +573,7 @@
         }
         live.picture_at = index;
         let state = live.state.picture();
-        for effect in live.node.step(now, Input::Pictured(index, state)) {
+        for effect in live.node.step(now, Input::SnapshotTaken(index, state)) {
             self.carry(at, effect)?;
         }
         Ok(())
@@ -647,7 +647,7 @@
                         self.due(wait, Due::Deliver(message));
                         continue;
                     }
-                    self.step(to, Input::Heard(message))?;
+                    self.step(to, Input::Received(message))?;
                 }
                 Due::Beat(at, life) if self.machines[at].life == life => {
                     if self.machines[at].frozen_until > self.now {
@@ -655,7 +655,7 @@
                         self.due(wait, Due::Beat(at, life));
                         continue;
                     }
-                    self.step(at, Input::Beat)?;
+                    self.step(at, Input::Tick)?;
                     self.ask_in(at)?;
                     self.due(10, Due::Beat(at, life));
                 }
@@ -673,7 +673,7 @@
                     self.tokens += 1;
                     let token = self.tokens;
                     self.asked.insert(token, self.acknowledged);
-                    self.step(at, Input::Confirm(token))?;
+                    self.step(at, Input::ReadIndex(token))?;
                 }
                 Due::Beat(..)
                 | Due::DiskDone(..)
@@ -709,7 +709,7 @@
         }
         self.tokens += 1;
         let (token, member) = (self.tokens, self.member(at));
-        self.step(leader, Input::Admit(token, member))
+        self.step(leader, Input::AddLearner(token, member))
     }
 
     /// What an operator and the routers do all the time: submit, sometimes a
@@ -727,7 +727,7 @@
         let token = self.tokens;
         if self.chance(400) {
             self.asked.insert(token, self.acknowledged);
-            return self.step(at, Input::Confirm(token));
+            return self.step(at, Input::ReadIndex(token));
         }
         let id = match self.draw(5) {
             0 => format!("s-{}", self.draw(token)),
@@ -809,7 +809,7 @@
         }
         if each(self, weather.hand_overs).is_some() {
             if let Some(at) = self.leader().filter(|at| self.is_up(*at)) {
-                self.step(at, Input::HandOver)?;
+                self.step(at, Input::TransferLeadership)?;
             }
         }
         if let Some(at) = each(self, weather.lost_disks) {
@@ -838,7 +838,7 @@
             true => self.draw(most as u64 + 1) as usize,
             false => 0,
         };
-        let identities: Vec<Identity> = self
+        let identities: Vec<NodeId> = self
             .leader()
             .and_then(|leader| self.machines[leader].live.as_ref())
             .map(|live| live.node.members().voters.iter().map(|v| v.identity).collect())
@@ -902,7 +902,7 @@
             self.start(at)?;
         }
         let founder = self.member(0);
-        self.step(0, Input::Found(founder, 77))?;
+        self.step(0, Input::Bootstrap(founder, 77))?;
         // The weather is there from the first moment; founding may take a while.
         self.run_until(self.now + 5_000)?;
         let limit = self.now + 25_000;
--- a/stand/tests/segments.rs
+++ b/stand/tests/wal.rs
@@ -1,23 +1,23 @@
 //! The log on disk: what a crash may take, what it may not, and what stops a
 //! node.
 
-use ledger::node::Write;
-use ledger::segments::{Files, Segments, FORMAT};
-use ledger::{Entry, Matter, Members, Picture, Pledge};
+use consensus::node::Write;
+use consensus::wal::{Files, WriteAheadLog, FORMAT};
+use consensus::{Entry, EntryPayload, HardState, Membership, Snapshot};
 use stand::simulator::MemoryFiles;
 
 fn entry(index: u64, term: u64) -> Write {
-    let matter = Matter::Command(format!("entry {index} of {term}").into_bytes());
-    Write::Entry(Entry { index, term, matter })
+    let payload = EntryPayload::Command(format!("entry {index} of {term}").into_bytes());
+    Write::Entry(Entry { index, term, payload })
 }
 
-fn picture(index: u64, term: u64) -> Picture {
-    Picture { index, term, cluster: 7, members: Members::default(), state: vec![9; 20] }
+fn picture(index: u64, term: u64) -> Snapshot {
+    Snapshot { index, term, cluster: 7, members: Membership::default(), state: vec![9; 20] }
 }
 
 fn written(batches: &[&[Write]]) -> MemoryFiles {
     let files = MemoryFiles::default();
-    let (mut segments, _) = Segments::open(files.clone()).expect("a blank folder opens");
+    let (mut segments, _) = WriteAheadLog::open(files.clone()).expect("a blank folder opens");
     for batch in batches {
         segments.write(batch).expect("it is written");
     }
@@ -25,36 +25,40 @@
 }
 
 fn indices(files: &MemoryFiles) -> Vec<(u64, u64)> {
-    let (_, kept) = Segments::open(files.clone()).expect("it opens");
+    let (_, kept) = WriteAheadLog::open(files.clone()).expect("it opens");
     kept.entries.iter().map(|entry| (entry.index, entry.term)).collect()
 }
 
 #[test]
 fn what_was_synced_comes_back() {
-    let pledge = Pledge { term: 3, vote: 5, cluster: 7 };
+    let pledge = HardState { term: 3, vote: 5, cluster: 7 };
     type Case = (Vec<Write>, Vec<(u64, u64)>, Option<u64>);
     let cases: Vec<Case> = vec![
         (vec![], vec![], None),
         (vec![entry(1, 1), entry(2, 1)], vec![(1, 1), (2, 1)], None),
-        (vec![entry(1, 1), entry(2, 1), Write::Cut(2), entry(2, 3)], vec![(1, 1), (2, 3)], None),
         (
-            vec![entry(1, 1), entry(2, 1), Write::Picture(picture(1, 1)), entry(3, 3)],
+            vec![entry(1, 1), entry(2, 1), Write::Truncate(2), entry(2, 3)],
+            vec![(1, 1), (2, 3)],
+            None,
+        ),
+        (
+            vec![entry(1, 1), entry(2, 1), Write::Snapshot(picture(1, 1)), entry(3, 3)],
             vec![(2, 1), (3, 3)],
             Some(1),
         ),
         (
-            vec![entry(1, 1), entry(2, 1), Write::Install(picture(9, 2)), entry(10, 3)],
+            vec![entry(1, 1), entry(2, 1), Write::InstallSnapshot(picture(9, 2)), entry(10, 3)],
             vec![(10, 3)],
             Some(9),
         ),
-        (vec![entry(1, 1), Write::Install(picture(9, 2))], vec![], Some(9)),
+        (vec![entry(1, 1), Write::InstallSnapshot(picture(9, 2))], vec![], Some(9)),
     ];
     for (number, (batch, wanted, index)) in cases.into_iter().enumerate() {
-        let files = written(&[&[Write::Pledge(pledge)], &batch]);
+        let files = written(&[&[Write::HardState(pledge)], &batch]);
         files.crash(0);
-        let (_, kept) = Segments::open(files.clone()).expect("it opens");
-        assert_eq!(kept.pledge, pledge, "case {number}");
-        assert_eq!(kept.picture.map(|picture| picture.index), index, "case {number}");
+        let (_, kept) = WriteAheadLog::open(files.clone()).expect("it opens");
+        assert_eq!(kept.hard_state, pledge, "case {number}");
+        assert_eq!(kept.snapshot.map(|picture| picture.index), index, "case {number}");
         assert_eq!(indices(&files), wanted, "case {number}, opened once more");
     }
 }
@@ -65,13 +69,13 @@
 fn a_torn_tail_is_cut_at_every_byte() {
     for share in 0..=1000 {
         let files = written(&[&[entry(1, 1), entry(2, 1)]]);
-        let (mut segments, _) = Segments::open(files.clone()).expect("it opens");
+        let (mut segments, _) = WriteAheadLog::open(files.clone()).expect("it opens");
         files.crash_after(1);
         drop(segments.write(&[entry(3, 1), entry(4, 1)]));
         files.crash(share);
         let found = indices(&files);
         assert!(found.starts_with(&[(1, 1), (2, 1)]) && found.len() <= 4, "{share}: {found:?}");
-        let (mut segments, _) = Segments::open(files.clone()).expect("it opens");
+        let (mut segments, _) = WriteAheadLog::open(files.clone()).expect("it opens");
         let next = found.len() as u64 + 1;
         segments.write(&[entry(next, 2)]).expect("it goes on");
         assert_eq!(indices(&files).last(), Some(&(next, 2)));
@@ -90,7 +94,7 @@
             break;
         }
         files.damage(&name, at);
-        let error = Segments::open(files).err().expect("damage is seen").to_string();
+        let error = WriteAheadLog::open(files).err().expect("damage is seen").to_string();
         assert!(error.starts_with(&format!("{name} at byte ")), "{error}");
         found += 1;
     }
@@ -99,15 +103,15 @@
 
 #[test]
 fn another_format_and_a_damaged_picture_are_refused_in_words() {
-    let files = written(&[&[entry(1, 1), Write::Picture(picture(1, 1))]]);
+    let files = written(&[&[entry(1, 1), Write::Snapshot(picture(1, 1))]]);
     files.damage("picture-0000000000000001", 30);
-    let error = Segments::open(files).err().expect("damage is seen").to_string();
+    let error = WriteAheadLog::open(files).err().expect("damage is seen").to_string();
     assert!(error.contains("picture-0000000000000001 at byte 6"), "{error}");
 
     let files = written(&[&[entry(1, 1)]]);
     // The lower byte of the format stands there, and damage turns one bit of it.
     files.damage("segment-000000000001", 5);
-    let error = Segments::open(files).err().expect("another format is seen").to_string();
+    let error = WriteAheadLog::open(files).err().expect("another format is seen").to_string();
     let wanted = format!("format is epoch {}, ", FORMAT ^ 0x10);
     assert!(error.contains(&wanted), "{error}");
 }
@@ -117,7 +121,7 @@
 #[test]
 fn a_full_disk_is_taken_back_into_use() {
     let files = MemoryFiles::default();
-    let (mut segments, _) = Segments::open(files.clone()).expect("an empty disk opens");
+    let (mut segments, _) = WriteAheadLog::open(files.clone()).expect("an empty disk opens");
     segments.write(&[entry(1, 1), entry(2, 1)]).expect("there is room");
     for turn in 0..3 {
         files.set_full(true);
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -3,10 +3,10 @@
 //! that says its epoch; another epoch is refused in words.
 
 use binrw::binrw;
-use ledger::pack::{
+use consensus::pack::{
     packed, read_bytes, read_list, read_text, unpacked, write_bytes, write_list, write_text,
 };
-use ledger::{Member, Message};
+use consensus::{Member, Message};
 use residency::{Event, Mapping, Name, Outcome, Submission};
 
 /// The epoch of these frames. Changed whenever one of them changes.
