--- a/consensus/src/wal.rs
+++ b/consensus/src/wal.rs
@@ -81,7 +81,7 @@
 }
 
 fn picture_name(index: LogIndex) -> String {
-    format!("snapshot-{index:016}")
+    format!("picture-{index:016}")
 }
 
 fn framed(bytes: &[u8]) -> Vec<u8> {
@@ -140,7 +140,7 @@
             files.remove(name)?;
         }
         let mut kept = PersistedState::default();
-        let snapshots = numbers(&names, "snapshot-");
+        let snapshots = numbers(&names, "picture-");
         if let Some(index) = snapshots.last() {
             kept.snapshot = Some(read_picture(&files, &picture_name(*index))?);
         }
