--- /dev/null
+++ b/consensus/src/node/replication.rs
@@ -0,0 +1,221 @@
+//! Replication of the log: entries out, acknowledgements in, the commit index.
+
+use super::{Effect, Node, Peer, Refusal, Role};
+use crate::{Body, Entry, EntryPayload, LogIndex, NodeId, Term};
+
+impl Node {
+    /// Brings every other member up, by entries, a snapshot or an empty beat.
+    pub(super) fn broadcast(&mut self) {
+        self.round += 1;
+        self.heartbeat_due = self.now + self.pace.beat;
+        let others: Vec<NodeId> =
+            self.members.all().map(|m| m.identity).filter(|id| *id != self.identity).collect();
+        self.peers.retain(|identity, _| others.contains(identity));
+        for other in others {
+            self.replicate_to(other);
+        }
+    }
+
+    pub(super) fn replicate_to(&mut self, to: NodeId) {
+        let (last, now, round) = (self.last(), self.now, self.round);
+        let peer = self.peers.entry(to).or_insert(Peer {
+            next: last + 1,
+            matched: 0,
+            round: 0,
+            last_heard: now,
+            snapshot_sent: None,
+        });
+        let prior_index = peer.next - 1;
+        let Some(prior_term) = self.term_at(prior_index) else {
+            let peer = self.peers.get_mut(&to).expect("entered above");
+            if peer.snapshot_sent.is_none_or(|at| now - at > 2_000) {
+                peer.snapshot_sent = Some(now);
+                let snapshot = self.snapshot.clone();
+                self.send(to, Body::InstallSnapshot { round, snapshot });
+            } else {
+                // The snapshot is on its way; the beat keeps the peer from
+                // standing for election meanwhile.
+                let (prior_index, prior_term) = (last, self.last_term());
+                let entries = Vec::new();
+                let commit = 0;
+                self.send(
+                    to,
+                    Body::AppendEntries { prior_index, prior_term, commit, round, entries },
+                );
+            }
+            return;
+        };
+        let first = self.log.front().map_or(0, |entry| entry.index);
+        let from = (prior_index + 1).saturating_sub(first) as usize;
+        let mut size = 0;
+        let entries: Vec<Entry> = self
+            .log
+            .iter()
+            .skip(if self.log.is_empty() { 0 } else { from })
+            .take(self.pace.batch)
+            .take_while(|entry| {
+                let is_match = size < 2 << 20;
+                if let EntryPayload::Command(bytes) = &entry.payload {
+                    size += bytes.len();
+                }
+                is_match
+            })
+            .cloned()
+            .collect();
+        if let Some(entry) = entries.last() {
+            self.peers.get_mut(&to).expect("entered above").next = entry.index + 1;
+        }
+        let commit = self.commit;
+        self.send(to, Body::AppendEntries { prior_index, prior_term, commit, round, entries });
+    }
+
+    pub(super) fn handle_append_entries(
+        &mut self,
+        from: NodeId,
+        prior_index: LogIndex,
+        prior_term: Term,
+        commit: LogIndex,
+        round: u64,
+        entries: Vec<Entry>,
+    ) {
+        let is_whole = entries.iter().zip(prior_index + 1..).all(|(e, index)| e.index == index);
+        if !is_whole {
+            return;
+        }
+        // What the snapshot covers is known to count; skip over it.
+        let floor = self.snapshot.index;
+        let is_known = prior_index < floor || self.term_at(prior_index) == Some(prior_term);
+        if !is_known {
+            let matched = self.last().min(prior_index.saturating_sub(1)).max(self.commit);
+            return self
+                .send(from, Body::AppendEntriesResponse { is_match: false, matched, round });
+        }
+        let reach = entries.last().map_or(prior_index, |entry| entry.index);
+        for entry in entries {
+            if entry.index <= floor || self.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            if entry.index <= self.last() {
+                self.cut(entry.index);
+            }
+            self.append(entry);
+        }
+        self.commit = self.commit.max(commit.min(reach));
+        let matched = reach.max(floor).min(self.synced);
+        self.send(from, Body::AppendEntriesResponse { is_match: true, matched, round });
+    }
+
+    pub(super) fn on_answer(
+        &mut self,
+        from: NodeId,
+        is_match: bool,
+        matched: LogIndex,
+        round: u64,
+    ) {
+        let last = self.last();
+        let now = self.now;
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        peer.last_heard = now;
+        peer.round = peer.round.max(round);
+        if is_match {
+            peer.matched = peer.matched.max(matched.min(last));
+            peer.next = peer.next.max(peer.matched + 1);
+            if peer.matched > 0 {
+                peer.snapshot_sent = None;
+            }
+        } else {
+            peer.next = (matched + 1).min(last + 1).max(peer.matched + 1);
+        }
+        let (next, snapshot_sent) = (self.peers[&from].next, self.peers[&from].snapshot_sent);
+        // While a snapshot is on its way nothing is pushed out of turn.
+        let has_matter = self.term_at(next - 1).is_some() || snapshot_sent.is_none();
+        if has_matter && (!is_match || next <= last) {
+            self.replicate_to(from);
+        }
+        self.settle_reads();
+    }
+
+    pub(super) fn on_synced(&mut self, ticket: u64) {
+        self.synced_ticket = self.synced_ticket.max(ticket);
+        let mut synced = self.synced;
+        while self.writing.front().is_some_and(|(t, _, _)| *t <= ticket) {
+            let (_, last, _) = self.writing.pop_front().expect("looked at above");
+            synced = synced.max(last);
+        }
+        self.synced = synced;
+        while self.held.front().is_some_and(|(t, _)| *t <= ticket) {
+            let (_, message) = self.held.pop_front().expect("looked at above");
+            if message.term == self.hard_state.term {
+                self.effects.push(Effect::Send(message));
+            }
+        }
+        match (self.role, self.leader) {
+            (Role::Candidate, _) => self.tally(),
+            (Role::Follower, Some(leader)) => {
+                // Nothing past the commit is claimed without the leader's own
+                // word for it, which `take` has checked up to the last append.
+                let matched = self.synced;
+                let claim = self.claim(matched);
+                self.send(
+                    leader,
+                    Body::AppendEntriesResponse { is_match: true, matched: claim, round: 0 },
+                );
+            }
+            _ => {}
+        }
+    }
+
+    /// Entries of the leader's own term can only have come from it; they and
+    /// all before them are the same as its own. Otherwise only the commit is.
+    pub(super) fn claim(&self, synced: LogIndex) -> LogIndex {
+        match self.term_at(synced) {
+            Some(term) if term == self.hard_state.term => synced,
+            _ => synced.min(self.commit),
+        }
+    }
+
+    /// Counts what a majority has synced, and applies what counts.
+    pub(super) fn advance_commit(&mut self) {
+        if self.role == Role::Leader {
+            let mut marks: Vec<LogIndex> = self
+                .members
+                .voters
+                .iter()
+                .map(|voter| match voter.identity == self.identity {
+                    true => self.synced,
+                    false => self.peers.get(&voter.identity).map_or(0, |peer| peer.matched),
+                })
+                .collect();
+            marks.sort_unstable_by(|a, b| b.cmp(a));
+            let mark = marks.get(self.members.majority() - 1).copied().unwrap_or(0);
+            if mark > self.commit && self.term_at(mark) == Some(self.hard_state.term) {
+                self.commit = mark;
+                self.heartbeat_due = self.now;
+                self.settle_reads();
+            }
+        }
+        while self.applied < self.commit {
+            let index = self.applied + 1;
+            let first = self.log.front().expect("what counts is in the log").index;
+            let entry = self.log[(index - first) as usize].clone();
+            let token = match self.waiting.remove(&index) {
+                Some((term, token)) if term == entry.term => Some(token),
+                Some((_, token)) => {
+                    self.effects.push(Effect::Refused(token, Refusal::Lost));
+                    None
+                }
+                None => None,
+            };
+            self.applied = index;
+            // A node that comes back applies membership_history again that were before it.
+            let was_removed = matches!(&entry.payload, EntryPayload::Membership(_))
+                && self.membership_history.last().is_some_and(|(newest, _)| *newest == index)
+                && self.members.get(self.identity).is_none();
+            self.effects.push(Effect::Apply(entry, token));
+            if was_removed && self.role == Role::Leader {
+                self.broadcast();
+                self.step_down();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/consensus/src/node/snapshot.rs
@@ -0,0 +1,53 @@
+//! Snapshots: taking one of the applied state, installing one from the leader.
+
+use super::{Effect, Node, Write};
+use crate::{Body, LogIndex, NodeId, Snapshot};
+
+impl Node {
+    pub(super) fn install(&mut self, from: NodeId, round: u64, snapshot: Snapshot) {
+        if snapshot.index <= self.commit {
+            // It says nothing new.
+        } else if self.term_at(snapshot.index) == Some(snapshot.term) {
+            // The log leads to the snapshot, and what comes after it may have been
+            // answered for: it stays.
+            self.commit = snapshot.index;
+        } else {
+            self.log.clear();
+            self.members = snapshot.members.clone();
+            self.membership_history = vec![(snapshot.index, snapshot.members.clone())];
+            self.commit = snapshot.index;
+            self.applied = snapshot.index;
+            self.synced = self.snapshot.index;
+            for (_, last, _) in &mut self.writing {
+                *last = (*last).min(self.synced);
+            }
+            self.snapshot = snapshot.clone();
+            self.pending.push(Write::InstallSnapshot(snapshot.clone()));
+            self.effects.push(Effect::Restore(snapshot));
+        }
+        let matched = self.synced.min(self.commit);
+        self.send(from, Body::AppendEntriesResponse { is_match: true, matched, round });
+    }
+
+    pub(super) fn take_snapshot(&mut self, index: LogIndex, state: Vec<u8>) {
+        if index <= self.snapshot.index || index > self.applied {
+            return;
+        }
+        let term =
+            self.term_at(index).expect("what is applied and past the snapshot is in the log");
+        let members = self
+            .membership_history
+            .iter()
+            .rev()
+            .find(|(at, _)| *at <= index)
+            .map(|(_, members)| members.clone())
+            .expect("a membership stands at the snapshot or before it");
+        self.membership_history.retain(|(at, _)| *at > index);
+        self.membership_history.insert(0, (index, members.clone()));
+        while self.log.front().is_some_and(|entry| entry.index <= index) {
+            self.log.pop_front();
+        }
+        self.snapshot = Snapshot { index, term, cluster: self.hard_state.cluster, members, state };
+        self.pending.push(Write::Snapshot(self.snapshot.clone()));
+    }
+}
--- /dev/null
+++ b/consensus/src/node/types.rs
@@ -0,0 +1,101 @@
+//! What goes into a node and what comes out of it.
+
+use crate::{Entry, HardState, LogIndex, Member, Message, NodeId, Snapshot};
+
+/// All times in milliseconds of the caller's monotonic clock. Invariant: a
+/// beat is well shorter than an election, an election well shorter than the
+/// routers' licence.
+#[derive(Clone, Copy)]
+pub struct Timing {
+    pub beat: u64,
+    /// A follower waits this long, and up to twice as long, for its leader.
+    pub election: u64,
+    /// A write not synced for this long makes a leader step down.
+    pub stall: u64,
+    /// How many voters the leader strives for.
+    pub voters: usize,
+    /// Most entries proposed and not yet committed.
+    pub backlog: usize,
+    /// Most entries in one message.
+    pub batch: usize,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing { beat: 80, election: 400, stall: 600, voters: 5, backlog: 512, batch: 256 }
+    }
+}
+
+pub type Token = u64;
+
+pub enum Input {
+    /// Time went by.
+    Tick,
+    Received(Message),
+    /// The write with this ticket, and all before it, are on disk.
+    Synced(u64),
+    /// The disk failed; nothing more will be synced.
+    DiskFailed,
+    Bootstrap(Member, u64),
+    Propose(Token, Vec<u8>),
+    AddLearner(Token, Member),
+    RemoveMember(Token, NodeId),
+    ReadIndex(Token),
+    /// Hand leadership over, if led from here.
+    TransferLeadership,
+    /// The state machine's snapshot as of an applied index.
+    SnapshotTaken(LogIndex, Vec<u8>),
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Refusal {
+    NotLeader,
+    Busy,
+    /// A change of membership is under way, or this one makes no sense.
+    Unfit(String),
+    /// Leadership was lost with the payload open; it may or may not hold.
+    Lost,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Write {
+    HardState(HardState),
+    /// Entries from here on are void.
+    Truncate(LogIndex),
+    Entry(Entry),
+    /// A whole new beginning: what was before it is void.
+    InstallSnapshot(Snapshot),
+    /// A snapshot of what is in the log already.
+    Snapshot(Snapshot),
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// To be written and synced in order, then reported by this ticket.
+    Write(u64, Vec<Write>),
+    Send(Message),
+    /// Entries that count, in order, with the token of a local proposal.
+    Apply(Entry, Option<Token>),
+    /// The state machine is replaced by this.
+    Restore(Snapshot),
+    /// The leader led throughout since the question; state up to this index
+    /// must be applied before the question is answered.
+    ReadReady(Token, LogIndex),
+    Refused(Token, Refusal),
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Role {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+}
+
+/// What a disk gave back at the start.
+#[derive(Default, Clone)]
+pub struct PersistedState {
+    pub hard_state: HardState,
+    pub snapshot: Option<Snapshot>,
+    pub entries: Vec<Entry>,
+}
