Membership repairs itself: silent voters are replaced by learners, one change at a time

The leader now promotes a caught-up learner and then demotes the voter that is silent or about to stop; voters are spread over zones and regions; learners gone for good are forgotten. A node that is told to stop waits until the others hold all that counts. Ruled out: demoting first (the number of voters would fall below 2f+1 where there are just as many).

--- a/consensus/src/lib.rs
+++ b/consensus/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod node;
 pub mod pack;
+pub mod repair;
 pub mod wal;
 
 use binrw::binrw;
@@ -76,6 +77,27 @@
     pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
+
+    /// Makes one change. Who it names and does not find is left as it is.
+    pub fn apply(&mut self, change: repair::Change) {
+        use repair::Change;
+        match change {
+            Change::Promote(identity) => {
+                let member = take(&mut self.learners, identity);
+                self.voters.extend(member);
+            }
+            Change::Demote(identity) => {
+                let member = take(&mut self.voters, identity);
+                self.learners.extend(member);
+            }
+            Change::Forget(identity) => drop(take(&mut self.learners, identity)),
+        }
+    }
+}
+
+fn take(members: &mut Vec<Member>, identity: NodeId) -> Option<Member> {
+    let at = members.iter().position(|member| member.identity == identity)?;
+    Some(members.remove(at))
 }
 
 #[binrw]
--- a/consensus/src/node/election.rs
+++ b/consensus/src/node/election.rs
@@ -14,7 +14,7 @@
             if live.count() < self.members.majority() || self.is_stalled() {
                 return self.step_down();
             }
-            self.promote();
+            self.repair();
             if self.now >= self.heartbeat_due {
                 self.broadcast();
             }
--- a/consensus/src/node/membership.rs
+++ b/consensus/src/node/membership.rs
@@ -1,7 +1,14 @@
 //! Changes of membership: one at a time, each settled before the next.
 
 use super::{Effect, Node, Refusal, Role, Token};
-use crate::{Entry, EntryPayload, HardState, Member, Membership, NodeId};
+use crate::repair::{self, Change, MemberHealth, RepairPolicy, Standstill};
+use crate::{Entry, EntryPayload, HardState, LogIndex, Member, Membership, NodeId};
+
+/// A learner may be so many committed entries behind when it is made a voter: it has
+/// them within a round trip.
+const PROMOTION_LAG: LogIndex = 32;
+/// Who said that it is about to stop and does not say it again goes on.
+const LEAVING_VALID_MS: u64 = 1_000;
 
 impl Node {
     pub(super) fn bootstrap(&mut self, member: Member, cluster: u64) {
@@ -98,28 +105,93 @@
         self.change(Some(token), members);
     }
 
-    /// Makes a voter of a learner that has caught up, from the zone with the
-    /// fewest voters first. It must have synced the very entry that let it in,
-    /// and with it which cluster it belongs to: a voter that might still be
-    /// blank could not vote.
-    pub(super) fn promote(&mut self) {
-        if self.members.voters.len() >= self.pace.voters || !self.is_settled() {
-            return;
+    /// How these members stand, as their leader knows it.
+    pub fn health_of<'a>(&self, members: &'a [Member]) -> Vec<MemberHealth<'a>> {
+        members.iter().map(|member| self.health(member)).collect()
+    }
+
+    fn health<'a>(&self, member: &'a Member) -> MemberHealth<'a> {
+        if member.identity == self.identity {
+            return MemberHealth { member, silent_ms: 0, is_caught_up: true, is_leaving: false };
         }
-        let admitted = self.membership_history.last().map_or(0, |(index, _)| *index);
-        let in_zone = |zone: &str| self.members.voters.iter().filter(|v| v.zone == zone).count();
-        let ready = self.members.learners.iter().filter(|learner| {
-            self.peers.get(&learner.identity).is_some_and(|peer| {
-                peer.matched >= admitted.max(self.commit.saturating_sub(8))
-                    && self.now - peer.last_heard < self.pace.election
-            })
-        });
-        let Some(elect) = ready.min_by_key(|learner| in_zone(&learner.zone)).cloned() else {
-            return;
+        let peer = self.peers.get(&member.identity);
+        let silent_ms = peer.map_or(0, |peer| self.now - peer.last_heard);
+        let is_caught_up = peer.is_some_and(|peer| peer.matched >= self.caught_up_index())
+            && silent_ms < self.pace.election;
+        let left_at = peer.and_then(|peer| peer.leaving_at);
+        let is_leaving = left_at.is_some_and(|at| self.now - at < LEAVING_VALID_MS);
+        MemberHealth { member, silent_ms, is_caught_up, is_leaving }
+    }
+
+    /// Who has synced all up to here may become a voter. It includes the membership in
+    /// force, and with it which cluster the member belongs to: a voter that might still
+    /// be blank could not vote.
+    fn caught_up_index(&self) -> LogIndex {
+        let membership = self.membership_history.last().map_or(0, |(index, _)| *index);
+        membership.max(self.commit.saturating_sub(PROMOTION_LAG))
+    }
+
+    /// Which change of membership repair asks for, or why it asks for none.
+    pub fn next_change(&self) -> Result<Change, Standstill> {
+        let policy = RepairPolicy {
+            voters: self.pace.voters,
+            replace_after_ms: self.pace.replace_after_ms,
+            forget_after_ms: self.pace.forget_after_ms,
         };
+        let voters = self.health_of(&self.members.voters);
+        let learners = self.health_of(&self.members.learners);
+        repair::next_change(&voters, &learners, self.identity, &policy)
+    }
+
+    /// Makes the next change of membership, if the one before it is settled.
+    pub(super) fn repair(&mut self) {
+        if !self.is_settled() {
+            return;
+        }
+        let Ok(change) = self.next_change() else { return };
         let mut members = self.members.clone();
-        members.learners.retain(|learner| learner.identity != elect.identity);
-        members.voters.push(elect);
+        members.apply(change);
         self.change(None, members);
     }
+
+    /// A member is about to stop: it is replaced where a learner is ready, and may stop
+    /// once the others hold all that counts.
+    pub(super) fn leave(&mut self, token: Token, identity: NodeId) {
+        if self.role != Role::Leader {
+            return self.effects.push(Effect::Refused(token, Refusal::NotLeader));
+        }
+        if identity == self.identity {
+            let text = "the leader leaves only after transferring leadership".into();
+            return self.effects.push(Effect::Refused(token, Refusal::Unfit(text)));
+        }
+        if let Some(peer) = self.peers.get_mut(&identity) {
+            peer.leaving_at = Some(self.now);
+        }
+        if self.may_leave(identity) {
+            return self.effects.push(Effect::ReadReady(token, self.commit));
+        }
+        let text = "not yet: it is being replaced, or others lack what counts".into();
+        self.effects.push(Effect::Refused(token, Refusal::Unfit(text)));
+    }
+
+    fn may_leave(&self, identity: NodeId) -> bool {
+        if !self.members.is_voter(identity) {
+            return self.is_settled();
+        }
+        let learners = self.health_of(&self.members.learners);
+        let will_be_replaced = learners.iter().any(|learner| learner.is_caught_up);
+        !will_be_replaced && self.is_held_without(identity)
+    }
+
+    /// Whether a majority of the voters without this one has synced all that counts.
+    fn is_held_without(&self, identity: NodeId) -> bool {
+        let voters = self.members.voters.iter().filter(|voter| voter.identity != identity);
+        let holds = |voter: &&Member| match voter.identity == self.identity {
+            true => self.synced >= self.commit,
+            false => self.peers.get(&voter.identity).is_some_and(|peer| {
+                peer.matched >= self.commit && self.now - peer.last_heard < self.pace.election
+            }),
+        };
+        voters.filter(holds).count() >= self.members.majority()
+    }
 }
--- a/consensus/src/node/mod.rs
+++ b/consensus/src/node/mod.rs
@@ -30,6 +30,8 @@
     last_heard: u64,
     /// When a whole snapshot was last sent; none is sent again for a while.
     snapshot_sent: Option<u64>,
+    /// When it last said that it is about to stop.
+    leaving_at: Option<u64>,
 }
 
 /// Invariants: `base < entry.index` for all in `log`, which has no gap;
@@ -299,6 +301,7 @@
             Input::Propose(token, bytes) => self.propose(token, EntryPayload::Command(bytes)),
             Input::AddLearner(token, member) => self.add_learner(token, member),
             Input::RemoveMember(token, identity) => self.remove_member(token, identity),
+            Input::Leave(token, identity) => self.leave(token, identity),
             Input::ReadIndex(token) => self.read_index(token),
             Input::TransferLeadership => self.transfer_leadership(),
             Input::SnapshotTaken(index, state) => self.take_snapshot(index, state),
--- a/consensus/src/node/replication.rs
+++ b/consensus/src/node/replication.rs
@@ -24,6 +24,7 @@
             round: 0,
             last_heard: now,
             snapshot_sent: None,
+            leaving_at: None,
         });
         let prior_index = peer.next - 1;
         let Some(prior_term) = self.term_at(prior_index) else {
--- a/consensus/src/node/types.rs
+++ b/consensus/src/node/types.rs
@@ -18,11 +18,24 @@
     pub backlog: usize,
     /// Most entries in one message.
     pub batch: usize,
+    /// A voter silent for this long is replaced where a learner is ready.
+    pub replace_after_ms: u64,
+    /// A learner silent for this long leaves the list of members.
+    pub forget_after_ms: u64,
 }
 
 impl Default for Timing {
     fn default() -> Self {
-        Timing { beat: 80, election: 400, stall: 600, voters: 5, backlog: 512, batch: 256 }
+        Timing {
+            beat: 80,
+            election: 400,
+            stall: 600,
+            voters: 5,
+            backlog: 512,
+            batch: 256,
+            replace_after_ms: 2_000,
+            forget_after_ms: 60_000,
+        }
     }
 }
 
@@ -40,6 +53,9 @@
     Propose(Token, Vec<u8>),
     AddLearner(Token, Member),
     RemoveMember(Token, NodeId),
+    /// This member is about to stop. Answered by `ReadReady` once nothing is lost
+    /// with it, by `Refusal::Unfit` while it is to wait and ask again.
+    Leave(Token, NodeId),
     ReadIndex(Token),
     /// Hand leadership over, if led from here.
     TransferLeadership,
--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -1,6 +1,6 @@
 //! The operators' API.
 
-use crate::hub::Standing;
+use crate::hub::{MembershipReport, Standing};
 use crate::Desk;
 use residency::{Command, Emptied, Engine, EngineState, Name, Outcome, Place, Submission, Window};
 use simd_json::prelude::*;
@@ -36,7 +36,7 @@
         ("GET", "/vitals") => vitals(desk),
         ("GET", "/counters") => web::json(200, &desk.counters.value()),
         ("GET", "/traffic") => web::json(200, &yard::traffic::value()),
-        ("GET", "/status") => status(desk),
+        ("GET", "/status") => status(desk).await,
         ("GET", "/book") => book(desk),
         ("GET", "/explain") => explain(desk, &request),
         ("POST", "/found") => found(desk).await,
@@ -65,8 +65,9 @@
     web::json(if is_well { 200 } else { 503 }, &value)
 }
 
-fn members(standing: &Standing) -> OwnedValue {
+fn members(standing: &Standing, report: &MembershipReport) -> OwnedValue {
     let describe = |member: &consensus::Member, kind: &str| {
+        let silent = report.silent_ms.iter().find(|(id, _)| *id == member.identity);
         let synced = standing.progress.iter().find(|(id, _)| *id == member.identity);
         json!({
             "name": member.name.clone(),
@@ -78,6 +79,7 @@
             "desk": member.desk.clone(),
             "leads": standing.leader == Some(member.identity),
             "synced": synced.map(|(_, index)| *index),
+            "silent_ms": silent.map(|(_, silent_ms)| *silent_ms),
         })
     };
     let voters = standing.members.voters.iter().map(|member| describe(member, "voter"));
@@ -85,7 +87,8 @@
     OwnedValue::from(voters.chain(learners).collect::<Vec<_>>())
 }
 
-fn status(desk: &Desk) -> Response {
+async fn status(desk: &Desk) -> Response {
+    let report = desk.hub.membership().await;
     let standing = desk.hub.standing.borrow().clone();
     let fronts: Vec<OwnedValue> = desk
         .fronts
@@ -148,7 +151,9 @@
         "epoch": state.epoch(),
         "recent": desk.hub.is_recent(),
         "disk_stalled": standing.is_stalled,
-        "members": members(&standing),
+        "members": members(&standing, &report),
+        "membership_changing": report.is_changing,
+        "membership_repair": report.repair,
         "routers": fronts,
         "engines": engines,
         "evacuated": state.view.evacuated.iter().cloned().collect::<Vec<String>>(),
--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -25,6 +25,10 @@
 const ASK_PATIENCE_MS: u64 = 1_500;
 /// The ledger's thread looks around at least this often.
 const LONGEST_WAIT_MS: u64 = 500;
+/// Between two questions whether this node may stop.
+const LEAVE_RETRY_MS: u64 = 80;
+/// Without a leader for so long, a node that is to stop does not wait for its word.
+const LEADERLESS_MS: u64 = 1_000;
 
 /// What the ledger thread is asked.
 pub enum Call {
@@ -40,6 +44,19 @@
     Found(oneshot::Sender<Result<(), String>>),
     Attach(mpsc::Sender<Frame>),
     HandOver,
+    /// How the members stand, as their leader knows it.
+    Members(oneshot::Sender<MembershipReport>),
+}
+
+/// How the leader sees the members. Nothing but defaults where another node leads.
+#[derive(Clone, Default)]
+pub struct MembershipReport {
+    /// Milliseconds since each other member was heard of.
+    pub silent_ms: Vec<(NodeId, u64)>,
+    /// A change of membership is proposed and not yet committed.
+    pub is_changing: bool,
+    /// What repair does next, or why it does nothing.
+    pub repair: String,
 }
 
 /// How this node stands, for all to see.
@@ -126,8 +143,39 @@
         }
     }
 
+    /// How the members stand, by the leader's own account if it is here.
+    pub async fn membership(&self) -> MembershipReport {
+        let (sender, receiver) = oneshot::channel();
+        if !self.send(Call::Members(sender)) {
+            return MembershipReport::default();
+        }
+        receiver.await.unwrap_or_default()
+    }
+
+    /// Before this node stops: hands leadership over, and waits until the others hold
+    /// all that counts and, where a learner stands ready, one has taken its place.
+    pub async fn prepare_to_stop(&self, identity: NodeId, patience: Duration) {
+        let is_alone = self.standing.borrow().members.all().all(|m| m.identity == identity);
+        if is_alone {
+            return;
+        }
+        self.transfer_leadership().await;
+        let until = tokio::time::Instant::now() + patience;
+        let mut led_at = now();
+        while tokio::time::Instant::now() < until && now() < led_at + LEADERLESS_MS {
+            if matches!(self.ask(Question::Leave { identity }).await, Reply::Confirmed { .. }) {
+                return;
+            }
+            if self.standing.borrow().leader.is_some() {
+                led_at = now();
+            }
+            tokio::time::sleep(yard::jitter(LEAVE_RETRY_MS)).await;
+        }
+        log::warn!("stops though the others may lack what counts: no leader says otherwise");
+    }
+
     /// Hands leadership over, if it is here, and waits for a new leader.
-    pub async fn stop(&self) {
+    async fn transfer_leadership(&self) {
         if self.standing.borrow().is_leader && self.send(Call::HandOver) {
             let mut standing = self.standing.clone();
             let gone = standing.wait_for(|standing| !standing.is_leader);
@@ -293,6 +341,14 @@
     }
 }
 
+fn describe(members: &Membership) -> String {
+    let names = |members: &[Member]| {
+        let names: Vec<&str> = members.iter().map(|member| member.name.as_str()).collect();
+        names.join(", ")
+    };
+    format!("voters: {}; learners: {}", names(&members.voters), names(&members.learners))
+}
+
 impl Thread {
     fn run(&mut self, ring: &Receiver<Call>) {
         loop {
@@ -372,6 +428,25 @@
                 }
             }
             Call::HandOver => self.step(Input::TransferLeadership),
+            Call::Members(reply) => drop(reply.send(self.membership_report())),
+        }
+    }
+
+    fn membership_report(&self) -> MembershipReport {
+        if self.node.role() != Role::Leader {
+            return MembershipReport::default();
+        }
+        let members = self.node.members();
+        let voters = self.node.health_of(&members.voters);
+        let learners = self.node.health_of(&members.learners);
+        let health = voters.iter().chain(&learners);
+        MembershipReport {
+            silent_ms: health.map(|known| (known.member.identity, known.silent_ms)).collect(),
+            is_changing: !self.node.is_settled(),
+            repair: match self.node.next_change() {
+                Ok(change) => format!("{change:?}"),
+                Err(standstill) => standstill.to_string(),
+            },
         }
     }
 
@@ -439,6 +514,7 @@
             }
             Question::Admit(member) => Input::AddLearner(token, member),
             Question::Retire { identity } => Input::RemoveMember(token, identity),
+            Question::Leave { identity } => Input::Leave(token, identity),
         };
         self.tokens.insert(token, waiter);
         self.step(input);
@@ -488,8 +564,7 @@
                     let reply = match &entry.payload {
                         EntryPayload::Blank => None,
                         EntryPayload::Membership(members) => {
-                            log::info!(index = entry.index; "members: {} voters, {} learners",
-                                members.voters.len(), members.learners.len());
+                            log::info!(index = entry.index; "{}", describe(members));
                             Some(Reply::Changed)
                         }
                         EntryPayload::Command(bytes) => Some(self.apply(entry.index, bytes)),
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -65,6 +65,8 @@
     pub first_start: bool,
     /// No change is acknowledged before so many voters count.
     pub is_confirmed_by: usize,
+    /// How long a node that is told to stop waits for the others to do without it.
+    pub leave_patience: Duration,
     /// How far past its quota a tenant may get over all routers, where no job is to
     /// wait for the leader's word.
     pub margin: Option<placement::Margin>,
@@ -342,7 +344,7 @@
     log::info!(identity = format!("{identity:016x}"); "directory node is up at {address}");
     yard::wait_for_end().await?;
     log::info!("stopping");
-    desk.hub.stop().await;
+    desk.hub.prepare_to_stop(identity, settings.leave_patience).await;
     // Jobs that are being relayed get a bounded time to finish.
     let until = tokio::time::Instant::now() + Duration::from_secs(20);
     while desk.job_places.available_permits() < jobs && tokio::time::Instant::now() < until {
--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -184,9 +184,8 @@
 
 /// Asks the seeds to be let in, until this node is a member as it stands. One
 /// that no leader counts in asks, too: the entry that let it in may have been
-/// lost with the leader that proposed it.
+/// lost with the leader that proposed it, or it was forgotten while it was gone.
 pub async fn join(desk: Arc<Desk>) {
-    let mut said = String::new();
     let mut led = now();
     loop {
         let standing = desk.hub.standing.borrow().clone();
@@ -197,23 +196,30 @@
             led = now();
         }
         if is_blank || has_moved || now() > led + ALONE_MS {
-            let others = |seed: &SocketAddr| seed.to_string() != desk.member.address;
-            for seed in desk.seeds().into_iter().filter(others) {
-                match ask_in(&desk, seed).await {
-                    Ok((true, _)) => break,
-                    Ok((false, text)) if text != said => {
-                        log::info!("{seed} does not let this node in yet: {text}");
-                        said = text;
-                    }
-                    Ok(_) => {}
-                    Err(error) => log::debug!("asking {seed}: {error:#}"),
-                }
-            }
+            ask_seeds(&desk).await;
         }
         tokio::time::sleep(yard::jitter(if is_blank { BLANK_MS } else { CALM_MS })).await;
     }
 }
 
+/// Asks all seeds at once, so that one that is dark or cut off holds nothing up;
+/// ends with the first that lets this node in.
+async fn ask_seeds(desk: &Arc<Desk>) {
+    let mut asked = tokio::task::JoinSet::new();
+    for seed in desk.seeds().into_iter().filter(|seed| seed.to_string() != desk.member.address) {
+        let desk = Arc::clone(desk);
+        asked.spawn(async move { (seed, ask_in(&desk, seed).await) });
+    }
+    while let Some(answer) = asked.join_next().await {
+        match answer {
+            Ok((_, Ok((true, _)))) => return,
+            Ok((seed, Ok((false, text)))) => log::info!("{seed} does not let this node in: {text}"),
+            Ok((seed, Err(error))) => log::debug!("asking {seed}: {error:#}"),
+            Err(_) => {}
+        }
+    }
+}
+
 async fn ask_in(desk: &Desk, seed: SocketAddr) -> anyhow::Result<(bool, String)> {
     let mut stream = link::dial(desk.source, seed, Kind::Directory, &desk.member.name).await?;
     link::send(&mut stream, &Frame::Join(desk.member.clone())).await?;
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -2,6 +2,7 @@
 
 use consensus::node::Timing;
 use directory::{Flavour, Ports, Settings};
+use std::time::Duration;
 use yard::boot::{setting, Boot, Setting};
 
 const SETTINGS: &[Setting] = &[
@@ -48,6 +49,7 @@
         picture_every: boot.count("picture-every", 16, 1 << 20),
         first_start: false,
         is_confirmed_by: 1,
+        leave_patience: Duration::from_millis(2_000),
         margin: None,
         flavour: Flavour::MultiThread,
     };
--- a/operator/src/status.rs
+++ b/operator/src/status.rs
@@ -20,21 +20,28 @@
 
 pub fn print_members(value: &OwnedValue) {
     println!(
-        "{:<16} {:<16} {:<8} {:<14} {:<22} synced",
-        "directory", "identity", "kind", "zone", "address"
+        "{:<16} {:<16} {:<8} {:<14} {:<22} {:<10} synced",
+        "directory", "identity", "kind", "zone", "address", "silent_ms"
     );
     for member in list(value, "members") {
         let mark = if text(member, "leads") == "true" { " leads" } else { "" };
         println!(
-            "{:<16} {:<16} {:<8} {:<14} {:<22} {}{mark}",
+            "{:<16} {:<16} {:<8} {:<14} {:<22} {:<10} {}{mark}",
             text(member, "name"),
             text(member, "identity"),
             text(member, "kind"),
             text(member, "zone"),
             text(member, "address"),
+            text(member, "silent_ms"),
             text(member, "synced"),
         );
     }
+    let repair = text(value, "membership_repair");
+    if !matches!(repair.as_str(), "" | "-") {
+        let is_changing = text(value, "membership_changing") == "true";
+        let state = if is_changing { "a change is under way" } else { "settled" };
+        println!("membership: {state}; repair: {repair}");
+    }
 }
 
 pub fn print(value: &OwnedValue) {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,7 +10,7 @@
 use residency::{Event, Mapping, Name, Outcome, Submission};
 
 /// The epoch of these frames. Changed whenever one of them changes.
-pub const EPOCH: u16 = 7;
+pub const EPOCH: u16 = 8;
 /// How long a confirmation by a majority is a licence, counted from when it
 /// was asked for. Invariant: shorter than any bound within which a change must
 /// be in force, and well longer than an election.
@@ -427,6 +427,9 @@
     Admit(Member),
     #[brw(magic = 3u8)]
     Retire { identity: u64 },
+    /// This member is about to stop: may it?
+    #[brw(magic = 4u8)]
+    Leave { identity: u64 },
 }
 
 #[binrw]
