--- a/consensus/src/node/election.rs
+++ b/consensus/src/node/election.rs
@@ -14,8 +14,8 @@
             if live.count() < self.members.majority() || self.is_stalled() {
                 return self.step_down();
             }
-            self.repair();
             if self.now >= self.heartbeat_due {
+                self.repair();
                 self.broadcast();
             }
         } else if self.now >= self.election_due {
--- a/consensus/src/node/membership.rs
+++ b/consensus/src/node/membership.rs
@@ -178,9 +178,16 @@
         if !self.members.is_voter(identity) {
             return self.is_settled();
         }
+        !self.is_being_replaced() && self.is_held_without(identity)
+    }
+
+    /// Whether a voter that leaves is about to be demoted, or a learner is about to take
+    /// its place: one that is heard and has not caught up will have before long.
+    fn is_being_replaced(&self) -> bool {
         let learners = self.health_of(&self.members.learners);
-        let will_be_replaced = learners.iter().any(|learner| learner.is_caught_up);
-        !will_be_replaced && self.is_held_without(identity)
+        let is_coming =
+            |learner: &MemberHealth| learner.silent_ms < self.pace.election && !learner.is_leaving;
+        self.members.voters.len() > self.pace.voters || learners.iter().any(is_coming)
     }
 
     /// Whether a majority of the voters without this one has synced all that counts.
--- /dev/null
+++ b/consensus/tests/repair.rs
@@ -0,0 +1,159 @@
+//! Which change of membership comes next: a table.
+
+use consensus::repair::{next_change, Change, MemberHealth, RepairPolicy, Standstill};
+use consensus::Member;
+
+const POLICY: RepairPolicy =
+    RepairPolicy { voters: 5, replace_after_ms: 1_000, forget_after_ms: 60_000 };
+
+/// A member and how it stands, in short: its identity, its place, and a state.
+#[derive(Clone, Copy)]
+enum Stands {
+    Well,
+    Silent(u64),
+    Leaving,
+    Behind,
+}
+
+fn member(identity: u64, place: &str) -> Member {
+    Member {
+        identity,
+        name: format!("node-{identity}"),
+        region: place[..1].into(),
+        zone: place.into(),
+        address: String::new(),
+        desk: String::new(),
+    }
+}
+
+fn health<'a>(members: &'a [(Member, Stands)]) -> Vec<MemberHealth<'a>> {
+    let of = |(member, stands): &'a (Member, Stands)| MemberHealth {
+        member,
+        silent_ms: if let Stands::Silent(silent_ms) = stands { *silent_ms } else { 50 },
+        is_caught_up: matches!(stands, Stands::Well | Stands::Leaving),
+        is_leaving: matches!(stands, Stands::Leaving),
+    };
+    members.iter().map(of).collect()
+}
+
+type Listed<'a> = &'a [(u64, &'a str, Stands)];
+
+fn change(voters: Listed, learners: Listed) -> Result<Change, Standstill> {
+    let of = |list: Listed| -> Vec<(Member, Stands)> {
+        list.iter().map(|(identity, place, stands)| (member(*identity, place), *stands)).collect()
+    };
+    let (voters, learners) = (of(voters), of(learners));
+    next_change(&health(&voters), &health(&learners), 1, &POLICY)
+}
+
+const FIVE: [(u64, &str, Stands); 5] = [
+    (1, "a1", Stands::Well),
+    (2, "b1", Stands::Well),
+    (3, "c1", Stands::Well),
+    (4, "a1", Stands::Well),
+    (5, "b1", Stands::Well),
+];
+
+fn five_with(identity: u64, stands: Stands) -> Vec<(u64, &'static str, Stands)> {
+    let with = |(known, place, was): (u64, &'static str, Stands)| {
+        (known, place, if known == identity { stands } else { was })
+    };
+    FIVE.into_iter().map(with).collect()
+}
+
+#[test]
+fn a_silent_voter_is_replaced_and_nothing_else_is_touched() {
+    use Change::{Demote, Forget, Promote};
+    use Stands::{Behind, Leaving, Silent, Well};
+    type Members = Vec<(u64, &'static str, Stands)>;
+    type Case = (&'static str, Members, Members, Result<Change, Standstill>);
+    let cases: Vec<Case> = vec![
+        ("all is well", FIVE.into(), vec![], Err(Standstill::Complete)),
+        ("a learner stands by", FIVE.into(), vec![(6, "c1", Well)], Err(Standstill::Complete)),
+        (
+            "silent, nobody ready",
+            five_with(3, Silent(9_000)),
+            vec![(6, "c1", Behind)],
+            Err(Standstill::NoReadyLearner),
+        ),
+        (
+            "silent, not for long",
+            five_with(3, Silent(900)),
+            vec![(6, "c1", Well)],
+            Err(Standstill::Complete),
+        ),
+        (
+            "silent, a learner ready",
+            five_with(3, Silent(1_000)),
+            vec![(6, "c1", Well)],
+            Ok(Promote(6)),
+        ),
+        ("one that leaves", five_with(2, Leaving), vec![(6, "c1", Well)], Ok(Promote(6))),
+        (
+            "a learner that leaves is not ready",
+            five_with(2, Silent(2_000)),
+            vec![(6, "c1", Leaving)],
+            Err(Standstill::NoReadyLearner),
+        ),
+        (
+            "the place of the one that goes is filled",
+            five_with(3, Silent(2_000)),
+            vec![(6, "a1", Well), (7, "c1", Well)],
+            Ok(Promote(7)),
+        ),
+        ("too few", FIVE[..4].into(), vec![(6, "a1", Well), (7, "c1", Well)], Ok(Promote(7))),
+        ("a learner gone for good", FIVE.into(), vec![(6, "c1", Silent(60_000))], Ok(Forget(6))),
+        (
+            "not forgotten while there is more to do",
+            five_with(2, Silent(5_000)),
+            vec![(6, "c1", Silent(70_000)), (7, "b1", Well)],
+            Ok(Promote(7)),
+        ),
+        (
+            "six: the silent one goes",
+            [five_with(3, Silent(2_000)), vec![(6, "c1", Well)]].concat(),
+            vec![],
+            Ok(Demote(3)),
+        ),
+        (
+            "six: the one that leaves goes",
+            [five_with(4, Leaving), vec![(6, "c1", Well)]].concat(),
+            vec![],
+            Ok(Demote(4)),
+        ),
+        (
+            "six, the silent one is back: the fullest region gives",
+            [FIVE.to_vec(), vec![(6, "b2", Well)]].concat(),
+            vec![],
+            Ok(Demote(2)),
+        ),
+    ];
+    for (name, voters, learners, wanted) in cases {
+        assert_eq!(change(&voters, &learners), wanted, "{name}");
+    }
+}
+
+/// Guards: the loss of one region or zone leaves a majority wherever the members
+/// allow it; where they don't, nothing is moved about.
+#[test]
+fn voters_are_spread_so_that_a_region_may_go() {
+    use Stands::Well;
+    let crowded =
+        [(1, "a1", Well), (2, "a2", Well), (3, "a2", Well), (4, "b1", Well), (5, "c1", Well)];
+    assert_eq!(change(&crowded, &[(6, "a1", Well)]), Err(Standstill::Complete));
+    assert_eq!(change(&crowded, &[(6, "a1", Well), (7, "b2", Well)]), Ok(Change::Promote(7)));
+    let six: Vec<_> = crowded.into_iter().chain([(7, "b2", Well)]).collect();
+    let demoted = change(&six, &[(6, "a1", Well)]);
+    assert!(matches!(demoted, Ok(Change::Demote(2 | 3))), "{demoted:?}");
+}
+
+/// Guards: the leader itself is never demoted, however it stands.
+#[test]
+fn the_leader_stays() {
+    use Stands::{Leaving, Well};
+    let voters = [(1, "a1", Leaving), (2, "a1", Well)];
+    let policy = RepairPolicy { voters: 1, ..POLICY };
+    let listed: Vec<(Member, Stands)> =
+        voters.iter().map(|(id, place, stands)| (member(*id, place), *stands)).collect();
+    assert_eq!(next_change(&health(&listed), &[], 1, &policy), Ok(Change::Demote(2)));
+}
