testbed: what fleet, scenarios, replay and scale start ends with them

Cause: `scenarios` and `replay` took no signal, and `fleet` listened only once all was up, so SIGTERM at another moment, or SIGKILL at any, left all its processes running; a later fleet met them at its addresses. Ruled out: signal handlers alone (SIGKILL), a pipe watched by the child (the product's programs would need it). After: one thread starts all processes and asks the kernel to kill them when this process ends (PR_SET_PDEATHSIG is tied to the thread that forks, so that thread lives as long as the process).

--- a/stand/src/bin/fleet.rs
+++ b/stand/src/bin/fleet.rs
@@ -1,7 +1,9 @@
 //! Starts a whole deployment on this machine and keeps it until it is told to
 //! stop.
 
-use std::path::PathBuf;
+use stand::fleet::{Fleet, Shape};
+use std::convert::Infallible;
+use std::path::{Path, PathBuf};
 use yard::boot::{setting, Boot, Setting};
 
 const SETTINGS: &[Setting] = &[
@@ -14,19 +16,16 @@
     let (shape, folder) = (boot.text("shape"), PathBuf::from(boot.text("folder")));
     boot.finish();
     let run = || -> anyhow::Result<()> {
-        let shape = stand::fleet::Shape::read(shape.as_ref())?;
+        let shape = Shape::read(shape.as_ref())?;
         let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
         runtime.block_on(async {
-            let mut fleet = stand::fleet::Fleet::lay(shape, &folder)?;
-            fleet.up().await?;
-            for process in fleet.processes.values() {
-                println!("{:<14} {:<14} {}", process.name, process.zone, process.ip);
+            let mut fleet = Fleet::lay(shape, &folder)?;
+            tokio::select! {
+                // Asked first, so that it listens before anything is started.
+                biased;
+                end = yard::wait_for_end() => Ok(end?),
+                failed = keep_up(&mut fleet, &folder) => failed.map(|never| match never {}),
             }
-            let desks: Vec<String> = fleet.desks().iter().map(|desk| desk.to_string()).collect();
-            let desks = desks.join(",");
-            std::fs::write(folder.join("desks"), &desks)?;
-            println!("desks: {desks}\nup; ends with Ctrl-C");
-            Ok(yard::wait_for_end().await?)
         })
     };
     if let Err(error) = run() {
@@ -34,3 +33,16 @@
         std::process::exit(1);
     }
 }
+
+/// Starts everything, tells where it is, and goes on until it is dropped.
+async fn keep_up(fleet: &mut Fleet, folder: &Path) -> anyhow::Result<Infallible> {
+    fleet.up().await?;
+    for process in fleet.processes.values() {
+        println!("{:<14} {:<14} {}", process.name, process.zone, process.ip);
+    }
+    let desks: Vec<String> = fleet.desks().iter().map(|desk| desk.to_string()).collect();
+    let desks = desks.join(",");
+    std::fs::write(folder.join("desks"), &desks)?;
+    println!("desks: {desks}\nup; ends with Ctrl-C");
+    std::future::pending().await
+}
--- a/stand/src/fleet.rs
+++ b/stand/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A whole fleet on one machine: real processes, each with a loopback address
 //! of its own, from which it also dials.
 
+use crate::children;
 use crate::relay::Network;
 use anyhow::{anyhow, bail, Context};
 use simd_json::prelude::*;
@@ -55,7 +56,7 @@
 }
 
 /// Invariant: every child that was started and not ended is in `processes`,
-/// and ends with the fleet.
+/// and ends with the fleet, or with this process however that ends.
 pub struct Fleet {
     pub shape: Shape,
     pub folder: PathBuf,
@@ -353,7 +354,7 @@
             child.wait()?;
         }
         process.is_stopping = false;
-        let child = self.command(self.get(name))?.spawn()?;
+        let child = children::spawn(self.command(self.get(name))?)?;
         let process = self.processes.get_mut(name).expect("looked up above");
         process.child = Some(child);
         process.has_run = true;
--- a/stand/src/lib.rs
+++ b/stand/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod checker;
+pub mod children;
 pub mod day;
 pub mod engine;
 pub mod faults;
--- a/stand/src/replay.rs
+++ b/stand/src/replay.rs
@@ -3,6 +3,7 @@
 
 use crate::caller::{call, Call, Seen};
 use crate::checker::{check, Finding, Ground, Journals};
+use crate::children;
 use crate::day::{Job, Moment, What};
 use crate::fleet::{program, Fleet, Kind};
 use crate::journal::{self, wall, Journal};
@@ -13,6 +14,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -293,12 +295,10 @@
 
 /// Runs the operators' command line: whether it ended well, and what it said.
 fn operator(args: &[&str], input: &str) -> anyhow::Result<(bool, String)> {
-    let mut child = std::process::Command::new(program("operator")?)
-        .args(args)
-        .stdin(std::process::Stdio::piped())
-        .stdout(std::process::Stdio::piped())
-        .stderr(std::process::Stdio::piped())
-        .spawn()?;
+    let mut command = Command::new(program("operator")?);
+    command.args(args);
+    command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut child = children::spawn(command)?;
     let mut stdin = child.stdin.take().expect("it is piped");
     stdin.write_all(input.as_bytes())?;
     drop(stdin);
