A control node's answer counts only for the key that was asked

Cause: answers were matched by their number alone. Two that a node mixed up sent a request to an engine under another tenant's name. Seen failing before: questions::no_answer_of_a_control_node_sends_a_call_astray (Swapped). After: the session ends, and the question is answered with later; a question that finds no way out is answered at once.

--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -18,10 +18,18 @@
 /// Without a licence from a node for this long, the next one is tried.
 const PATIENCE_MS: u64 = 900;
 
-/// Questions under way, and the way out while there is a session.
+/// A question under way: the key that it is about, and who waits for the answer.
+struct OpenQuestion {
+    key: String,
+    waiter: oneshot::Sender<Answer>,
+}
+
+/// Questions under way, and the way out while there is a session. Invariant: a
+/// number is used once in the life of this process, and an answer is handed on only
+/// while its question waits, and only if it is about that question's key.
 #[derive(Default)]
 pub struct Questions {
-    open: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    open: Mutex<HashMap<u64, OpenQuestion>>,
     out: Mutex<Option<(SocketAddr, mpsc::Sender<Frame>)>>,
     next: AtomicU64,
 }
@@ -41,21 +49,40 @@
         patience: Duration,
     ) -> Answer {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
+        let (waiter, receiver) = oneshot::channel();
         let out = self.out.lock().as_ref().map(|(_, out)| out.clone());
         let Some(out) = out else { return Answer::Later };
-        self.open.lock().insert(number, sender);
+        let key = residency::key(tenant, service);
+        self.open.lock().insert(number, OpenQuestion { key, waiter });
         let frame = Frame::Resolve {
             number,
             tenant: tenant.into(),
             service: service.into(),
             region: region.into(),
         };
-        drop(out.try_send(frame));
+        if out.try_send(frame).is_err() {
+            self.open.lock().remove(&number);
+            return Answer::Later;
+        }
         let answer = tokio::time::timeout(patience, receiver).await;
         self.open.lock().remove(&number);
         answer.ok().and_then(|answer| answer.ok()).unwrap_or(Answer::Later)
     }
+
+    /// Hands an answer to whoever waits for it. One that is late or surplus is passed
+    /// over.
+    ///
+    /// # Errors
+    /// The answer is about another key than its question: the node can't be relied on.
+    fn answered(&self, number: u64, answer: Answer) -> anyhow::Result<()> {
+        let Some(question) = self.open.lock().remove(&number) else { return Ok(()) };
+        if let Answer::Mapping(mapping) = &answer {
+            anyhow::ensure!(mapping.key() == question.key, "it answers for another key");
+        }
+        // Whoever asked may have left meanwhile.
+        drop(question.waiter.send(answer));
+        Ok(())
+    }
 }
 
 /// Where to find a directory node, the nearest first.
@@ -207,11 +234,7 @@
             log::info!(epoch = epoch; "in force");
         }
         Frame::Company(news) => router.company.write().take(&router.boot.name, &news),
-        Frame::Resolved { number, answer } => {
-            if let Some(sender) = router.questions.open.lock().remove(&number) {
-                drop(sender.send(answer));
-            }
-        }
+        Frame::Resolved { number, answer } => router.questions.answered(number, answer)?,
         Frame::Refused { text } => anyhow::bail!("it refuses: {text}"),
         other => anyhow::bail!("an unexpected frame: {other:?}"),
     }
