A job is taken in HTTP/1.1 alone

Cause: to a client of HTTP/1.0 a streamed answer ends with its connection, so one that the engine broke off looked whole. Ruled out: ending such a connection by a reset, which the HTTP library leaves no way to do. Seen failing before: clients::a_client_that_knows_no_chunks_gets_no_cut_answer. After: 400, not run.

--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -165,6 +165,12 @@
 ) -> Result<Response, Refusal> {
     let arrived = now();
     let (head, body) = request.into_parts();
+    if head.version < http::Version::HTTP_11 {
+        // It knows no chunks: the end of a streamed answer would be the end of its
+        // connection, and an answer that broke off would look whole.
+        let text = "a job is taken in HTTP/1.1 alone";
+        return Err(Refusal::not_run(400, "http-version", text));
+    }
     let view = router.view.borrow().clone();
     let longest = router.boot.body.min(usize::try_from(view.limits.body).unwrap_or(usize::MAX));
     if body.size_hint().lower() > longest as u64 {
