A node's answer counts once, and only from where its question went

Cause: an answer between control nodes was matched by its number alone, whoever sent it, and the numbers of two lives of a process began within 2^32 of each other; a link's frames could speak for any node. After: a reply is taken only from the address that was asked, once; numbers begin anywhere in 2^63; what a link says of its sender must be who introduced itself.

--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -234,7 +234,8 @@
         links,
         counters,
         sessions: Vec::new(),
-        next: rand::random::<u32>().into(),
+        // Far from the numbers of any earlier process.
+        next: rand::random::<u64>() >> 1,
         tokens: HashMap::new(),
         asked: HashMap::new(),
         confirms: Vec::new(),
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -4,6 +4,7 @@
 //! The node is a library: `run` carries one out by its settings, and `Ports`
 //! are the seams at which another interface than our own can be put to it.
 
+pub mod asked;
 mod desk;
 mod hub;
 mod jobs;
--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -1,5 +1,6 @@
 //! Links to the other directory nodes, and the port they all come in by.
 
+use crate::asked::Asked;
 use crate::hub::Call;
 use crate::{jobs, sessions, Desk};
 use consensus::{Member, NodeId};
@@ -30,12 +31,21 @@
     out: Mutex<HashMap<String, mpsc::Sender<Frame>>>,
     /// Where those who introduced themselves are to be found.
     known: Mutex<HashMap<NodeId, String>>,
+    /// Which question went where.
+    asked: Mutex<Asked>,
 }
 
 impl Links {
     pub fn new(me: Member, source: SocketAddr) -> Arc<Links> {
         let runtime = tokio::runtime::Handle::current();
-        Arc::new(Links { me, source, runtime, out: Default::default(), known: Default::default() })
+        Arc::new(Links {
+            me,
+            source,
+            runtime,
+            out: Default::default(),
+            known: Default::default(),
+            asked: Default::default(),
+        })
     }
 
     pub fn send_to(self: &Arc<Links>, to: NodeId, frame: Frame) {
@@ -46,6 +56,9 @@
     }
 
     pub fn send(self: &Arc<Links>, address: &str, frame: Frame) {
+        if let Frame::Ask { number, .. } = &frame {
+            self.asked.lock().sent(now(), *number, address);
+        }
         let mut out = self.out.lock();
         let sender = out.entry(address.to_string()).or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(QUEUE);
@@ -56,6 +69,33 @@
         drop(sender.try_send(frame));
     }
 
+    /// Hands on a frame that `peer`, who introduced itself on its link, may send: it
+    /// speaks for itself alone. `None` stands for an answer that nobody waits for from
+    /// there: it is late, surplus, or meant for an earlier process at this address.
+    ///
+    /// # Errors
+    /// The frame speaks for another node, or came before an introduction.
+    fn admit(&self, peer: &mut Option<Member>, frame: Frame) -> anyhow::Result<Option<Frame>> {
+        let speaker = match &frame {
+            Frame::Introduce(member) => {
+                *peer = Some(member.clone());
+                return Ok(Some(frame));
+            }
+            Frame::Ledger(message) => Some(message.from),
+            Frame::Ask { from, .. } => Some(*from),
+            Frame::Reply { .. } => None,
+            _ => return Ok(Some(frame)),
+        };
+        let Some(peer) = peer else { anyhow::bail!("it did not say who it is") };
+        let is_itself = speaker.is_none_or(|speaker| speaker == peer.identity);
+        anyhow::ensure!(is_itself, "{peer} speaks for another node");
+        if let Frame::Reply { number, .. } = &frame {
+            let is_awaited = self.asked.lock().is_answered(now(), *number, &peer.address);
+            return Ok(is_awaited.then_some(frame));
+        }
+        Ok(Some(frame))
+    }
+
     async fn carry(self: Arc<Links>, address: String, mut frames: mpsc::Receiver<Frame>) {
         let Ok(to) = address.parse() else { return };
         // A frame that waits for the other side to come up, and since when.
@@ -139,7 +179,9 @@
 
 /// Frames from another directory node.
 async fn hear(desk: Arc<Desk>, mut stream: TcpStream) -> anyhow::Result<()> {
+    let mut peer = None;
     while let Some(frame) = link::receive(&mut stream, wire::CAP).await? {
+        let Some(frame) = desk.links.admit(&mut peer, frame)? else { continue };
         match frame {
             Frame::Introduce(member) => {
                 desk.links.known.lock().insert(member.identity, member.address);
