--- a/directory/tests/asked.rs
+++ b/directory/tests/asked.rs
@@ -20,7 +20,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config { cases: 200, rng_seed: RngSeed::Fixed(5), ..Config::default() })]
+    #![proptest_config(Config { cases: 200, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..Config::default() })]
 
     /// Against a plain model, over any order of questions and answers; what is kept
     /// stays bounded however few answers come.
--- /dev/null
+++ b/wire/tests/formats/frames.rs
@@ -0,0 +1,308 @@
+//! The frames between rushport's own processes, with all that they carry.
+
+use crate::bytes::{allowance, config, edited, edits};
+use crate::memory::peak;
+use consensus::{Body, Entry, EntryPayload, Member, Membership, Message, Snapshot};
+use proptest::prelude::*;
+use proptest::sample::Index;
+use residency::{
+    Command, Emptied, Engine, EngineState, Event, Limits, Mapping, Name, Outcome, Place, Sheet,
+    Submission, Terms, Touch, Traits, Window,
+};
+use wire::*;
+
+fn name(text: &str) -> Name {
+    Name(text.into())
+}
+
+fn place(name: &str, within: &str) -> Place {
+    Place { name: name.into(), within: within.into() }
+}
+
+fn member(identity: u64) -> Member {
+    Member {
+        identity,
+        name: format!("core-{identity}"),
+        region: "north".into(),
+        zone: "north-a".into(),
+        address: "10.0.0.1:7360".into(),
+        desk: "10.0.0.1:7361".into(),
+    }
+}
+
+pub fn membership() -> Membership {
+    Membership {
+        voters: vec![member(1), member(2), member(3)],
+        learners: vec![member(4)],
+        retired: vec![5, 6],
+    }
+}
+
+fn engine() -> Engine {
+    Engine {
+        name: "i-1".into(),
+        address: "10.0.0.9:8080".into(),
+        cell: "north-1".into(),
+        services: vec![name("writer"), name("pictures")],
+        slots: 8,
+        state: EngineState::Serving,
+        cold_ms: 12,
+    }
+}
+
+fn mapping() -> Mapping {
+    Mapping {
+        tenant: "ana".into(),
+        service: "writer".into(),
+        regions: vec![name("north")],
+        cells: vec![name("north-1"), name("north-2")],
+        fresh_ms: 100,
+        expire_ms: 1_000,
+        epoch: 9,
+    }
+}
+
+pub fn commands() -> Vec<Command> {
+    let key = || (name("ana"), name("writer"));
+    let window =
+        Window { id: name("w-1"), what: Emptied::Zone(name("north-a")), from: 5, until: 9 };
+    let other = Window { id: name("w-2"), what: Emptied::Engine(name("i-1")), ..window.clone() };
+    let sheet = Sheet { revision: 3, based: 2, text: "{}".into() };
+    vec![
+        Command::Revise { whole: false, text: "{\"services\":{\"writer\":{}}}".into() },
+        Command::Key(place(&"a".repeat(64), "ana")),
+        Command::KeyGone(name("digest")),
+        Command::Engine(engine()),
+        Command::EngineGone(name("i-1")),
+        Command::EngineState { name: name("i-1"), state: EngineState::Draining },
+        Command::Evacuate(name("north-a")),
+        Command::GiveBack(name("north-a")),
+        Command::Move { tenant: key().0, service: key().1, cell: name("north-1") },
+        Command::Settle { tenant: key().0, service: key().1 },
+        Command::Unpin { tenant: key().0, service: key().1 },
+        Command::Schedule(vec![window, other]),
+        Command::Begin(name("w-1")),
+        Command::End(name("w-1")),
+        Command::Adopt { sheet, text: "{}".into() },
+        Command::Listed { engines: vec![engine(), engine()], gone: vec![name("i-0")] },
+        Command::Fleet(9),
+    ]
+}
+
+pub fn events() -> Vec<Event> {
+    let terms =
+        Terms { tenant: "ana".into(), pace: 5, burst: 9, homes: vec![name("north")], urgency: 1 };
+    let traits = Traits { service: "writer".into(), connections: 9, warm_pace: 3, warm_ms: 50 };
+    let rules = "door app at \"/app/\" tenant header \"x-tenant-key\" model header \"x-model\"\n\
+                 route write on app POST \"/app/write\" to model once deadline 30s";
+    vec![
+        Event::Rules(name(rules)),
+        Event::Places { zones: vec![place("z", "r")], cells: vec![place("c", "z")] },
+        Event::Key(place("digest", "ana")),
+        Event::KeyGone(name("digest")),
+        Event::Engine(engine()),
+        Event::EngineGone(name("i-1")),
+        Event::Evacuated(name("z")),
+        Event::GivenBack(name("z")),
+        Event::Touched(Touch::All),
+        Event::Touched(Touch::Tenant(name("ana"))),
+        Event::Touched(Touch::Key(name("ana/writer"))),
+        Event::Touched(Touch::Home(name("north"))),
+        Event::Tenants(vec![terms]),
+        Event::Services(vec![traits]),
+        Event::Limits(Limits::default()),
+        Event::Fleet(4),
+    ]
+}
+
+fn bodies() -> Vec<Body> {
+    let entry = |index, payload| Entry { index, term: 3, payload };
+    let entries = vec![
+        entry(1, EntryPayload::Blank),
+        entry(2, EntryPayload::Command(vec![1, 2, 3])),
+        entry(3, EntryPayload::Membership(membership())),
+    ];
+    let snapshot =
+        Snapshot { index: 9, term: 3, cluster: 77, members: membership(), state: vec![7; 50] };
+    vec![
+        Body::PreVote { last_index: 5, last_term: 2 },
+        Body::PreVoteResponse { granted: true },
+        Body::Vote { last_index: 5, last_term: 2, is_transfer: false },
+        Body::VoteResponse { granted: false },
+        Body::AppendEntries { prior_index: 0, prior_term: 0, commit: 2, round: 8, entries },
+        Body::AppendEntriesResponse { is_match: true, matched: 3, round: 8 },
+        Body::InstallSnapshot { round: 9, snapshot },
+        Body::TimeoutNow,
+    ]
+}
+
+fn front() -> Front {
+    Front {
+        name: "edge-1".into(),
+        region: "north".into(),
+        zone: "north-a".into(),
+        door: "10.0.0.3:8689".into(),
+        address: "10.0.0.3:7362".into(),
+        epoch: 9,
+        age_ms: 5,
+        is_leaving: 0,
+    }
+}
+
+fn demand() -> FrontDemand {
+    let demand = Demand {
+        tenant: "ana".into(),
+        used: 5,
+        limit: 9,
+        floor: 1,
+        waiting: 0,
+        ahead: 2,
+        lately: [1, 2, 3, 4],
+    };
+    FrontDemand { front: "edge-1".into(), life: 8, number: 4, age_ms: 99, demands: vec![demand] }
+}
+
+/// One frame of each kind at least.
+pub fn frames() -> Vec<Frame> {
+    let share = Share { tenant: "ana".into(), limit: 9, queue_ms: 3 };
+    let shares = FrontShares {
+        front: "edge-1".into(),
+        number: 4,
+        shares: vec![share.clone(), share.clone()],
+    };
+    let header = Header { name: "x-model".into(), value: b"writer".to_vec() };
+    let mut frames = vec![
+        Frame::Hello { epoch: EPOCH, kind: Kind::Router, name: "edge-1".into() },
+        Frame::Refused { text: "another epoch".into() },
+        Frame::Fronts { from: 1, fronts: vec![front(), front()] },
+        Frame::Join(member(9)),
+        Frame::Joined { admitted: true, text: "in".into() },
+        Frame::Introduce(member(9)),
+        Frame::Beat { front: front(), demand: demand() },
+        Frame::Licence { number: 4, epoch: 9, shares: vec![share] },
+        Frame::Picture { epoch: 9, events: events() },
+        Frame::Change { prior: 8, epoch: 9, events: events() },
+        Frame::Company(News {
+            is_first: 1,
+            fronts: vec![front()],
+            gone: vec![name("edge-2")],
+            directories: vec![member(1)],
+        }),
+        Frame::Resolve {
+            number: 3,
+            tenant: "ana".into(),
+            service: "writer".into(),
+            region: "north".into(),
+        },
+        Frame::Job(JobHead {
+            id: "j-1".into(),
+            method: "POST".into(),
+            target: "/app/write".into(),
+            headers: vec![header.clone()],
+            region: "north".into(),
+            epoch: 9,
+            left_ms: 500,
+            is_charged: 1,
+        }),
+        Frame::Body(b"{\"prompt\":\"x\"}".to_vec()),
+        Frame::BodyEnd,
+        Frame::Welcome,
+        Frame::Go,
+        Frame::Mapped(mapping()),
+        Frame::AnswerHead { status: 200, headers: vec![header] },
+        Frame::AnswerBody(vec![1; 40]),
+        Frame::AnswerEnd,
+        Frame::Declined {
+            status: 503,
+            code: "engines-full".into(),
+            text: "full".into(),
+            not_run: true,
+            retry_after_ms: 50,
+        },
+        Frame::Look { number: 1, key: "ana/writer".into(), epoch: 9 },
+        Frame::Seen { number: 1, mapping: vec![mapping()] },
+        Frame::Keep(mapping()),
+        Frame::Tidings {
+            from: "edge-1".into(),
+            is_relayed: 0,
+            loads: vec![Load { engine: "i-1".into(), jobs: 3, tokens: 99 }],
+            kept: vec![Kept { engine: "i-1".into(), chain: 77 }],
+        },
+    ];
+    frames.extend(
+        bodies()
+            .into_iter()
+            .map(|body| Frame::Ledger(Message { from: 1, to: 2, cluster: 77, term: 3, body })),
+    );
+    let submit = |command| Question::Submit(Submission { id: "s-1".into(), base: 4, command });
+    let questions = commands().into_iter().map(submit).chain([
+        Question::Confirm { demands: vec![demand()] },
+        Question::Admit(member(9)),
+        Question::Retire { identity: 9 },
+    ]);
+    frames.extend(questions.map(|question| Frame::Ask { from: 1, number: 2, question }));
+    let outcomes = [
+        Outcome::Applied { epoch: 9 },
+        Outcome::Repeated { epoch: 9 },
+        Outcome::Conflict { epoch: 9 },
+        Outcome::Refused("no".into()),
+    ];
+    let replies = outcomes.into_iter().map(Reply::Submitted).chain([
+        Reply::Confirmed { index: 9, shares: vec![shares] },
+        Reply::Changed,
+        Reply::NotLeader,
+        Reply::Busy,
+        Reply::Unfit(name("why")),
+        Reply::Lost,
+    ]);
+    frames.extend(replies.map(|reply| Frame::Reply { number: 2, reply }));
+    let none = Answer::None { code: name("no-place"), text: name("nowhere") };
+    let answers = [Answer::Mapping(mapping()), none, Answer::Later];
+    frames.extend(answers.map(|answer| Frame::Resolved { number: 2, answer }));
+    frames
+}
+
+/// Reads bytes as a frame. What reads is the same frame again when it was written;
+/// what does not is refused in words; and neither takes more memory than its length
+/// allows.
+fn read(bytes: &[u8]) {
+    let (frame, most) = peak(|| decode(bytes));
+    assert!(most <= allowance(bytes.len()), "{most} bytes of memory for {} read", bytes.len());
+    match frame {
+        Ok(frame) => assert_eq!(decode(&encode(&frame)[4..]).as_ref(), Ok(&frame)),
+        Err(text) => assert!(!text.is_empty()),
+    }
+}
+
+#[test]
+fn every_frame_reads_back_and_no_part_of_it_does() {
+    for frame in frames() {
+        let bytes = encode(&frame);
+        let length = u32::from_be_bytes(bytes[..4].try_into().expect("four bytes"));
+        assert_eq!(length as usize, bytes.len() - 4, "{frame:?}");
+        assert_eq!(decode(&bytes[4..]).as_ref(), Ok(&frame));
+        for cut in 4..bytes.len() {
+            assert!(decode(&bytes[4..cut]).is_err(), "{cut} bytes of {frame:?}");
+        }
+        let longer = [&bytes[4..], &[0]].concat();
+        assert!(decode(&longer).is_err(), "{frame:?} and one byte more");
+    }
+}
+
+proptest! {
+    #![proptest_config(config(4_000))]
+
+    #[test]
+    fn changed_frames_are_read_or_refused(which in any::<Index>(), edits in edits()) {
+        let all = frames();
+        read(&edited(&encode(&all[which.index(all.len())])[4..], &edits));
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(
+        first in 0u8..60,
+        rest in prop::collection::vec(any::<u8>(), 0..2_000),
+    ) {
+        read(&[&[first], &rest[..]].concat());
+    }
+}
--- /dev/null
+++ b/wire/tests/formats/state.rs
@@ -0,0 +1,117 @@
+//! Snapshots of the state, submissions, and events as a router takes them.
+
+use crate::bytes::{allowance, config, edited, edits};
+use crate::frames::{commands, events};
+use crate::memory::peak;
+use consensus::pack::{packed, unpacked};
+use proptest::prelude::*;
+use proptest::sample::Index;
+use residency::{Book, State, Submission, View};
+
+const BOOK: &str = r#"{
+    "zones": { "north-a": { "region": "north" }, "south-a": { "region": "south" } },
+    "cells": { "north-1": { "zone": "north-a" }, "south-1": { "zone": "south-a" } },
+    "services": { "writer": {}, "pictures": {} },
+    "tenants": { "ana": { "homes": ["north"] } },
+    "rules": [
+        "door app at \"/app/\" tenant header \"x-tenant-key\" model header \"x-model\"",
+        "route write on app POST \"/app/write\" to model once deadline 30s"
+    ]
+}"#;
+
+fn state() -> State {
+    let mut state = State::default();
+    let revise = residency::Command::Revise { whole: true, text: BOOK.into() };
+    for (command, epoch) in std::iter::once(revise).chain(commands()).zip(1..) {
+        state.apply(epoch, &Submission { id: format!("s-{epoch}"), base: 0, command });
+    }
+    assert!(!state.view.engines.is_empty());
+    state
+}
+
+#[test]
+fn a_snapshot_reads_back_and_no_part_of_it_does() {
+    let bytes = state().picture();
+    let again = State::restore(&bytes).expect("its own snapshot");
+    assert_eq!(again.picture(), bytes);
+    for cut in 1..bytes.len() {
+        assert!(State::restore(&bytes[..cut]).is_err(), "{cut} of {} bytes", bytes.len());
+    }
+}
+
+proptest! {
+    #![proptest_config(config(1_000))]
+
+    /// A changed snapshot is refused in words, or is a state that works.
+    #[test]
+    fn changed_snapshots_are_read_or_refused(edits in edits()) {
+        let bytes = edited(&state().picture(), &edits);
+        match State::restore(&bytes) {
+            Ok(mut state) => {
+                for (command, epoch) in commands().into_iter().zip(1_000..) {
+                    let submission = Submission { id: format!("t-{epoch}"), base: 0, command };
+                    state.apply(epoch, &submission);
+                }
+                drop(state.resolve("ana", "writer", "north"));
+                assert!(State::restore(&state.picture()).is_ok());
+            }
+            Err(text) => assert!(!text.is_empty()),
+        }
+    }
+
+    /// A changed submission is refused, or does to a state what it says.
+    #[test]
+    fn changed_submissions_are_read_or_refused(which in any::<Index>(), edits in edits()) {
+        let all = commands();
+        let command = all[which.index(all.len())].clone();
+        let submission = Submission { id: "s".into(), base: 0, command };
+        let bytes = edited(&packed(&submission), &edits);
+        let (read, most) = peak(|| unpacked::<Submission>(&bytes));
+        prop_assert!(most <= allowance(bytes.len()), "{} bytes of memory", most);
+        if let Ok(read) = read {
+            prop_assert_eq!(unpacked::<Submission>(&packed(&read)), Ok(read.clone()));
+            let mut state = state();
+            state.check(&read);
+            state.apply(1_000, &read);
+            assert!(State::restore(&state.picture()).is_ok());
+        }
+    }
+
+    /// A view takes any events that can be read.
+    #[test]
+    fn changed_events_are_taken(which in any::<Index>(), edits in edits()) {
+        let all = events();
+        let bytes = edited(&packed(&all[which.index(all.len())]), &edits);
+        if let Ok(event) = unpacked::<residency::Event>(&bytes) {
+            let mut view = View::default();
+            view.take(&event);
+            view.picture();
+        }
+    }
+
+    /// Books that are JSON of any shape are read, or refused in words.
+    #[test]
+    fn changed_books_are_read_or_refused(edits in edits()) {
+        let bytes = edited(BOOK.as_bytes(), &edits);
+        if let Ok(text) = std::str::from_utf8(&bytes) {
+            match residency::parse_text(text).map(|value| Book::read(&value)) {
+                Ok(Ok(_)) => {}
+                Ok(Err(complaints)) => assert!(complaints.iter().all(|text| !text.is_empty())),
+                Err(text) => assert!(!text.is_empty()),
+            }
+        }
+    }
+}
+
+/// Guards: a document is refused for its depth, not by the end of a thread's stack.
+#[test]
+fn depth_without_end_is_refused() {
+    for open in ["[", "{\"a\":", "[{\"a\":"] {
+        for depth in [10, 1_000, 100_000] {
+            let text = open.repeat(depth);
+            assert!(residency::parse_text(&text).is_err(), "{open} {depth} times");
+        }
+    }
+    let whole = format!("{}{}", "[".repeat(200_000), "]".repeat(200_000));
+    assert!(residency::parse_text(&whole).is_err(), "closed as often as opened");
+}
