--- a/yard/src/web.rs
+++ b/yard/src/web.rs
@@ -165,6 +165,9 @@
     residency::parse_text(&text)
 }
 
+/// The most that an answer to [`ask`] may hold.
+pub const ANSWER_CAP: usize = 32 << 20;
+
 /// Asks another process over HTTP, once, and reads the whole answer.
 pub async fn ask(
     to: SocketAddr,
@@ -187,8 +190,9 @@
         }
         let answer = sender.send_request(request.body(Full::new(body.into()))?).await?;
         let status = answer.status().as_u16();
-        let bytes = answer.into_body().collect().await?.to_bytes().to_vec();
+        let body = Limited::new(answer.into_body(), ANSWER_CAP).collect().await;
         driver.abort();
+        let bytes = body.map_err(|error| anyhow::anyhow!("{error}"))?.to_bytes().to_vec();
         anyhow::Ok((status, bytes))
     };
     tokio::time::timeout(patience, work)
