--- /dev/null
+++ b/stand/tests/handed.rs
@@ -0,0 +1,370 @@
+//! Jobs that a router hands to a directory node whose connection breaks, falls silent
+//! or says what it may not, at every place of the conversation.
+
+use parking_lot::Mutex;
+use residency::{Command, Place, State, Submission};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use wire::{Answer, Frame, Kind, News};
+use yard::link;
+
+const PATIENCE: Duration = Duration::from_secs(40);
+const KEY: &str = "ana-key-0001";
+const OWN: &[u8] = b"the one right answer";
+
+const BOOK: &str = r#"{
+    "zones": { "north-a": { "region": "north" } },
+    "cells": { "north-1": { "zone": "north-a" } },
+    "services": { "writer": {}, "painter": {} },
+    "tenants": { "ana": {} },
+    "rules": [
+        "door app at \"/app/\" tenant header \"x-tenant-key\" model header \"x-model\"",
+        "route once on app POST \"/app/once\" to model once deadline 9s",
+        "route many on app POST \"/app/many\" to model repeatable deadline 9s"
+    ]
+}"#;
+
+/// How far a conversation goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    Connected,
+    Welcomed,
+    HeadRead,
+    Mapped,
+    BodyRead,
+    AnswerBegun,
+    HalfAnswered,
+    AllButTheEnd,
+}
+
+const PLACES: [Stage; 8] = [
+    Stage::Connected,
+    Stage::Welcomed,
+    Stage::HeadRead,
+    Stage::Mapped,
+    Stage::BodyRead,
+    Stage::AnswerBegun,
+    Stage::HalfAnswered,
+    Stage::AllButTheEnd,
+];
+
+/// What happens there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    Reset,
+    Close,
+    Silence,
+    /// Half of a frame, then the end.
+    HalfFrame,
+    /// A frame that has no place there.
+    Unexpected,
+    /// The mapping of another key.
+    Foreign,
+    /// The node says that nothing ran, or that it doesn't know.
+    Declined {
+        not_run: bool,
+    },
+}
+
+type Script = Arc<Mutex<Option<(Stage, Trouble)>>>;
+
+struct Node {
+    state: State,
+    script: Script,
+    /// Jobs of which a byte came in.
+    handed: Mutex<Vec<String>>,
+}
+
+impl Node {
+    fn mapping(&self, service: &str) -> residency::Mapping {
+        residency::Mapping {
+            tenant: "ana".into(),
+            service: service.into(),
+            regions: vec!["north".into()],
+            cells: vec!["north-1".into()],
+            // Hardly kept, so that each job is a miss.
+            fresh_ms: 0,
+            expire_ms: 0,
+            epoch: self.state.epoch(),
+        }
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> anyhow::Result<()> {
+        match link::greet(&mut stream).await?.0 {
+            Kind::Router => self.session(stream).await,
+            Kind::Job => self.job(stream).await,
+            kind => anyhow::bail!("{kind:?} has no place here"),
+        }
+    }
+
+    async fn session(&self, mut stream: TcpStream) -> anyhow::Result<()> {
+        let epoch = self.state.epoch();
+        let events = self.state.view.picture();
+        link::send(&mut stream, &Frame::Picture { epoch, events }).await?;
+        let address = stream.local_addr()?.to_string();
+        let member = consensus::Member {
+            identity: 1,
+            name: "core-1".into(),
+            region: "north".into(),
+            zone: "north-a".into(),
+            address: address.clone(),
+            desk: address,
+        };
+        let news =
+            News { is_first: 1, fronts: Vec::new(), gone: Vec::new(), directories: vec![member] };
+        link::send(&mut stream, &Frame::Company(news)).await?;
+        while let Some(frame) = link::receive(&mut stream, wire::CAP).await? {
+            let answer = match frame {
+                Frame::Beat { demand, .. } => {
+                    Frame::Licence { number: demand.number, epoch, shares: Vec::new() }
+                }
+                Frame::Resolve { number, service, .. } => {
+                    Frame::Resolved { number, answer: Answer::Mapping(self.mapping(&service)) }
+                }
+                other => anyhow::bail!("an unexpected frame: {other:?}"),
+            };
+            link::send(&mut stream, &answer).await?;
+        }
+        Ok(())
+    }
+
+    /// True where the conversation ends here.
+    async fn is_troubled(
+        &self,
+        stream: &mut TcpStream,
+        script: Option<(Stage, Trouble)>,
+        place: Stage,
+    ) -> anyhow::Result<bool> {
+        let Some((_, trouble)) = script.filter(|(at, _)| *at == place) else { return Ok(false) };
+        match trouble {
+            Trouble::Reset => stream.set_zero_linger()?,
+            Trouble::Close => {}
+            Trouble::Silence => std::future::pending().await,
+            Trouble::HalfFrame => {
+                let bytes = wire::encode(&Frame::AnswerBody(vec![0; 100]));
+                tokio::io::AsyncWriteExt::write_all(stream, &bytes[..50]).await?;
+            }
+            Trouble::Unexpected => link::send(stream, &Frame::BodyEnd).await?,
+            Trouble::Foreign => {
+                link::send(stream, &Frame::Mapped(self.mapping("painter"))).await?;
+            }
+            Trouble::Declined { not_run } => {
+                let declined = Frame::Declined {
+                    status: 503,
+                    code: "busy".into(),
+                    text: "not now".into(),
+                    not_run,
+                    retry_after_ms: 5,
+                };
+                link::send(stream, &declined).await?;
+            }
+        }
+        Ok(true)
+    }
+
+    async fn job(&self, mut stream: TcpStream) -> anyhow::Result<()> {
+        let script = self.script.lock().take();
+        if self.is_troubled(&mut stream, script, Stage::Connected).await? {
+            return Ok(());
+        }
+        link::send(&mut stream, &Frame::Welcome).await?;
+        let mut first = [0];
+        if matches!(stream.peek(&mut first).await, Ok(1..)) {
+            self.handed.lock().push(String::new());
+        }
+        if self.is_troubled(&mut stream, script, Stage::Welcomed).await? {
+            return Ok(());
+        }
+        let Some(Frame::Job(head)) = link::receive(&mut stream, 1 << 20).await? else {
+            anyhow::bail!("it begins without a job");
+        };
+        *self.handed.lock().last_mut().expect("noted") = head.id;
+        if self.is_troubled(&mut stream, script, Stage::HeadRead).await? {
+            return Ok(());
+        }
+        link::send(&mut stream, &Frame::Mapped(self.mapping("writer"))).await?;
+        if self.is_troubled(&mut stream, script, Stage::Mapped).await? {
+            return Ok(());
+        }
+        link::send(&mut stream, &Frame::Go).await?;
+        while !matches!(link::receive(&mut stream, 1 << 20).await?, Some(Frame::BodyEnd) | None) {}
+        if self.is_troubled(&mut stream, script, Stage::BodyRead).await? {
+            return Ok(());
+        }
+        link::send(&mut stream, &Frame::AnswerHead { status: 200, headers: Vec::new() }).await?;
+        if self.is_troubled(&mut stream, script, Stage::AnswerBegun).await? {
+            return Ok(());
+        }
+        let (half, rest) = OWN.split_at(OWN.len() / 2);
+        link::send(&mut stream, &Frame::AnswerBody(half.to_vec())).await?;
+        if self.is_troubled(&mut stream, script, Stage::HalfAnswered).await? {
+            return Ok(());
+        }
+        link::send(&mut stream, &Frame::AnswerBody(rest.to_vec())).await?;
+        if self.is_troubled(&mut stream, script, Stage::AllButTheEnd).await? {
+            return Ok(());
+        }
+        link::send(&mut stream, &Frame::AnswerEnd).await
+    }
+}
+
+struct Site {
+    node: Arc<Node>,
+    door: SocketAddr,
+}
+
+fn state() -> State {
+    let mut state = State::default();
+    let key = Place { name: language::fingerprint(KEY), within: "ana".into() };
+    let commands =
+        [Command::Revise { whole: true, text: BOOK.into() }, Command::Key(key)].into_iter();
+    for (command, epoch) in commands.zip(1..) {
+        let submission = Submission { id: format!("s-{epoch}"), base: 0, command };
+        let (outcome, _) = state.apply(epoch, &submission);
+        assert_eq!(outcome, residency::Outcome::Applied { epoch });
+    }
+    state
+}
+
+impl Site {
+    async fn start() -> Site {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let seed = listener.local_addr().expect("bound");
+        let node =
+            Arc::new(Node { state: state(), script: Script::default(), handed: Mutex::default() });
+        let serving = Arc::clone(&node);
+        tokio::spawn(link::accept(listener, move |stream| {
+            let node = Arc::clone(&serving);
+            async move { node.serve(stream).await }
+        }));
+        let process = std::process::id();
+        let ip = [127, 190, (process / 250 % 250) as u8, (process % 250) as u8 + 1];
+        let at = |port: u16| SocketAddr::from((ip, port));
+        let settings = router::Settings {
+            name: "edge-1".into(),
+            region: "north".into(),
+            zone: "north-a".into(),
+            door: at(7_000),
+            address: at(7_001),
+            listen: at(7_001),
+            desk: at(7_002),
+            head: Duration::from_secs(5),
+            quota: Duration::from_secs(1),
+            jobs: 100,
+            seeds: vec![seed],
+            body: 1 << 20,
+            own_cache: 16,
+            share: 16,
+            leave: Duration::ZERO,
+            stop: Duration::ZERO,
+            room_wait: 0,
+            hold: 0,
+            asks_by_key: false,
+            outlive: 0,
+            beat: 100,
+        };
+        let door = settings.door;
+        tokio::spawn(async move {
+            router::run(settings, router::Ports::default()).await.expect("it runs");
+        });
+        let site = Site { node, door };
+        let until = Instant::now() + PATIENCE;
+        while !matches!(site.send("once", "first").await, Told::Own) {
+            assert!(Instant::now() < until, "it never serves");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        site
+    }
+
+    async fn send(&self, route: &str, id: &str) -> Told {
+        let left = if id.contains("Silence") && !id.starts_with("next") { "400" } else { "9000" };
+        let headers = [
+            ("x-tenant-key", KEY),
+            ("x-model", "writer"),
+            ("x-rushport-job", id),
+            ("x-deadline-ms", left),
+        ];
+        let target = format!("/app/{route}");
+        // Cut visibly, or broken off.
+        let asked =
+            yard::web::ask(self.door, "POST", &target, &headers, vec![b'x'; 5_000], PATIENCE);
+        match asked.await {
+            Ok((200, body)) if body == OWN => Told::Own,
+            Ok((200, body)) => panic!("{id}: {} bytes look whole", body.len()),
+            Ok((_, body)) => {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                match (text.contains("\"not-run\""), text.contains("\"unknown\"")) {
+                    (true, false) => Told::NotRun,
+                    (false, true) => Told::Unknown,
+                    _ => panic!("{id}: {text}"),
+                }
+            }
+            Err(_) => Told::Broken,
+        }
+    }
+
+    fn handed(&self, id: &str) -> usize {
+        self.node.handed.lock().iter().filter(|handed| *handed == id).count()
+    }
+}
+
+#[derive(Debug, PartialEq, Eq)]
+enum Told {
+    Own,
+    NotRun,
+    Unknown,
+    Broken,
+}
+
+/// Guards: a job that was handed on in part is never said not to have run unless the
+/// node says so; one that may run once is handed on once; an answer without its end is
+/// broken off; and the next job gets its own answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_conversation_that_breaks_anywhere() {
+    let site = Site::start().await;
+    let troubles = [
+        Trouble::Reset,
+        Trouble::Close,
+        Trouble::HalfFrame,
+        Trouble::Unexpected,
+        Trouble::Foreign,
+        Trouble::Declined { not_run: true },
+        Trouble::Declined { not_run: false },
+        Trouble::Silence,
+    ];
+    let mut wrong = Vec::new();
+    for trouble in troubles {
+        for place in PLACES {
+            // A silent answer is given up after twenty seconds.
+            if trouble == Trouble::Silence && place >= Stage::AnswerBegun {
+                continue;
+            }
+            for route in ["once", "many"] {
+                let id = format!("{route}-{place:?}-{trouble:?}")
+                    .replace(|c: char| !c.is_ascii_alphanumeric() && c != '-', "");
+                *site.node.script.lock() = Some((place, trouble));
+                let before = site.node.handed.lock().len();
+                let told = site.send(route, &id).await;
+                let begun = site.node.handed.lock().len() - before;
+                let is_declined = trouble == Trouble::Declined { not_run: true };
+                let is_right = match place {
+                    // Nothing was sent, and no engine stands here to go on with.
+                    Stage::Connected => told == Told::NotRun && begun == 0,
+                    _ if place >= Stage::AnswerBegun => told == Told::Broken && begun == 1,
+                    _ if is_declined => told == Told::NotRun && begun == 1,
+                    _ => told == Told::Unknown && begun == 1,
+                };
+                if !is_right || site.handed(&id) > 1 {
+                    wrong.push(format!("{route}, {trouble:?} at {place:?}: {told:?}, {begun}"));
+                }
+                let next = site.send("once", &format!("next-{id}")).await;
+                if next != Told::Own {
+                    wrong.push(format!("after {route}, {trouble:?} at {place:?}: {next:?}"));
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
