--- a/router/src/forward.rs
+++ b/router/src/forward.rs
@@ -164,11 +164,11 @@
     loop {
         match link::receive(&mut reader, wire::CAP).await? {
             Some(Frame::Mapped(found)) => {
-                company::keep(router, &found);
                 if let Some(asker) = asker {
                     anyhow::ensure!(found.key() == asker.key(), "it mapped another key");
                     asker.bring(&found);
                 }
+                company::keep(router, &found);
                 mapping = Some(found);
             }
             Some(Frame::Go) => {
