State machine: a command is held against the last change of its subject

Cause: marks of the last change stood for kinds of commands, not for what was changed. A maintenance window changed zones and engines, and a revision keys and moves, without marking them; and an order that found its zone already so made no change at all. So a command that came late could pass, and for zones a base would have refused orders for other zones. Now `residency::fence` keeps the index that last changed each zone, and each other part as a whole, by the events that an entry makes. An order whose zone is already so counts as a change of it, and says nothing to routers. An evacuation ordered while a window has its zone empty outlives the window; before, the window's end reinstated the zone.

--- a/consensus/src/wal.rs
+++ b/consensus/src/wal.rs
@@ -56,8 +56,9 @@
 
 const SEGMENT: &[u8; 4] = b"RPLG";
 const PICTURE: &[u8; 4] = b"RPPC";
-/// The format of both files. A reader refuses any other.
-pub const FORMAT: u16 = 3;
+/// The format of both files, of the state machine's snapshot within, and of what
+/// its entries mean. A reader refuses any other.
+pub const FORMAT: u16 = 4;
 const HEAD: usize = 6;
 const TURN: u64 = 4 << 20;
 const RECORD_CAP: usize = 64 << 20;
--- a/residency/src/lib.rs
+++ b/residency/src/lib.rs
@@ -5,6 +5,7 @@
 //! No clock, no socket and no task lives here.
 
 mod book;
+mod fence;
 mod state;
 mod view;
 
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -1,5 +1,6 @@
 //! Applying what was agreed on.
 
+use crate::fence::{LastChanged, Part};
 use crate::{
     book, key, Book, Engine, EngineState, Event, Mapping, Name, Place, Terms, Touch, Traits, View,
 };
@@ -9,7 +10,9 @@
 use simd_json::OwnedValue;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// How many submissions are remembered, so that a repeat is known as one.
+/// How many operators' submissions are remembered, so that a repeat is known as
+/// one. Several days of hundreds of changes; what the nodes submit by themselves
+/// takes no place.
 pub const SUBMISSIONS_KEPT: usize = 4096;
 
 #[binrw]
@@ -143,7 +146,9 @@
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub id: String,
-    /// The epoch that the change was based on; 0 stands for any.
+    /// The epoch that the change was based on: it is a conflict if its subject
+    /// was changed past it. 0 stands for any. Index 1 founds the cluster, so a
+    /// change that is based on nothing has 1.
     pub base: u64,
     pub command: Command,
 }
@@ -156,7 +161,7 @@
     Applied { epoch: u64 },
     #[brw(magic = 1u8)]
     Repeated { epoch: u64 },
-    /// Something of the same kind changed at this epoch, past the base.
+    /// Its subject changed at this epoch, past the base.
     #[brw(magic = 2u8)]
     Conflict { epoch: u64 },
     #[brw(magic = 3u8)]
@@ -194,7 +199,7 @@
 #[brw(big)]
 struct Picture {
     epoch: u64,
-    marks: [u64; 6],
+    last_changed: LastChanged,
     document: Name,
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
@@ -220,8 +225,7 @@
     pub view: View,
     pins: BTreeMap<String, Pin>,
     known: VecDeque<Known>,
-    /// The epoch of the last change of each kind of command.
-    marks: [u64; 6],
+    last_changed: LastChanged,
     windows: Vec<Planned>,
     sheet: Sheet,
 }
@@ -235,25 +239,20 @@
             view: View::default(),
             pins: BTreeMap::new(),
             known: VecDeque::new(),
-            marks: [0; 6],
+            last_changed: LastChanged::default(),
             windows: Vec::new(),
             sheet: Sheet::default(),
         }
     }
 }
 
-fn kind(command: &Command) -> usize {
-    match command {
-        Command::Revise { .. } | Command::Adopt { .. } => 0,
-        Command::Key(_) | Command::KeyGone(_) => 1,
-        Command::Engine(_)
-        | Command::EngineGone(_)
-        | Command::EngineState { .. }
-        | Command::Listed { .. } => 2,
-        Command::Evacuate(_) | Command::GiveBack(_) => 3,
-        Command::Move { .. } | Command::Settle { .. } | Command::Unpin { .. } => 4,
-        Command::Schedule(_) | Command::Begin(_) | Command::End(_) | Command::Fleet(_) => 5,
-    }
+/// Whether a repeat of a command must be known as one. What nodes submit by
+/// themselves says nothing twice: a repeat of it is late, or changes nothing.
+fn is_remembered(command: &Command) -> bool {
+    !matches!(
+        command,
+        Command::Listed { .. } | Command::Fleet(_) | Command::Begin(_) | Command::End(_)
+    )
 }
 
 type Checked = Result<Vec<Event>, String>;
@@ -281,13 +280,13 @@
 
     /// Whether a submission was built on something else than what is in force.
     fn conflict(&self, submission: &Submission) -> Option<Outcome> {
-        let mark = self.marks[kind(&submission.command)];
-        let is_old = submission.base != 0 && submission.base < mark;
+        let changed = self.last_changed.subject_of(&submission.command);
+        let is_old = submission.base != 0 && submission.base < changed;
         let is_other = match &submission.command {
             Command::Adopt { sheet, .. } => sheet.based != self.sheet.revision,
             _ => false,
         };
-        (is_old || is_other).then_some(Outcome::Conflict { epoch: mark })
+        (is_old || is_other).then_some(Outcome::Conflict { epoch: changed })
     }
 
     /// The newest document that was adopted; its revision is 0 where none was.
@@ -324,18 +323,35 @@
             Ok(events) => events,
             Err(text) => return (Outcome::Refused(text), Vec::new()),
         };
+        let pins = self.pins.len();
         self.commit(&submission.command);
         for event in &events {
             self.view.take(event);
         }
         self.view.epoch = epoch;
-        self.marks[kind(&submission.command)] = epoch;
+        self.last_changed.note(&submission.command, &events, epoch);
+        if self.pins.len() < pins {
+            // A revision may take pins along.
+            self.last_changed.note_part(Part::Moves, epoch);
+        }
+        if is_remembered(&submission.command) {
+            self.remember(submission, epoch);
+        }
+        (Outcome::Applied { epoch }, events)
+    }
+
+    /// Invariant: the submission that made the document in force is never
+    /// forgotten, however many others came after it.
+    fn remember(&mut self, submission: &Submission, epoch: u64) {
         let sum = crc(&submission.command);
         self.known.push_back(Known { id: submission.id.clone(), sum, epoch });
-        if self.known.len() > SUBMISSIONS_KEPT {
-            self.known.pop_front();
+        if self.known.len() <= SUBMISSIONS_KEPT {
+            return;
+        }
+        let in_force = self.last_changed.part(Part::Topology);
+        if let Some(oldest) = self.known.iter().position(|known| known.epoch != in_force) {
+            self.known.remove(oldest);
         }
-        (Outcome::Applied { epoch }, events)
     }
 
     fn revised(&self, whole: bool, text: &str) -> Result<(OwnedValue, Book), String> {
@@ -452,12 +468,16 @@
                 let Some(region) = self.book.zones.get(&zone.0) else {
                     return Err(format!("there is no zone {zone}"));
                 };
+                let is_shut = matches!(command, Command::Evacuate(_));
+                if self.view.evacuated.contains(&zone.0) == is_shut {
+                    return Ok(Vec::new());
+                }
                 // Routers leave an evacuated zone's engines out by themselves;
                 // what changes is how long a key at home there stays fresh.
                 let touched = Event::Touched(Touch::Home(Name(region.clone())));
-                Ok(match command {
-                    Command::Evacuate(_) => vec![Event::Evacuated(zone.clone()), touched],
-                    _ => vec![Event::GivenBack(zone.clone()), touched],
+                Ok(match is_shut {
+                    true => vec![Event::Evacuated(zone.clone()), touched],
+                    false => vec![Event::GivenBack(zone.clone()), touched],
                 })
             }
             Command::Move { tenant, service, cell } => {
@@ -684,6 +704,14 @@
                     book.tenants.contains_key(pair.0) && book.services.contains_key(pair.1)
                 });
             }
+            // Ordered while a window has it shut: it stays shut when that ends.
+            Command::Evacuate(zone) => {
+                let is_its = |what: &Emptied| matches!(what, Emptied::Zone(name) if name == zone);
+                let under_way = self.windows.iter_mut().filter(|planned| planned.has_begun);
+                for planned in under_way.filter(|planned| is_its(&planned.window.what)) {
+                    planned.was_shut = true;
+                }
+            }
             Command::Move { tenant, service, cell } => {
                 let key = key(&tenant.0, &service.0);
                 let pin = Pin { key: Name(key.clone()), cell: cell.clone(), is_moving: true };
@@ -818,7 +846,7 @@
     pub fn picture(&self) -> Vec<u8> {
         packed(&Picture {
             epoch: self.epoch(),
-            marks: self.marks,
+            last_changed: self.last_changed.clone(),
             document: Name(self.document.encode()),
             view: self.view.picture(),
             pins: self.pins.values().cloned().collect(),
@@ -846,7 +874,7 @@
             view,
             pins: picture.pins.into_iter().map(|pin| (pin.key.0.clone(), pin)).collect(),
             known: picture.known.into(),
-            marks: picture.marks,
+            last_changed: picture.last_changed,
             windows: picture.windows,
             sheet: picture.sheet,
         })
