Orders are built on what is in force, and void past their term and deadline

Cause: an evacuation went into the log with a fresh id and base 0. A try that a cut held back, or that a node went on submitting, was applied after the operator had taken the zone back, and emptied it again with nobody asking. Now `Desk::order` reads the base after contact with a majority; on a conflict it is built anew as long as its caller waits. A forwarded question carries its term and a deadline by the leader's clock, learned from the leader's replies of that term: a time left alone says nothing of the time within a connection. Past the caller's patience nothing more is submitted (the loop asked once more before). A leader that has not committed in its own term judges nothing by its state: it refused valid orders by one that lagged. Wire epoch 9.

--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -257,7 +257,8 @@
     list.iter().enumerate().map(read).collect()
 }
 
-/// Reads a submission. Complaints name the field.
+/// Reads a submission; its base is 0 where none is stated. Complaints name the
+/// field.
 fn read_submission(value: &OwnedValue) -> Result<Submission, String> {
     let text = |name: &str| {
         value
@@ -352,7 +353,10 @@
         Err(text) => return refused(400, "bad-submission", text),
     };
     let id = submission.id.clone();
-    let reply = desk.hub.submit(submission, PATIENCE).await;
+    let reply = match submission.base {
+        0 => desk.order(submission.id, submission.command, PATIENCE, PATIENCE).await,
+        _ => desk.submit(submission, PATIENCE).await,
+    };
     if let Reply::Submitted(outcome) = &reply {
         log::info!(submission = id.as_str(); "{outcome:?}");
     }
--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -2,11 +2,12 @@
 //! the thread that owns the disk. Everybody else talks to them through one
 //! bounded ring.
 
+use crate::forwarding::{is_valid, LeaderClock};
 use crate::links::Links;
 use consensus::node::{Effect, Input, Node, PersistedState, Refusal as No, Role, Timing, Write};
 use consensus::pack::{packed, unpacked};
 use consensus::wal::{Folder, WriteAheadLog};
-use consensus::{EntryPayload, Member, Membership, Message, NodeId};
+use consensus::{EntryPayload, Member, Membership, Message, NodeId, Term};
 use parking_lot::RwLock;
 use placement::{Margin, Paces, Pools};
 use residency::{Event, Mapping, State, Submission, View};
@@ -16,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use wire::{Frame, FrontDemand, FrontShares, Question, Reply, LICENCE_MS};
+use wire::{Frame, FrontDemand, FrontShares, Question, Reply, Validity, LICENCE_MS};
 use yard::counters::Counters;
 use yard::now;
 use yard::web::Refusal;
@@ -37,10 +38,13 @@
     DiskFailed,
     /// The disk takes writes again: what it holds, and the way to it.
     DiskBack(PersistedState, SyncSender<(u64, Vec<Write>)>),
-    Ask(Question, oneshot::Sender<Reply>),
-    /// A question from another node, to be answered there.
-    AskedBy(NodeId, u64, Question),
-    Replied(u64, Reply),
+    Ask(Asked, oneshot::Sender<Reply>),
+    AskedBy(Forwarded),
+    Replied {
+        number: u64,
+        clock_ms: u64,
+        reply: Reply,
+    },
     Found(oneshot::Sender<Result<(), String>>),
     Attach(mpsc::Sender<Frame>),
     HandOver,
@@ -59,6 +63,23 @@
     pub repair: String,
 }
 
+/// A question from this process.
+pub struct Asked {
+    question: Question,
+    /// Nothing is proposed for it past this time.
+    until: u64,
+    /// Where it is of use only while this node leads in this term.
+    only_term: Option<Term>,
+}
+
+/// A question from another node, to be answered there.
+pub struct Forwarded {
+    pub from: NodeId,
+    pub number: u64,
+    pub validity: Validity,
+    pub question: Question,
+}
+
 /// How this node stands, for all to see.
 #[derive(Clone, Default)]
 pub struct Standing {
@@ -91,8 +112,13 @@
     }
 
     pub async fn ask(&self, question: Question) -> Reply {
+        let until = now() + ASK_PATIENCE_MS;
+        self.ask_asked(Asked { question, until, only_term: None }).await
+    }
+
+    async fn ask_asked(&self, asked: Asked) -> Reply {
         let (sender, receiver) = oneshot::channel();
-        if !self.send(Call::Ask(question, sender)) {
+        if !self.send(Call::Ask(asked, sender)) {
             return Reply::Busy;
         }
         receiver.await.unwrap_or(Reply::Lost)
@@ -107,18 +133,31 @@
         receiver.await.unwrap_or(Err("the ledger ended".into()))
     }
 
-    /// Submits until the outcome is known or patience ends. The submission's
-    /// id makes the repeats harmless.
-    pub async fn submit(&self, submission: Submission, patience: Duration) -> Reply {
-        let until = tokio::time::Instant::now() + patience;
-        loop {
-            let reply = self.ask(Question::Submit(submission.clone())).await;
-            let is_final = matches!(reply, Reply::Submitted(_));
-            if is_final || tokio::time::Instant::now() >= until {
+    /// Submits until the outcome is known or `until` has come; past that nothing is
+    /// proposed for it any more. The submission's id makes the repeats harmless.
+    pub async fn submit(&self, submission: Submission, until: u64) -> Reply {
+        let mut reply = Reply::Lost;
+        while now() < until {
+            let question = Question::Submit(submission.clone());
+            let asked =
+                Asked { question, until: until.min(now() + ASK_PATIENCE_MS), only_term: None };
+            let left = Duration::from_millis(until.saturating_sub(now()));
+            let answer = tokio::time::timeout(left, self.ask_asked(asked)).await;
+            reply = answer.unwrap_or(Reply::Lost);
+            if matches!(reply, Reply::Submitted(_)) {
                 return reply;
             }
             tokio::time::sleep(yard::jitter(120)).await;
         }
+        reply
+    }
+
+    /// Submits once, and only while this node leads in that term.
+    pub async fn submit_as_leader(&self, submission: Submission, term: Term, until: u64) -> Reply {
+        let question = Question::Submit(submission);
+        let asked = Asked { question, until, only_term: Some(term) };
+        let left = Duration::from_millis(until.saturating_sub(now()));
+        tokio::time::timeout(left, self.ask_asked(asked)).await.unwrap_or(Reply::Lost)
     }
 
     pub fn note_confirmed(&self, asked: u64) {
@@ -199,6 +238,14 @@
     }
 }
 
+/// A question that was sent to the leader.
+struct Sent {
+    leader: NodeId,
+    term: Term,
+    until: u64,
+    reply: oneshot::Sender<Reply>,
+}
+
 enum Waiter {
     Here(oneshot::Sender<Reply>),
     There(NodeId, u64),
@@ -223,8 +270,9 @@
     next: u64,
     /// Matters handed to the node here, by token.
     tokens: HashMap<u64, Waiter>,
-    /// Questions sent to the leader, by number, with the time of sending.
-    asked: HashMap<u64, (u64, oneshot::Sender<Reply>)>,
+    /// Questions sent to the leader, by number.
+    asked: HashMap<u64, Sent>,
+    leader_clock: LeaderClock,
     /// Confirmed by the leader; answered once this index is applied here.
     confirms: Vec<(u64, Waiter, Vec<FrontShares>)>,
     /// Shares that go out with a confirmation under way, by its token.
@@ -285,6 +333,7 @@
         next: rand::random::<u32>().into(),
         tokens: HashMap::new(),
         asked: HashMap::new(),
+        leader_clock: LeaderClock::default(),
         confirms: Vec::new(),
         granted: HashMap::new(),
         grants: Grants::new(margin),
@@ -375,7 +424,7 @@
 
     /// How long nothing happens here by itself.
     fn wait(&self) -> Duration {
-        let asked = self.asked.values().map(|(at, _)| at + ASK_PATIENCE_MS + 1).min();
+        let asked = self.asked.values().map(|sent| sent.until).min();
         let due = self.node.due().min(asked.unwrap_or(u64::MAX));
         Duration::from_millis(due.saturating_sub(now()).min(LONGEST_WAIT_MS))
     }
@@ -391,22 +440,17 @@
             Call::Synced(ticket) => self.step(Input::Synced(ticket)),
             Call::DiskFailed => self.step(Input::DiskFailed),
             Call::DiskBack(kept, disk) => self.begin_again(kept, disk),
-            Call::Ask(question, reply) => self.ask(question, reply),
-            Call::AskedBy(from, number, question) => {
-                let waiter = Waiter::There(from, number);
-                match self.node.role() == Role::Leader {
-                    true => self.lead(question, waiter),
-                    false => self.deliver(waiter, Reply::NotLeader),
-                }
-            }
-            Call::Replied(number, reply) => {
-                let Some((_, sender)) = self.asked.remove(&number) else { return };
+            Call::Ask(asked, reply) => self.ask(asked, reply),
+            Call::AskedBy(forwarded) => self.asked_by(forwarded),
+            Call::Replied { number, clock_ms, reply } => {
+                let Some(sent) = self.asked.remove(&number) else { return };
+                self.leader_clock.learn(sent.leader, sent.term, clock_ms, now());
                 match reply {
                     Reply::Confirmed { index, shares } => {
-                        self.confirms.push((index, Waiter::Here(sender), shares));
+                        self.confirms.push((index, Waiter::Here(sent.reply), shares));
                         self.settle();
                     }
-                    reply => self.deliver(Waiter::Here(sender), reply),
+                    reply => self.deliver(Waiter::Here(sent.reply), reply),
                 }
             }
             Call::Found(reply) => {
@@ -467,8 +511,8 @@
         for (_, waiter, _) in std::mem::take(&mut self.confirms) {
             self.deliver(waiter, Reply::Lost);
         }
-        for (_, (_, sender)) in std::mem::take(&mut self.asked) {
-            drop(sender.send(Reply::Lost));
+        for (_, sent) in std::mem::take(&mut self.asked) {
+            drop(sent.reply.send(Reply::Lost));
         }
         self.granted.clear();
         self.node = node;
@@ -479,8 +523,18 @@
     }
 
     /// A question from this process: answered here by the leader, else there.
-    fn ask(&mut self, question: Question, reply: oneshot::Sender<Reply>) {
-        if self.node.role() == Role::Leader {
+    fn ask(&mut self, asked: Asked, reply: oneshot::Sender<Reply>) {
+        let Asked { question, until, only_term } = asked;
+        let is_leader = self.node.role() == Role::Leader;
+        let term = self.node.term();
+        if only_term.is_some_and(|only| !is_leader || only != term) {
+            return self.deliver(Waiter::Here(reply), Reply::NotLeader);
+        }
+        // This process may have stood still meanwhile.
+        if now() >= until {
+            return self.deliver(Waiter::Here(reply), Reply::Lost);
+        }
+        if is_leader {
             return self.lead(question, Waiter::Here(reply));
         }
         let leader = self.node.leader().and_then(|id| self.node.members().get(id)).cloned();
@@ -488,11 +542,24 @@
             return self.deliver(Waiter::Here(reply), Reply::NotLeader);
         };
         let number = self.number();
-        self.asked.insert(number, (now(), reply));
-        let frame = Frame::Ask { from: self.me.identity, number, question };
+        let validity = self.leader_clock.validity(leader.identity, term, until);
+        self.asked.insert(number, Sent { leader: leader.identity, term, until, reply });
+        let frame = Frame::Ask { from: self.me.identity, number, validity, question };
         self.links.send(&leader.address, frame);
     }
 
+    /// A question from another node. What is late is not acted on; whoever still
+    /// waits asks anew.
+    fn asked_by(&mut self, forwarded: Forwarded) {
+        let Forwarded { from, number, validity, question } = forwarded;
+        let waiter = Waiter::There(from, number);
+        let is_leader = self.node.role() == Role::Leader;
+        match is_leader && is_valid(&question, validity, self.node.term(), now()) {
+            true => self.lead(question, waiter),
+            false => self.deliver(waiter, Reply::NotLeader),
+        }
+    }
+
     fn lead(&mut self, question: Question, waiter: Waiter) {
         let token = self.number();
         let input = match question {
@@ -502,8 +569,13 @@
                 Input::ReadIndex(token)
             }
             Question::Submit(submission) => {
-                // A repeat, a conflict or a refusal needs no entry.
-                if let Some(outcome) = self.state.read().check(&submission) {
+                // A repeat, a conflict or a refusal needs no entry, once all that
+                // former leaders left is applied: an older state says nothing.
+                let outcome = match self.node.is_settled() {
+                    true => self.state.read().check(&submission),
+                    false => None,
+                };
+                if let Some(outcome) = outcome {
                     return self.deliver(waiter, Reply::Submitted(outcome));
                 }
                 // What too few hold might go with the loss of one.
@@ -537,7 +609,9 @@
         match waiter {
             // Who asked may have left; then nobody needs the answer.
             Waiter::Here(sender) => drop(sender.send(reply)),
-            Waiter::There(to, number) => self.links.send_to(to, Frame::Reply { number, reply }),
+            Waiter::There(to, number) => {
+                self.links.send_to(to, Frame::Reply { number, clock_ms: now(), reply });
+            }
         }
     }
 
@@ -646,12 +720,12 @@
     }
 
     fn expire(&mut self) {
-        let old = now().saturating_sub(ASK_PATIENCE_MS);
+        let now = now();
         let late: Vec<u64> =
-            self.asked.iter().filter(|(_, (at, _))| *at < old).map(|(n, _)| *n).collect();
+            self.asked.iter().filter(|(_, sent)| sent.until <= now).map(|(n, _)| *n).collect();
         for number in late {
-            if let Some((_, sender)) = self.asked.remove(&number) {
-                drop(sender.send(Reply::Lost));
+            if let Some(sent) = self.asked.remove(&number) {
+                drop(sent.reply.send(Reply::Lost));
             }
         }
     }
@@ -702,8 +776,8 @@
         }
         if before.leader != standing.leader {
             // What was asked of the former leader is asked again elsewhere.
-            for (_, (_, sender)) in std::mem::take(&mut self.asked) {
-                drop(sender.send(Reply::Lost));
+            for (_, sent) in std::mem::take(&mut self.asked) {
+                drop(sent.reply.send(Reply::Lost));
             }
             log::info!(term = standing.term; "leader is {}",
                 standing.leader.and_then(|id| standing.members.get(id)).map_or("not known".into(), |m| m.to_string()));
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -5,10 +5,12 @@
 //! are the seams at which another interface than our own can be put to it.
 
 mod desk;
+pub mod forwarding;
 mod hub;
 mod jobs;
 mod links;
 pub mod listing;
+mod orders;
 mod sessions;
 mod windows;
 
@@ -19,7 +21,7 @@
 use consensus::wal::{Folder, WriteAheadLog};
 use consensus::Member;
 use parking_lot::{Mutex, RwLock};
-use residency::{Sheet, State, Submission, View};
+use residency::{Sheet, State, View};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -138,11 +140,6 @@
         tokio::time::timeout(patience, ask).await.is_ok()
     }
 
-    /// Submits until the outcome is known or patience ends.
-    pub async fn submit(&self, submission: Submission, patience: Duration) -> Reply {
-        self.hub.submit(submission, patience).await
-    }
-
     /// Looks at the state as it is applied here.
     pub fn look<T>(&self, at: impl FnOnce(&State) -> T) -> T {
         at(&self.hub.state.read())
--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -1,6 +1,6 @@
 //! Links to the other directory nodes, and the port they all come in by.
 
-use crate::hub::Call;
+use crate::hub::{Call, Forwarded};
 use crate::{jobs, sessions, Desk};
 use consensus::{Member, NodeId};
 use parking_lot::Mutex;
@@ -147,11 +147,11 @@
             Frame::Ledger(message) => {
                 desk.hub.send(Call::Heard(message));
             }
-            Frame::Ask { from, number, question } => {
-                desk.hub.send(Call::AskedBy(from, number, question));
+            Frame::Ask { from, number, validity, question } => {
+                desk.hub.send(Call::AskedBy(Forwarded { from, number, validity, question }));
             }
-            Frame::Reply { number, reply } => {
-                desk.hub.send(Call::Replied(number, reply));
+            Frame::Reply { number, clock_ms, reply } => {
+                desk.hub.send(Call::Replied { number, clock_ms, reply });
             }
             Frame::Fronts { fronts, .. } => {
                 let mut known = desk.fronts.lock();
--- a/directory/src/listing.rs
+++ b/directory/src/listing.rs
@@ -2,6 +2,7 @@
 //! over what it says anew.
 
 use crate::Desk;
+use consensus::Term;
 use residency::{Command, Engine, Name, Submission, View};
 use std::future::Future;
 use std::pin::Pin;
@@ -19,6 +20,7 @@
 
 /// An answer that took longer, also because this process stood still, is void.
 const STALE_MS: u64 = 2_500;
+const SUBMIT: Duration = Duration::from_millis(1_500);
 
 /// What a list says anew, as one command; nothing where it says nothing. Of an
 /// engine's warming only its beginning and its end are news. Engines of cells
@@ -59,16 +61,18 @@
     let mut fewer_since = None;
     while standing.wait_for(|standing| standing.is_leader).await.is_ok() {
         tokio::time::sleep(yard::jitter(900)).await;
+        // Based on the count that it differs from.
+        let base = desk.base();
         let (seen, known) = (desk.fronts.lock().count() as u32, desk.look(|s| s.view.fleet));
         if seen >= known {
             fewer_since = None;
         }
         let since = *fewer_since.get_or_insert(yard::now());
         let is_news = seen > known || seen < known && yard::now() > since + FEWER_MS;
-        if is_news && desk.hub.standing.borrow().is_leader {
+        if let Some(term) = desk.leads_in().filter(|_| is_news) {
             let id = format!("fleet-{:016x}", rand::random::<u64>());
-            let submission = Submission { id, base: 0, command: Command::Fleet(seen) };
-            desk.submit(submission, Duration::from_millis(1_500)).await;
+            let submission = Submission { id, base, command: Command::Fleet(seen) };
+            desk.submit_as_leader(submission, term, SUBMIT).await;
         }
     }
 }
@@ -76,7 +80,8 @@
 pub(crate) async fn run(desk: Arc<Desk>, listing: Listing) {
     let mut standing = desk.hub.standing.clone();
     while standing.wait_for(|standing| standing.is_leader).await.is_ok() {
-        if let Err(error) = take(&desk, &listing).await {
+        let Some(term) = desk.leads_in() else { continue };
+        if let Err(error) = take(&desk, &listing, term).await {
             log::warn!("the list of engines: {error:#}");
         }
         let period = Duration::from_millis(listing.period_ms);
@@ -85,19 +90,27 @@
     }
 }
 
-async fn take(desk: &Desk, listing: &Listing) -> anyhow::Result<()> {
-    let (at, epoch) = (yard::now(), desk.look(|state| state.epoch()));
+/// Asks for the list as the leader of `term` and takes over what it says anew.
+/// Invariant: lists count in the order in which they were asked for. One that a
+/// former leader asked for is not proposed after its term. What it proposed in its
+/// term is applied before a later leader asks, or is a conflict with what that
+/// leader's own list made.
+async fn take(desk: &Desk, listing: &Listing, term: Term) -> anyhow::Result<()> {
     let patience = Duration::from_millis(STALE_MS);
+    if !desk.confirm_within(patience).await {
+        anyhow::bail!("no majority confirms that this node leads");
+    }
+    let (at, base) = (yard::now(), desk.base());
     let listed = tokio::time::timeout(patience, (listing.ask)()).await??;
     let Some(command) = desk.look(|state| news(&state.view, listed)) else { return Ok(()) };
     if yard::now() > at + STALE_MS {
         anyhow::bail!("it came too late to be of use");
     }
-    // Based on what was known when it was asked for: a list that another leader
-    // has taken over meanwhile is not undone by an older one.
+    // Based on what was known when it was asked for: what has changed meanwhile is
+    // not undone by an older list.
     let id = format!("list-{:016x}", rand::random::<u64>());
-    let submission = Submission { id, base: epoch, command };
-    let reply = desk.submit(submission, Duration::from_millis(1_500)).await;
+    let submission = Submission { id, base, command };
+    let reply = desk.submit_as_leader(submission, term, SUBMIT).await;
     log::info!("the list of engines changed: {reply:?}");
     Ok(())
 }
--- /dev/null
+++ b/directory/src/orders.rs
@@ -0,0 +1,78 @@
+//! Orders of operators: each is held against what it was built on.
+//!
+//! A try may be held back by a cut and reach the log long after whoever sent it
+//! has gone on to something else. So an order that states no base gets one here,
+//! read after contact with a majority. The log refuses it if its subject changed
+//! meanwhile, and it is then decided anew, as long as its caller waits.
+
+use crate::Desk;
+use consensus::Term;
+use residency::{Command, Outcome, Submission};
+use std::time::Duration;
+use wire::Reply;
+
+/// The base of a change that is built on nothing: index 1 founds the cluster.
+const FOUNDED: u64 = 1;
+
+impl Desk {
+    /// Submits a change on top of what is in force until its outcome is known or
+    /// patience ends; of that, `contact` for a majority's confirmation of what is in
+    /// force. A conflict is never its outcome. Dropping the future, as when the caller
+    /// leaves, ends it; past its end nothing more is proposed for it.
+    pub async fn order(
+        &self,
+        id: String,
+        command: Command,
+        contact: Duration,
+        patience: Duration,
+    ) -> Reply {
+        let until = yard::now() + patience.as_millis() as u64;
+        if !self.confirm_within(contact).await {
+            return Reply::NotLeader;
+        }
+        loop {
+            let base = self.base();
+            let submission = Submission { id: id.clone(), base, command: command.clone() };
+            match self.hub.submit(submission, until).await {
+                Reply::Submitted(Outcome::Conflict { .. }) => {}
+                reply => return reply,
+            }
+            if !self.confirm_within(left(until)).await {
+                return Reply::NotLeader;
+            }
+        }
+    }
+
+    /// Submits a change that states what it was built on, until its outcome is known
+    /// or patience ends.
+    pub async fn submit(&self, submission: Submission, patience: Duration) -> Reply {
+        self.hub.submit(submission, yard::now() + patience.as_millis() as u64).await
+    }
+
+    /// Submits, once, what this node found due as the leader of a term. No other
+    /// term's leader proposes it.
+    pub async fn submit_as_leader(
+        &self,
+        submission: Submission,
+        term: Term,
+        patience: Duration,
+    ) -> Reply {
+        let until = yard::now() + patience.as_millis() as u64;
+        self.hub.submit_as_leader(submission, term, until).await
+    }
+
+    /// The term that this node leads in, if it does.
+    pub fn leads_in(&self) -> Option<Term> {
+        let standing = self.hub.standing.borrow();
+        standing.is_leader.then_some(standing.term)
+    }
+
+    /// What a change is built on that goes by the state as it is applied here.
+    pub(crate) fn base(&self) -> u64 {
+        self.look(|state| state.epoch().max(FOUNDED))
+    }
+}
+
+fn left(until: u64) -> Duration {
+    Duration::from_millis(until.saturating_sub(yard::now()))
+}
--- /dev/null
+++ b/directory/tests/common/mod.rs
@@ -0,0 +1,238 @@
+//! Directory nodes within the test's process, each reached by a relay that can hold
+//! forwarded submissions back, as a cut does.
+
+use consensus::node::Timing;
+use directory::{Desk, Flavour, Ports, Settings};
+use residency::{Command, Outcome};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Mutex};
+use wire::{Frame, Question, Reply, Validity};
+use yard::link;
+
+/// Longer than anything here takes on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+const NODES: usize = 3;
+/// So long that a busy machine makes nobody else campaign. The founder leads at once.
+const ELECTION_MS: u64 = 20_000;
+const RELAY_PORT: u16 = 7361;
+const LISTEN_PORT: u16 = 7362;
+const DESK_PORT: u16 = 7363;
+
+pub const TOPOLOGY: &str = r#"{
+  "zones": { "n-a": { "region": "north" }, "s-a": { "region": "south" } },
+  "cells": { "n-1": { "zone": "n-a" }, "s-1": { "zone": "s-a" } }
+}"#;
+
+/// A forwarded submission that a relay holds back.
+pub struct Held {
+    from: u64,
+    pub number: u64,
+    pub validity: Validity,
+    pub question: Question,
+    way: Arc<Mutex<OwnedWriteHalf>>,
+}
+
+impl Held {
+    /// Lets it go on, as the cut's end would, with another validity if need be.
+    pub async fn release(&self, validity: Validity) {
+        let (from, number, question) = (self.from, self.number, self.question.clone());
+        let frame = Frame::Ask { from, number, validity, question };
+        let bytes = wire::encode(&frame);
+        self.way.lock().await.write_all(&bytes).await.expect("the connection stands");
+    }
+}
+
+/// What becomes of a frame on its way.
+pub type Filter = Box<dyn FnMut(Frame) -> Vec<Frame> + Send>;
+
+/// What the relays see. Frames keep their order, but for those held back.
+struct Relay {
+    filter: parking_lot::Mutex<Filter>,
+    is_holding: AtomicBool,
+    held: mpsc::UnboundedSender<Held>,
+    replies: mpsc::UnboundedSender<(u64, Reply)>,
+}
+
+impl Relay {
+    async fn carry(self: Arc<Relay>, listener: TcpListener, real: SocketAddr) {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(Arc::clone(&self).connected(stream, real));
+        }
+    }
+
+    async fn connected(self: Arc<Relay>, near: TcpStream, real: SocketAddr) {
+        let Ok(far) = TcpStream::connect(real).await else { return };
+        let (mut near_in, mut near_out) = near.into_split();
+        let (mut far_in, far_out) = far.into_split();
+        let back = tokio::spawn(async move {
+            drop(tokio::io::copy(&mut far_in, &mut near_out).await);
+        });
+        let way = Arc::new(Mutex::new(far_out));
+        while let Ok(Some(frame)) = link::receive(&mut near_in, wire::CAP).await {
+            let frames = (self.filter.lock())(frame);
+            for frame in frames.into_iter().filter_map(|frame| self.pass(frame, &way)) {
+                let bytes = wire::encode(&frame);
+                if way.lock().await.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+        }
+        drop(way.lock().await.shutdown().await);
+        back.abort();
+    }
+
+    fn pass(&self, frame: Frame, way: &Arc<Mutex<OwnedWriteHalf>>) -> Option<Frame> {
+        match frame {
+            Frame::Ask { from, number, validity, question: question @ Question::Submit(_) }
+                if self.is_holding.load(Ordering::SeqCst) =>
+            {
+                let way = Arc::clone(way);
+                let held = Held { from, number, validity, question, way };
+                drop(self.held.send(held));
+                None
+            }
+            Frame::Reply { number, ref reply, .. } => {
+                drop(self.replies.send((number, reply.clone())));
+                Some(frame)
+            }
+            frame => Some(frame),
+        }
+    }
+}
+
+/// Invariant: the nodes go on until the test's process ends.
+pub struct Nodes {
+    folder: PathBuf,
+    pub desks: Vec<Arc<Desk>>,
+    relay: Arc<Relay>,
+    held: mpsc::UnboundedReceiver<Held>,
+    replies: mpsc::UnboundedReceiver<(u64, Reply)>,
+}
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        drop(std::fs::remove_dir_all(&self.folder));
+    }
+}
+
+impl Nodes {
+    /// Starts nodes on a loopback net of their own; they lead and know a topology.
+    pub async fn start(net: u8) -> Nodes {
+        let at = |node: usize, port| SocketAddr::from(([127, 83, net, 10 + node as u8], port));
+        let folder = format!("rushport-orders-{}-{net}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        let (held_in, held) = mpsc::unbounded_channel();
+        let (replies_in, replies) = mpsc::unbounded_channel();
+        let is_holding = AtomicBool::new(false);
+        let filter: Filter = Box::new(|frame| vec![frame]);
+        let filter = parking_lot::Mutex::new(filter);
+        let relay = Arc::new(Relay { filter, is_holding, held: held_in, replies: replies_in });
+        let mut desks = Vec::new();
+        for node in 0..NODES {
+            let listener = TcpListener::bind(at(node, RELAY_PORT)).await.expect("it is free");
+            tokio::spawn(Arc::clone(&relay).carry(listener, at(node, LISTEN_PORT)));
+            let settings = Settings {
+                name: format!("node-{node}"),
+                region: format!("region-{node}"),
+                zone: format!("zone-{node}"),
+                address: at(node, RELAY_PORT),
+                listen: at(node, LISTEN_PORT),
+                desk: at(node, DESK_PORT),
+                data: folder.join(format!("data-{node}")),
+                seeds: (0..NODES).map(|seed| at(seed, RELAY_PORT)).collect(),
+                pace: Timing { election: ELECTION_MS, ..Timing::default() },
+                jobs: 0,
+                bytes: 0,
+                picture_every: 256,
+                first_start: true,
+                is_confirmed_by: NODES,
+                leave_patience: Duration::ZERO,
+                margin: None,
+                flavour: Flavour::CurrentThread,
+            };
+            let (begun, has_begun) = tokio::sync::oneshot::channel();
+            let begun: directory::Begun = Box::new(move |desk| drop(begun.send(desk)));
+            let ports = Ports { begun: Some(begun), ..Ports::default() };
+            std::thread::spawn(move || directory::run(settings, ports).expect("it runs"));
+            desks.push(has_begun.await.expect("it starts"));
+        }
+        let nodes = Nodes { folder, desks, relay, held, replies };
+        let command = Command::Revise { whole: true, text: TOPOLOGY.into() };
+        nodes.must(&nodes.desks[0], "topology", command).await;
+        nodes
+    }
+
+    /// The leader and a follower.
+    pub async fn roles(&self) -> (Arc<Desk>, Arc<Desk>) {
+        let leads = |desk: &&Arc<Desk>| desk.leads();
+        loop {
+            let leader = self.desks.iter().find(leads).cloned();
+            let follower = self.desks.iter().find(|desk| !desk.leads()).cloned();
+            if let (Some(leader), Some(follower)) = (leader, follower) {
+                if leader.confirm().await && follower.confirm().await {
+                    return (leader, follower);
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Orders until it is taken.
+    pub async fn must(&self, desk: &Desk, id: &str, command: Command) {
+        let order = desk.order(id.into(), command, PATIENCE, PATIENCE);
+        let reply = order.await;
+        let is_taken =
+            matches!(reply, Reply::Submitted(Outcome::Applied { .. } | Outcome::Repeated { .. }));
+        assert!(is_taken, "{id}: {reply:?}");
+    }
+
+    pub fn set_filter(&self, filter: Filter) {
+        *self.relay.filter.lock() = filter;
+    }
+
+    pub fn hold(&self, is_holding: bool) {
+        self.relay.is_holding.store(is_holding, Ordering::SeqCst);
+    }
+
+    pub async fn next_held(&mut self) -> Held {
+        let next = tokio::time::timeout(PATIENCE, self.held.recv()).await;
+        next.expect("something is submitted").expect("the relays are there")
+    }
+
+    /// Those that were held back and not looked at so far.
+    pub fn others_held(&mut self) -> Vec<Held> {
+        std::iter::from_fn(|| self.held.try_recv().ok()).collect()
+    }
+
+    /// What the leader says to a question of this number from now on.
+    pub async fn reply_to(&mut self, number: u64) -> Reply {
+        let next = async {
+            loop {
+                let (to, reply) = self.replies.recv().await.expect("the relays are there");
+                if to == number {
+                    return reply;
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, next).await.expect("the leader answers")
+    }
+
+    /// Whether a zone is evacuated, by each node as it is after contact with a
+    /// majority.
+    pub async fn is_evacuated(&self, zone: &str) -> bool {
+        let mut seen = Vec::new();
+        for desk in &self.desks {
+            assert!(desk.confirm_within(PATIENCE).await);
+            seen.push(desk.look(|state| state.view.evacuated.contains(zone)));
+        }
+        assert!(seen.iter().all(|shut| *shut == seen[0]), "{seen:?}");
+        seen[0]
+    }
+}
--- /dev/null
+++ b/directory/tests/orders.rs
@@ -0,0 +1,222 @@
+//! Orders that a cut holds back on their way to the leader.
+
+mod common;
+
+use common::{Nodes, PATIENCE};
+use consensus::{Body, Message};
+use directory::Desk;
+use residency::{Command, Name, Outcome, Submission};
+use std::sync::Arc;
+use std::time::Duration;
+use wire::{Frame, Question, Reply, Validity};
+
+/// A deadline that no cut is longer than.
+const NEVER_MS: u64 = u64::MAX;
+
+fn evacuate() -> Command {
+    Command::Evacuate(Name::from("n-a"))
+}
+
+fn reinstate() -> Command {
+    Command::GiveBack(Name::from("n-a"))
+}
+
+/// Guards: an evacuation that a cut held back, and whose caller has gone, does not
+/// empty the zone again after the operator took it back: the log refuses it by what
+/// it was built on, and the leader by its term and by its deadline.
+#[tokio::test]
+async fn a_late_evacuation_empties_nothing() {
+    let mut nodes = Nodes::start(1).await;
+    let (leader, follower) = nodes.roles().await;
+    nodes.hold(true);
+    let order =
+        tokio::spawn(
+            async move { follower.order("held".into(), evacuate(), PATIENCE, PATIENCE).await },
+        );
+    let held = nodes.next_held().await;
+    order.abort();
+    nodes.hold(false);
+    nodes.must(&leader, "by another way", evacuate()).await;
+    assert!(nodes.is_evacuated("n-a").await);
+    nodes.must(&leader, "taken back", reinstate()).await;
+
+    let Validity { term, deadline_ms } = held.validity;
+    assert_eq!(Some(term), leader.leads_in());
+    assert!(deadline_ms > 0, "the leader's clock is known by then");
+    held.release(Validity { term, deadline_ms: NEVER_MS }).await;
+    let reply = nodes.reply_to(held.number).await;
+    assert!(matches!(reply, Reply::Submitted(Outcome::Conflict { .. })), "{reply:?}");
+    for validity in [
+        Validity { term: term - 1, deadline_ms: NEVER_MS },
+        Validity { term: term + 1, deadline_ms: NEVER_MS },
+        Validity { term, deadline_ms: 0 },
+        Validity { term, deadline_ms: yard::now() },
+    ] {
+        held.release(validity).await;
+        assert_eq!(nodes.reply_to(held.number).await, Reply::NotLeader, "{validity:?}");
+    }
+    assert!(!nodes.is_evacuated("n-a").await);
+}
+
+/// Guards: the end of an evacuation that a cut held back does not undo a newer
+/// evacuation, also if that one found the zone evacuated already.
+#[tokio::test]
+async fn a_late_end_undoes_nothing() {
+    let mut nodes = Nodes::start(2).await;
+    let (leader, follower) = nodes.roles().await;
+    nodes.must(&leader, "first", evacuate()).await;
+    nodes.hold(true);
+    let order = tokio::spawn(async move {
+        follower.order("held".into(), reinstate(), PATIENCE, PATIENCE).await
+    });
+    let held = nodes.next_held().await;
+    order.abort();
+    nodes.hold(false);
+    nodes.must(&leader, "second", evacuate()).await;
+    held.release(Validity { deadline_ms: NEVER_MS, ..held.validity }).await;
+    let reply = nodes.reply_to(held.number).await;
+    assert!(matches!(reply, Reply::Submitted(Outcome::Conflict { .. })), "{reply:?}");
+    assert!(nodes.is_evacuated("n-a").await);
+}
+
+/// Guards: an order is never refused for being late. Its caller still waits, so it is
+/// built anew on what is in force by then.
+#[tokio::test]
+async fn an_order_whose_caller_waits_is_decided_anew() {
+    let mut nodes = Nodes::start(3).await;
+    let (leader, follower) = nodes.roles().await;
+    nodes.hold(true);
+    let order =
+        tokio::spawn(
+            async move { follower.order("held".into(), evacuate(), PATIENCE, PATIENCE).await },
+        );
+    let held = nodes.next_held().await;
+    nodes.must(&leader, "by another way", evacuate()).await;
+    nodes.must(&leader, "taken back", reinstate()).await;
+    nodes.hold(false);
+    held.release(Validity { deadline_ms: NEVER_MS, ..held.validity }).await;
+    let reply = nodes.reply_to(held.number).await;
+    assert!(matches!(reply, Reply::Submitted(Outcome::Conflict { .. })), "{reply:?}");
+    let reply = order.await.expect("nobody panics");
+    assert!(matches!(reply, Reply::Submitted(Outcome::Applied { .. })), "{reply:?}");
+    assert!(nodes.is_evacuated("n-a").await);
+    // A repeat of it is known, and changes nothing that came after.
+    nodes.must(&leader, "taken back again", reinstate()).await;
+    let again = leader.order("held".into(), evacuate(), PATIENCE, PATIENCE).await;
+    assert!(matches!(again, Reply::Submitted(Outcome::Repeated { .. })), "{again:?}");
+    assert!(!nodes.is_evacuated("n-a").await);
+}
+
+/// Guards: once its caller's patience has ended, nothing more is submitted for an
+/// order, and what is still on its way is void by its deadline.
+#[tokio::test]
+async fn past_its_callers_patience_an_order_is_void() {
+    let mut nodes = Nodes::start(4).await;
+    let (leader, follower) = nodes.roles().await;
+    nodes.hold(true);
+    let patience = Duration::from_millis(2_000);
+    let asked = yard::now();
+    let reply = follower.order("held".into(), evacuate(), PATIENCE, patience).await;
+    let ended = yard::now();
+    assert!(!matches!(reply, Reply::Submitted(_)), "{reply:?}");
+    let mut held = vec![nodes.next_held().await];
+    held.extend(nodes.others_held());
+    nodes.hold(false);
+    let until = asked + patience.as_millis() as u64;
+    for held in &held {
+        assert!(held.validity.deadline_ms <= until, "nodes of one process share a clock");
+    }
+    assert!(ended >= until);
+    for held in &held {
+        held.release(held.validity).await;
+        assert_eq!(nodes.reply_to(held.number).await, Reply::NotLeader);
+    }
+    // What the follower submits next is something else.
+    nodes.hold(true);
+    let next = Arc::clone(&follower);
+    let order =
+        tokio::spawn(
+            async move { next.order("next".into(), reinstate(), PATIENCE, PATIENCE).await },
+        );
+    let Question::Submit(submission) = nodes.next_held().await.question else {
+        panic!("submissions alone are held")
+    };
+    assert_eq!(submission.id, "next");
+    order.abort();
+    nodes.hold(false);
+    assert!(!nodes.is_evacuated("n-a").await);
+    drop(leader);
+}
+
+/// Guards: a leader that has not committed in its own term yet, and so may not know
+/// what former leaders committed, refuses nothing by its own state.
+#[tokio::test]
+async fn a_new_leader_refuses_nothing_by_an_old_state() {
+    let nodes = Nodes::start(6).await;
+    let (leader, next) = nodes.roles().await;
+    let (leader_id, next_id) = (leader.member.identity, next.member.identity);
+    let is_third = |desk: &&Arc<Desk>| ![leader_id, next_id].contains(&desk.member.identity);
+    let third = nodes.desks.iter().find(is_third).expect("there are three");
+    // The next leader gets the entry, and does not hear that it is committed.
+    let known = next.look(|state| state.epoch());
+    nodes.set_filter(Box::new(move |mut frame| {
+        if let Frame::Ledger(Message { to, body: Body::AppendEntries { commit, .. }, .. }) =
+            &mut frame
+        {
+            *commit = if *to == next_id { known.min(*commit) } else { *commit };
+        }
+        vec![frame]
+    }));
+    let text = r#"{"zones":{"x-a":{"region":"x"}},"cells":{"x-1":{"zone":"x-a"}}}"#;
+    let revise = Command::Revise { whole: false, text: text.into() };
+    nodes.must(&leader, "a zone more", revise).await;
+    assert!(third.confirm_within(PATIENCE).await);
+    let base = third.look(|state| state.epoch());
+    assert!(base > known);
+    // It takes over, and no response tells it of a majority before the order is there.
+    let mut is_asked = false;
+    nodes.set_filter(Box::new(move |frame| match frame {
+        Frame::Ledger(Message { from, to, cluster, term, body: Body::AppendEntries { .. } })
+            if from == leader_id && to == next_id =>
+        {
+            let body = Body::TimeoutNow;
+            vec![Frame::Ledger(Message { from, to, cluster, term, body })]
+        }
+        Frame::Ledger(Message { from, to, body: Body::AppendEntriesResponse { .. }, .. })
+            if to == next_id && (from == leader_id || !is_asked) =>
+        {
+            Vec::new()
+        }
+        Frame::Ask { validity, question: Question::Submit(_), .. } => {
+            is_asked |= validity.deadline_ms > 0;
+            vec![frame]
+        }
+        frame => vec![frame],
+    }));
+    let command = Command::Evacuate(Name::from("x-a"));
+    let submission = Submission { id: "at once".into(), base, command };
+    let mut standing = next.leads_in();
+    while standing.is_none() {
+        tokio::task::yield_now().await;
+        standing = next.leads_in();
+    }
+    assert_eq!(next.look(|state| state.epoch()), known, "it knows nothing of the zone yet");
+    let reply = third.submit(submission, PATIENCE).await;
+    assert!(matches!(reply, Reply::Submitted(Outcome::Applied { .. })), "{reply:?}");
+}
+
+/// Guards: what a node found due while it led is not proposed in another term, nor by
+/// another leader in its place.
+#[tokio::test]
+async fn what_a_leader_finds_due_counts_in_its_term() {
+    let nodes = Nodes::start(5).await;
+    let (leader, follower) = nodes.roles().await;
+    let term = leader.leads_in().expect("it leads");
+    let submission = |id: &str| Submission { id: id.into(), base: 0, command: Command::Fleet(3) };
+    for (desk, term) in [(&leader, term - 1), (&leader, term + 1), (&follower, term)] {
+        let reply = desk.submit_as_leader(submission("late"), term, PATIENCE).await;
+        assert_eq!(reply, Reply::NotLeader);
+    }
+    let reply = leader.submit_as_leader(submission("due"), term, PATIENCE).await;
+    assert!(matches!(reply, Reply::Submitted(Outcome::Applied { .. })), "{reply:?}");
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -10,7 +10,7 @@
 use residency::{Event, Mapping, Name, Outcome, Submission};
 
 /// The epoch of these frames. Changed whenever one of them changes.
-pub const EPOCH: u16 = 8;
+pub const EPOCH: u16 = 9;
 /// How long a confirmation by a majority is a licence, counted from when it
 /// was asked for. Invariant: shorter than any bound within which a change must
 /// be in force, and well longer than an election.
@@ -220,9 +220,20 @@
     Ledger(Message),
     /// A question to the leader; answered to `from` with the same number.
     #[brw(magic = 11u8)]
-    Ask { from: u64, number: u64, question: Question },
+    Ask {
+        from: u64,
+        number: u64,
+        /// The term in which it was asked, and how long it may be acted on.
+        validity: Validity,
+        question: Question,
+    },
     #[brw(magic = 12u8)]
-    Reply { number: u64, reply: Reply },
+    Reply {
+        number: u64,
+        /// The sender's clock, by which deadlines of questions to it are counted.
+        clock_ms: u64,
+        reply: Reply,
+    },
     /// The routers that beat at the sender.
     #[brw(magic = 13u8)]
     Fronts {
@@ -410,6 +421,19 @@
     pub chain: u64,
 }
 
+/// Until when a leader may act on a question that was forwarded to it.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Validity {
+    /// The consensus term in which the question was asked; it is void in any other.
+    pub term: u64,
+    /// By the leader's own clock, as it was learned from its replies in that term.
+    /// A time that is merely left would not show how long a connection held the
+    /// question back. 0 where the clock is not known yet: always past.
+    pub deadline_ms: u64,
+}
+
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
