--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod asked;
 mod desk;
+pub mod forwarding;
 mod hub;
 mod jobs;
 mod links;
 pub mod listing;
+mod orders;
 mod sessions;
 mod windows;
 
@@ -20,7 +22,7 @@
 use consensus::wal::{Folder, WriteAheadLog};
 use consensus::Member;
 use parking_lot::{Mutex, RwLock};
-use residency::{Sheet, State, Submission, View};
+use residency::{Sheet, State, View};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -139,11 +141,6 @@
         tokio::time::timeout(patience, ask).await.is_ok()
     }
 
-    /// Submits until the outcome is known or patience ends.
-    pub async fn submit(&self, submission: Submission, patience: Duration) -> Reply {
-        self.hub.submit(submission, patience).await
-    }
-
     /// Looks at the state as it is applied here.
     pub fn look<T>(&self, at: impl FnOnce(&State) -> T) -> T {
         at(&self.hub.state.read())
