--- /dev/null
+++ b/stand/src/simulator/network.rs
@@ -0,0 +1,21 @@
+//! The network between the machines: cuts, loss, duplicates, delay.
+
+use super::{Due, Simulation};
+use consensus::pack::{packed, unpacked};
+use consensus::Message;
+
+impl Simulation {
+    pub(super) fn send(&mut self, from: usize, message: Message) {
+        let Some(to) = self.place(message.to) else { return };
+        if self.cuts.contains(&(from, to)) || self.chance(self.weather.loss) {
+            return;
+        }
+        let copies = if self.chance(self.weather.duplicates) { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = 1 + self.draw(self.weather.delay);
+            // Messages pass each other, and all go through bytes.
+            let message = unpacked(&packed(&message)).expect("a message reads back");
+            self.due(delay, Due::Deliver(message));
+        }
+    }
+}
--- a/stand/tests/simulator.rs
+++ b/stand/tests/simulator.rs
@@ -90,14 +90,14 @@
     let sum = |ask: fn(&stand::simulator::Report) -> usize| reports.iter().map(ask).sum::<usize>();
     println!(
         "{} seeds: {} acknowledged, {} confirmed, {} elections, {} crashes, {} disks lost, \
-         {} pictures installed, {} failed",
+         {} snapshots installed, {} failed",
         seeds.len(),
         sum(|r| r.acknowledged),
         sum(|r| r.confirmed),
         sum(|r| r.elections),
         sum(|r| r.crashes),
         sum(|r| r.disks_lost),
-        sum(|r| r.pictures_installed),
+        sum(|r| r.snapshots_installed),
         failed.len(),
     );
     assert!(failed.is_empty(), "{failed:#?}");
