Simulator: machines replaced at other names, within what a site tolerates

Cause: no run ever lost a machine for good. Losses are now drawn one after the other, never more than tolerate at once (1 of 5, 2 of 9), the next at the moment the one before stops counting (catch_up_s after the successor's start): replaced machines, planned replacements, lost disks, restarts, freezes, cuts one way and both. Checked: a change is acknowledged at least every 5 s (6 s on the large site) throughout.

--- a/stand/src/simulator/checks.rs
+++ b/stand/src/simulator/checks.rs
@@ -1,8 +1,10 @@
 //! What a run reports, and the rules that are checked after every step and at
 //! the end.
 
+use super::machine::Machine;
 use super::Simulation;
 use consensus::node::Role;
+use consensus::Member;
 use std::collections::BTreeSet;
 
 /// What is wrong, and when, with the seed that brings it back.
@@ -15,12 +17,20 @@
     pub elections: usize,
     pub crashes: usize,
     pub disks_lost: usize,
+    pub losses: usize,
+    pub machines_replaced: usize,
     pub snapshots_installed: usize,
     /// The longest time between two acknowledgements.
     pub gap_ms: u64,
 }
 
 impl Simulation {
+    /// One line for each machine that is still in use, for whoever reads a failure.
+    pub(super) fn describe_machines(&self) -> Vec<String> {
+        let in_use = self.machines.iter().filter(|machine| !machine.is_gone);
+        in_use.map(describe).collect()
+    }
+
     pub(super) fn fail<T>(&self, text: impl std::fmt::Display) -> Result<T, String> {
         Err(format!("at {} ms: {text}", self.now - 1_000_000))
     }
@@ -74,3 +84,22 @@
         }
     }
 }
+
+fn describe(machine: &Machine) -> String {
+    let Some(live) = &machine.live else { return format!("{} is down", machine.name) };
+    let names = |members: &[Member]| -> Vec<String> {
+        members.iter().map(|member| member.name.clone()).collect()
+    };
+    format!(
+        "{}: {:?} in term {}, cluster {}, last {}, commit {}, voters {:?}, learners {:?}, stalled {}",
+        machine.name,
+        live.node.role(),
+        live.node.term(),
+        live.node.cluster(),
+        live.node.last(),
+        live.node.commit(),
+        names(&live.node.members().voters),
+        names(&live.node.members().learners),
+        live.node.is_stalled(),
+    )
+}
--- a/stand/src/simulator/faults.rs
+++ b/stand/src/simulator/faults.rs
@@ -146,12 +146,14 @@
         }
     }
 
-    pub(super) fn replace_disk(&mut self, at: usize) {
+    /// Returns when it starts again, with an empty disk.
+    pub(super) fn replace_disk(&mut self, at: usize) -> u64 {
         self.crash(at);
         self.report.disks_lost += 1;
         self.machines[at].files = MemoryFiles::default();
         self.machines[at].identity = self.draw(u64::MAX) | 1;
         let wait = 300 + self.draw(1_500);
         self.due(wait, Due::Restart(at));
+        self.now + wait
     }
 }
--- a/stand/src/simulator/machine.rs
+++ b/stand/src/simulator/machine.rs
@@ -21,6 +21,8 @@
     pub(super) frozen_until: u64,
     pub(super) slow_until: u64,
     pub(super) is_blank: bool,
+    /// It is gone for good, and never starts again.
+    pub(super) is_gone: bool,
     pub(super) requested_admission_at: u64,
 }
 
@@ -39,6 +41,9 @@
 impl Simulation {
     /// Starts a machine from what its disk has.
     pub(super) fn start(&mut self, at: usize) -> Result<(), String> {
+        if self.machines[at].is_gone {
+            return Ok(());
+        }
         let files = self.machines[at].files.clone();
         match WriteAheadLog::open(files) {
             Ok((log, persisted)) => self.begin(at, log, persisted),
--- a/stand/src/simulator/mod.rs
+++ b/stand/src/simulator/mod.rs
@@ -6,16 +6,22 @@
 mod clients;
 mod disk;
 mod faults;
+mod losses;
 mod machine;
 mod network;
 mod weather;
 
 pub use checks::{Report, Verdict};
 pub use disk::MemoryFiles;
-pub use weather::{Weather, CALM, FULL, POWER, STORM, SUCCESSION};
+pub use losses::{Loss, LossPlan};
+pub use weather::{
+    Weather, CALM, FIVE_MACHINES, FULL, LARGE_SITE, NINE_MACHINES, PLANNED_REPLACEMENTS, POWER,
+    REPLACEMENTS, SMALL_SITE, STORM, SUCCESSION,
+};
 
 use consensus::node::{Input, Role};
 use consensus::{LogIndex, Member, Message, NodeId, Term};
+use losses::OpenLoss;
 use machine::Machine;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -29,6 +35,13 @@
     /// A question that waited at a frozen node, before its clock goes on.
     ReadAfterFreeze(usize, u64),
     Heal,
+    /// A cut that was of one machine alone ends.
+    HealMachine(usize),
+    /// An empty machine starts in the place of this one, which is gone.
+    Successor(usize),
+    /// A machine that is about to be ended is told so.
+    ToldToStop(usize),
+    Gone(usize),
 }
 
 /// Invariants: `applied` holds, by index, the entry that was applied first
@@ -52,6 +65,8 @@
     report: Report,
     acknowledged_at: u64,
     doomed: Option<usize>,
+    losses: Vec<OpenLoss>,
+    next_loss_at: u64,
 }
 
 /// A number below another, drawn from a seed that moves on.
@@ -83,25 +98,35 @@
             report: Report::default(),
             acknowledged_at: 1_000_000,
             doomed: None,
+            losses: Vec::new(),
+            next_loss_at: 0,
         };
         for at in 0..nodes {
-            let identity = simulation.draw(u64::MAX) | 1;
-            simulation.machines.push(Machine {
-                identity,
-                name: format!("node-{at}"),
-                zone: format!("zone-{}", at % 3),
-                files: MemoryFiles::default(),
-                live: None,
-                life: 0,
-                frozen_until: 0,
-                slow_until: 0,
-                is_blank: true,
-                requested_admission_at: 0,
-            });
+            simulation.add_machine(format!("zone-{}", at % 3));
         }
         simulation
     }
 
+    /// A new machine with an empty disk, not started yet. Returns its place.
+    fn add_machine(&mut self, zone: String) -> usize {
+        let at = self.machines.len();
+        let identity = self.draw(u64::MAX) | 1;
+        self.machines.push(Machine {
+            identity,
+            name: format!("node-{at}"),
+            zone,
+            files: MemoryFiles::default(),
+            live: None,
+            life: 0,
+            frozen_until: 0,
+            slow_until: 0,
+            is_blank: true,
+            is_gone: false,
+            requested_admission_at: 0,
+        });
+        at
+    }
+
     fn draw(&mut self, below: u64) -> u64 {
         draw(&mut self.seed, below)
     }
@@ -198,6 +223,10 @@
                 | Due::DiskFreed(..)
                 | Due::ReadAfterFreeze(..) => {}
                 Due::Heal => self.cuts.clear(),
+                Due::HealMachine(at) => self.cuts.retain(|(a, b)| *a != at && *b != at),
+                Due::Successor(predecessor) => self.start_successor(predecessor)?,
+                Due::ToldToStop(at) => self.step(at, Input::TransferLeadership)?,
+                Due::Gone(at) => self.end_for_good(at),
             }
             if let Some(at) = self.doomed.take() {
                 self.lose_power_after_ack(at);
@@ -225,33 +254,22 @@
                 break;
             }
             if self.now >= limit {
-                let states: Vec<String> = self
-                    .machines
-                    .iter()
-                    .map(|machine| match &machine.live {
-                        None => "down".into(),
-                        Some(live) => format!(
-                        "{:?} in term {}, cluster {}, last {}, commit {}, voters {:?}, stalled {}",
-                        live.node.role(),
-                        live.node.term(),
-                        live.node.cluster(),
-                        live.node.last(),
-                        live.node.commit(),
-                        live.node.members().voters.iter().map(|v| &v.name).collect::<Vec<_>>(),
-                        live.node.is_stalled(),
-                    ),
-                    })
-                    .collect();
+                let states = self.describe_machines();
                 return self
                     .fail(format!("long after founding, voters are {voters:?}: {states:#?}"));
             }
             self.run_until(self.now + 500)?;
         }
-        let end = self.now + ms;
+        let start = self.now;
+        let end = start + ms;
         while self.now < end {
             self.run_until(self.now + 50)?;
-            self.clients()?;
+            for _ in 0..self.weather.clients {
+                self.clients()?;
+            }
             self.faults()?;
+            self.lose_machines()?;
+            self.check_liveness(start)?;
         }
         // All is healed.
         self.cuts.clear();
@@ -263,7 +281,7 @@
             if self.machines[at].live.as_ref().is_some_and(|live| live.is_disk_dead) {
                 self.crash(at);
             }
-            if self.machines[at].live.is_none() {
+            if self.machines[at].live.is_none() && !self.machines[at].is_gone {
                 self.start(at)?;
             }
         }
--- a/stand/src/simulator/weather.rs
+++ b/stand/src/simulator/weather.rs
@@ -1,5 +1,7 @@
 //! Which faults a run may bring, and how often.
 
+use super::losses::{Loss, LossPlan};
+
 /// Which failures a run may bring: of a message in thousandths, the others in
 /// thousandths of a chance a second.
 #[derive(Clone, Copy)]
@@ -26,6 +28,10 @@
     pub batch: usize,
     /// A disk that has room again is taken back into use without a restart.
     pub reopens_disks: bool,
+    /// Requests of clients, twenty times a second.
+    pub clients: usize,
+    /// Machines that are lost, within what the site tolerates.
+    pub losses: Option<LossPlan>,
 }
 
 pub const CALM: Weather = Weather {
@@ -45,6 +51,8 @@
     leadership_transfers: 0,
     batch: 256,
     reopens_disks: false,
+    clients: 1,
+    losses: None,
 };
 
 pub const STORM: Weather = Weather {
@@ -64,6 +72,8 @@
     leadership_transfers: 60,
     batch: 256,
     reopens_disks: false,
+    clients: 1,
+    losses: None,
 };
 
 /// Disks that fill up again and again, and are taken back into use.
@@ -95,3 +105,48 @@
     batch: 1,
     ..CALM
 };
+
+/// Five machines, one of which may be lost at a time.
+pub const FIVE_MACHINES: LossPlan = LossPlan {
+    tolerate: 1,
+    catch_up_ms: 4_000,
+    pause_ms: 0,
+    acknowledged_within_ms: 5_000,
+    kinds: &[
+        Loss::Replaced,
+        Loss::PlannedReplacement,
+        Loss::DiskLost,
+        Loss::Restarted,
+        Loss::CutInbound,
+        Loss::CutOutbound,
+        Loss::Cut,
+        Loss::Frozen,
+    ],
+};
+
+/// Nine machines, two of which may be lost at once.
+pub const NINE_MACHINES: LossPlan =
+    LossPlan { tolerate: 2, catch_up_ms: 6_000, acknowledged_within_ms: 6_000, ..FIVE_MACHINES };
+
+/// Machines replaced at other names, one after the other, and nothing else.
+pub const REPLACEMENTS: Weather =
+    Weather { losses: Some(LossPlan { kinds: &[Loss::Replaced], ..FIVE_MACHINES }), ..CALM };
+
+/// The same, each planned: the new machine first.
+pub const PLANNED_REPLACEMENTS: Weather = Weather {
+    losses: Some(LossPlan { kinds: &[Loss::PlannedReplacement], ..FIVE_MACHINES }),
+    ..CALM
+};
+
+/// All that a small site may lose, in a storm of proposals on a bad network.
+pub const SMALL_SITE: Weather = Weather {
+    loss: 20,
+    duplicates: 20,
+    delay: 30,
+    clients: 6,
+    losses: Some(FIVE_MACHINES),
+    ..CALM
+};
+
+/// All that a large site may lose, in the same storm.
+pub const LARGE_SITE: Weather = Weather { losses: Some(NINE_MACHINES), ..SMALL_SITE };
--- a/stand/tests/simulator.rs
+++ b/stand/tests/simulator.rs
@@ -1,6 +1,9 @@
 //! Fixed seeds of the simulator. Seeds that once failed stay.
 
-use stand::simulator::{Simulation, Weather, CALM, FULL, POWER, STORM, SUCCESSION};
+use stand::simulator::{
+    Simulation, Weather, CALM, FULL, LARGE_SITE, PLANNED_REPLACEMENTS, POWER, REPLACEMENTS,
+    SMALL_SITE, STORM, SUCCESSION,
+};
 
 #[test]
 fn a_calm_cluster_elects_once_and_serves() {
@@ -44,10 +47,40 @@
     none_fails((1..=40).map(|seed| (seed, 5, FULL)));
 }
 
+/// Guards: machines that are replaced at other names and addresses, one after the
+/// other, never use up the majority.
+#[test]
+fn machines_replaced_one_after_another_leave_a_majority() {
+    none_fails_within((1..=20).map(|seed| (seed, 5, REPLACEMENTS)), 60_000);
+}
+
+/// Guards: the same where each replacement is planned, the new machine first.
+#[test]
+fn planned_replacements_leave_a_majority() {
+    none_fails_within((1..=20).map(|seed| (seed, 5, PLANNED_REPLACEMENTS)), 60_000);
+}
+
+/// Guards: while no more machines are lost than a small site tolerates, changes go
+/// on being acknowledged, whatever the kind of the loss.
+#[test]
+fn a_small_site_goes_on_within_what_it_tolerates() {
+    none_fails_within((1..=20).map(|seed| (seed, 5, SMALL_SITE)), 60_000);
+}
+
+/// Guards: the same for a large site that may lose two machines at once.
+#[test]
+fn a_large_site_goes_on_within_what_it_tolerates() {
+    none_fails_within((1..=20).map(|seed| (seed, 9, LARGE_SITE)), 60_000);
+}
+
 fn none_fails(runs: impl Iterator<Item = (u64, usize, Weather)>) {
+    none_fails_within(runs, 20_000);
+}
+
+fn none_fails_within(runs: impl Iterator<Item = (u64, usize, Weather)>, ms: u64) {
     let mut failed = Vec::new();
     for (seed, nodes, weather) in runs {
-        if let Err(text) = Simulation::new(seed, nodes, weather).run(20_000) {
+        if let Err(text) = Simulation::new(seed, nodes, weather).run(ms) {
             failed.push(format!("seed {seed}: {text}"));
         }
     }
