--- a/stand/src/lib.rs
+++ b/stand/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod hollow;
 pub mod journal;
+pub mod linearizability;
 pub mod plot;
 pub mod relay;
 pub mod replay;
--- a/stand/src/simulator/checks.rs
+++ b/stand/src/simulator/checks.rs
@@ -19,6 +19,8 @@
     pub disks_lost: usize,
     pub losses: usize,
     pub machines_replaced: usize,
+    pub operations_answered: usize,
+    pub operations_unanswered: usize,
     pub snapshots_installed: usize,
     /// The longest time between two acknowledgements.
     pub gap_ms: u64,
--- a/stand/src/simulator/machine.rs
+++ b/stand/src/simulator/machine.rs
@@ -1,6 +1,7 @@
 //! A machine: its node, its disk and its state, started, crashed and stepped.
 
 use super::disk::MemoryFiles;
+use super::orders::LeaderAnswer;
 use super::{Due, Simulation, SNAPSHOT_EVERY_ENTRIES};
 use consensus::node::{Effect, Input, Node, PersistedState, Timing, Write};
 use consensus::pack::{packed, unpacked};
@@ -151,6 +152,7 @@
                 self.report.snapshots_installed += 1;
             }
             Effect::ReadReady(token, index) => {
+                self.answer_from_leader(at, token, LeaderAnswer::ReadIndex(index));
                 if let Some(floor) = self.open_reads.remove(&token) {
                     self.report.confirmed += 1;
                     if index < floor {
@@ -163,6 +165,7 @@
             }
             Effect::Refused(token, _) => {
                 self.open_reads.remove(&token);
+                self.answer_from_leader(at, token, LeaderAnswer::Refused);
             }
         }
         Ok(())
@@ -190,6 +193,7 @@
         };
         let now = self.now;
         let live = self.machines[at].live.as_mut().expect("it just stepped");
+        let mut given = None;
         if let EntryPayload::Command(bytes) = &entry.payload {
             let submission: Submission = unpacked(bytes)?;
             let before = live.state.epoch();
@@ -197,6 +201,7 @@
             if live.state.epoch() < before {
                 return self.fail(format!("node-{at}'s epoch fell"));
             }
+            given = Some(outcome.clone());
             if let Outcome::Applied { epoch } = outcome {
                 let known = *self.ids.entry(submission.id.clone()).or_insert(epoch);
                 if known != epoch {
@@ -207,7 +212,10 @@
                 }
             }
         }
-        if token.is_some() {
+        if let Some(token) = token {
+            if let Some(outcome) = given {
+                self.answer_from_leader(at, token, LeaderAnswer::Outcome(outcome));
+            }
             self.acknowledged = self.acknowledged.max(entry.index);
             self.report.acknowledged += 1;
             self.report.gap_ms = self.report.gap_ms.max(now - self.acknowledged_at);
--- a/stand/src/simulator/mod.rs
+++ b/stand/src/simulator/mod.rs
@@ -6,23 +6,29 @@
 mod clients;
 mod disk;
 mod faults;
+mod history;
 mod losses;
 mod machine;
 mod network;
+mod operators;
+mod orders;
 mod weather;
 
 pub use checks::{Report, Verdict};
 pub use disk::MemoryFiles;
 pub use losses::{Loss, LossPlan};
+pub use operators::{OperatorPlan, PlantedFault};
 pub use weather::{
-    Weather, CALM, FIVE_MACHINES, FULL, LARGE_SITE, NINE_MACHINES, PLANNED_REPLACEMENTS, POWER,
-    REPLACEMENTS, SMALL_SITE, STORM, SUCCESSION,
+    Weather, CALM, FIVE_MACHINES, FULL, LARGE_SITE, NINE_MACHINES, OPERATORS,
+    OPERATORS_UNDER_LOSSES, PLANNED_REPLACEMENTS, POWER, REPLACEMENTS, SMALL_SITE, STORM,
+    SUCCESSION,
 };
 
 use consensus::node::{Input, Role};
 use consensus::{LogIndex, Member, Message, NodeId, Term};
 use losses::OpenLoss;
 use machine::Machine;
+use operators::{OperatorEvent, Operators};
 use std::collections::{BTreeMap, BTreeSet};
 
 enum Due {
@@ -42,6 +48,7 @@
     /// A machine that is about to be ended is told so.
     ToldToStop(usize),
     Gone(usize),
+    Operator(OperatorEvent),
 }
 
 /// Invariants: `applied` holds, by index, the entry that was applied first
@@ -67,6 +74,7 @@
     doomed: Option<usize>,
     losses: Vec<OpenLoss>,
     next_loss_at: u64,
+    operators: Operators,
 }
 
 /// A number below another, drawn from a seed that moves on.
@@ -77,6 +85,8 @@
     (*seed >> 11) % below.max(1)
 }
 
+/// Operators go on for so long after all was healed.
+const QUIET_MS: u64 = 8_000;
 const SNAPSHOT_EVERY_ENTRIES: u64 = 40;
 
 impl Simulation {
@@ -100,6 +110,7 @@
             doomed: None,
             losses: Vec::new(),
             next_loss_at: 0,
+            operators: Operators::default(),
         };
         for at in 0..nodes {
             simulation.add_machine(format!("zone-{}", at % 3));
@@ -226,6 +237,7 @@
                 Due::HealMachine(at) => self.cuts.retain(|(a, b)| *a != at && *b != at),
                 Due::Successor(predecessor) => self.start_successor(predecessor)?,
                 Due::ToldToStop(at) => self.step(at, Input::TransferLeadership)?,
+                Due::Operator(event) => self.operator_event(event)?,
                 Due::Gone(at) => self.end_for_good(at),
             }
             if let Some(at) = self.doomed.take() {
@@ -267,13 +279,15 @@
             for _ in 0..self.weather.clients {
                 self.clients()?;
             }
+            self.drive_operators();
             self.faults()?;
             self.lose_machines()?;
             self.check_liveness(start)?;
         }
         // All is healed.
         self.cuts.clear();
-        self.weather = CALM;
+        let operators = self.weather.operators;
+        self.weather = Weather { operators, ..CALM };
         for at in 0..self.machines.len() {
             self.machines[at].frozen_until = 0;
             self.machines[at].slow_until = 0;
@@ -285,6 +299,15 @@
                 self.start(at)?;
             }
         }
+        if operators.is_some() {
+            let end = self.now + QUIET_MS;
+            while self.now < end {
+                self.run_until(self.now + 50)?;
+                self.drive_operators();
+            }
+            self.judge_operators()?;
+            self.weather.operators = None;
+        }
         // Waits that were drawn before may still be out; beats start anew.
         let before = self.acknowledged;
         let limit = self.now + 12_000;
--- a/stand/src/simulator/network.rs
+++ b/stand/src/simulator/network.rs
@@ -5,6 +5,15 @@
 use consensus::Message;
 
 impl Simulation {
+    /// How long a question or an answer takes from one machine to another; `None`
+    /// where it is lost.
+    pub(super) fn transit(&mut self, from: usize, to: usize) -> Option<u64> {
+        if self.cuts.contains(&(from, to)) || self.chance(self.weather.loss) {
+            return None;
+        }
+        Some(1 + self.draw(self.weather.delay))
+    }
+
     pub(super) fn send(&mut self, from: usize, message: Message) {
         let Some(to) = self.place(message.to) else { return };
         if self.cuts.contains(&(from, to)) || self.chance(self.weather.loss) {
--- a/stand/src/simulator/weather.rs
+++ b/stand/src/simulator/weather.rs
@@ -1,6 +1,7 @@
 //! Which faults a run may bring, and how often.
 
 use super::losses::{Loss, LossPlan};
+use super::operators::OperatorPlan;
 
 /// Which failures a run may bring: of a message in thousandths, the others in
 /// thousandths of a chance a second.
@@ -32,6 +33,8 @@
     pub clients: usize,
     /// Machines that are lost, within what the site tolerates.
     pub losses: Option<LossPlan>,
+    /// Operators whose histories are judged.
+    pub operators: Option<OperatorPlan>,
 }
 
 pub const CALM: Weather = Weather {
@@ -53,6 +56,7 @@
     reopens_disks: false,
     clients: 1,
     losses: None,
+    operators: None,
 };
 
 pub const STORM: Weather = Weather {
@@ -74,6 +78,7 @@
     reopens_disks: false,
     clients: 1,
     losses: None,
+    operators: None,
 };
 
 /// Disks that fill up again and again, and are taken back into use.
@@ -150,3 +155,29 @@
 
 /// All that a large site may lose, in the same storm.
 pub const LARGE_SITE: Weather = Weather { losses: Some(NINE_MACHINES), ..SMALL_SITE };
+
+/// Operators under leaders that come and go, freezes, short cuts and crashes.
+pub const OPERATORS: Weather = Weather {
+    loss: 30,
+    duplicates: 20,
+    delay: 40,
+    crashes: 150,
+    cuts: 200,
+    one_way: 150,
+    slow_disks: 100,
+    freezes: 150,
+    all_down: 20,
+    leadership_transfers: 150,
+    clients: 0,
+    operators: Some(OperatorPlan { count: 4, fault: None }),
+    ..CALM
+};
+
+/// Operators while a small site loses machines: cuts of 2 to 22 s each way and
+/// both, restarts in their midst, replacements, lost disks.
+pub const OPERATORS_UNDER_LOSSES: Weather = Weather {
+    clients: 0,
+    operators: Some(OperatorPlan { count: 4, fault: None }),
+    losses: Some(LossPlan { acknowledged_within_ms: u64::MAX, ..FIVE_MACHINES }),
+    ..SMALL_SITE
+};
--- a/stand/tests/simulator.rs
+++ b/stand/tests/simulator.rs
@@ -1,8 +1,9 @@
 //! Fixed seeds of the simulator. Seeds that once failed stay.
 
 use stand::simulator::{
-    Simulation, Weather, CALM, FULL, LARGE_SITE, PLANNED_REPLACEMENTS, POWER, REPLACEMENTS,
-    SMALL_SITE, STORM, SUCCESSION,
+    OperatorPlan, PlantedFault, Simulation, Weather, CALM, FULL, LARGE_SITE, OPERATORS,
+    OPERATORS_UNDER_LOSSES, PLANNED_REPLACEMENTS, POWER, REPLACEMENTS, SMALL_SITE, STORM,
+    SUCCESSION,
 };
 
 #[test]
@@ -73,6 +74,14 @@
     none_fails_within((1..=20).map(|seed| (seed, 9, LARGE_SITE)), 60_000);
 }
 
+/// Guards: what operators are told of configurations and evacuations is what one
+/// node that never fails would have told them, whichever nodes they asked.
+#[test]
+fn operators_histories_are_linearizable() {
+    none_fails((1..=30).map(|seed| (seed, 5, OPERATORS)));
+    none_fails((1..=30).map(|seed| (seed, 5, OPERATORS_UNDER_LOSSES)));
+}
+
 fn none_fails(runs: impl Iterator<Item = (u64, usize, Weather)>) {
     none_fails_within(runs, 20_000);
 }
@@ -87,8 +96,32 @@
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
 
+/// What the sweep runs a seed in: `WEATHER` names it, else it goes by the seed.
+fn swept_weather(seed: u64) -> (usize, Weather) {
+    let name = std::env::var("WEATHER").unwrap_or_default();
+    let planted = |fault| {
+        let operators = Some(OperatorPlan { count: 4, fault: Some(fault) });
+        let weather = [OPERATORS, OPERATORS_UNDER_LOSSES][seed as usize % 2];
+        (5, Weather { operators, ..weather })
+    };
+    match name.as_str() {
+        "" => (3 + 2 * (seed as usize % 2), [STORM, POWER, SUCCESSION][seed as usize / 2 % 3]),
+        "replacements" => (5, [REPLACEMENTS, PLANNED_REPLACEMENTS][seed as usize % 2]),
+        "small" => (5, SMALL_SITE),
+        "large" => (9, LARGE_SITE),
+        "full" => (5, FULL),
+        "operators" => (5, [OPERATORS, OPERATORS_UNDER_LOSSES][seed as usize % 2]),
+        "stale-read" => planted(PlantedFault::StaleRead),
+        "early-acknowledgement" => planted(PlantedFault::AcknowledgedBeforeCommit),
+        "unfenced" => planted(PlantedFault::UnfencedEvacuation),
+        "resubmitted" => planted(PlantedFault::ResubmittedAfterConflict),
+        "new-identifier" => planted(PlantedFault::NewIdentifierPerTry),
+        other => panic!("there is no weather {other}"),
+    }
+}
+
 /// Run by hand, over as many seeds as one likes:
-/// `SEEDS=1000-2000 cargo test --release -p stand --test simulator -- --ignored`.
+/// `SEEDS=1000-2000 WEATHER=small cargo test --release -p stand --test simulator -- --ignored`.
 #[test]
 #[ignore = "a sweep, for whoever has the time"]
 fn sweep() {
@@ -102,8 +135,7 @@
             let part = part.to_vec();
             std::thread::spawn(move || {
                 let run = |seed: &u64| {
-                    let nodes = 3 + 2 * (*seed as usize % 2);
-                    let weather = [STORM, POWER, SUCCESSION][*seed as usize / 2 % 3];
+                    let (nodes, weather) = swept_weather(*seed);
                     Simulation::new(*seed, nodes, weather).run(30_000).map_err(|e| (*seed, e))
                 };
                 part.iter().map(run).collect::<Vec<_>>()
@@ -123,7 +155,8 @@
     let sum = |ask: fn(&stand::simulator::Report) -> usize| reports.iter().map(ask).sum::<usize>();
     println!(
         "{} seeds: {} acknowledged, {} confirmed, {} elections, {} crashes, {} disks lost, \
-         {} snapshots installed, {} failed",
+         {} snapshots installed, {} losses, {} machines replaced, {} operations answered, \
+         {} unanswered, longest time without an acknowledgement {} ms, {} failed",
         seeds.len(),
         sum(|r| r.acknowledged),
         sum(|r| r.confirmed),
@@ -131,7 +164,15 @@
         sum(|r| r.crashes),
         sum(|r| r.disks_lost),
         sum(|r| r.snapshots_installed),
+        sum(|r| r.losses),
+        sum(|r| r.machines_replaced),
+        sum(|r| r.operations_answered),
+        sum(|r| r.operations_unanswered),
+        reports.iter().map(|report| report.gap_ms).max().unwrap_or(0),
         failed.len(),
     );
-    assert!(failed.is_empty(), "{failed:#?}");
+    for (seed, text) in &failed {
+        println!("seed {seed}: {text}");
+    }
+    assert!(failed.is_empty(), "{} seeds failed", failed.len());
 }
