Log on disk: the folder is synced after each removal, for good before the next

Cause: Folder::remove did not sync its folder. After a power loss a later segment may be gone and an earlier one back; the node then reads a gap as damage and refuses to start. Likewise a segment that was not even begun may come back beside its successor. Files::sync_folder is now a step of its own, taken by the log after making, renaming and removing (one place, seen by the simulated disk too).

--- a/consensus/src/wal.rs
+++ b/consensus/src/wal.rs
@@ -11,17 +11,19 @@
 use std::fmt;
 use std::io;
 
-/// The disk as this package needs it. Invariant: what `sync` returned for is
-/// there after a crash; anything else may or may not be.
+/// The disk as this package needs it. Invariants: the content that `sync` returned
+/// for is there after a crash; that a file was made, renamed or removed is so once
+/// `sync_folder` returned. Anything else may or may not be, each by itself.
 pub trait Files: Send {
     fn list(&self) -> io::Result<Vec<String>>;
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
     fn sync(&mut self, name: &str) -> io::Result<()>;
     fn cut(&mut self, name: &str, length: u64) -> io::Result<()>;
-    /// Gives a file a new name, in place of what had it, and syncs the folder.
+    /// Gives a file a new name, in place of what had it.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
     fn remove(&mut self, name: &str) -> io::Result<()>;
+    fn sync_folder(&mut self) -> io::Result<()>;
 }
 
 /// Why a folder can't be used as it is.
@@ -191,6 +193,7 @@
         self.size = 0;
         self.files.append(&segment(self.number), &bytes)?;
         self.files.sync(&segment(self.number))?;
+        self.files.sync_folder()?;
         self.size = bytes.len() as u64;
         Ok(())
     }
@@ -269,6 +272,7 @@
         self.files.append(&part, &bytes)?;
         self.files.sync(&part)?;
         self.files.rename(&part, &name)?;
+        self.files.sync_folder()?;
         self.snapshots.push(snapshot.index);
         Ok(())
     }
@@ -279,9 +283,11 @@
             self.files.remove(&picture_name(*old))?;
         }
         self.snapshots.retain(|old| *old == index);
-        // From the oldest on, so that no segment is missing in between.
+        // From the oldest on, each for good before the next, so that no segment is
+        // missing in between, whatever a crash brings back.
         while self.spans.first().is_some_and(|(_, last)| *last <= index) {
             self.files.remove(&segment(self.spans[0].0))?;
+            self.files.sync_folder()?;
             self.spans.remove(0);
         }
         Ok(())
@@ -309,7 +315,9 @@
     let name = segment(number);
     let bytes = files.read(&name)?;
     if is_last && bytes.len() < HEAD {
+        // For good before another is begun: one that comes back would be damage then.
         files.remove(&name)?;
+        files.sync_folder()?;
         return Ok(false);
     }
     check_head(&name, &bytes, SEGMENT)?;
@@ -363,10 +371,6 @@
         std::fs::create_dir_all(path)?;
         Ok(Folder { path: path.into() })
     }
-
-    fn sync_folder(&self) -> io::Result<()> {
-        std::fs::File::open(&self.path)?.sync_all()
-    }
 }
 
 impl Files for Folder {
@@ -384,13 +388,8 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let path = self.path.join(name);
-        let is_new = !path.exists();
         let mut file = std::fs::OpenOptions::new().create(true).append(true).open(path)?;
-        io::Write::write_all(&mut file, bytes)?;
-        match is_new {
-            true => self.sync_folder(),
-            false => Ok(()),
-        }
+        io::Write::write_all(&mut file, bytes)
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
@@ -402,11 +401,14 @@
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        std::fs::rename(self.path.join(from), self.path.join(to))?;
-        self.sync_folder()
+        std::fs::rename(self.path.join(from), self.path.join(to))
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
         std::fs::remove_file(self.path.join(name))
     }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        std::fs::File::open(&self.path)?.sync_all()
+    }
 }
--- a/stand/src/simulator/checks.rs
+++ b/stand/src/simulator/checks.rs
@@ -19,6 +19,8 @@
     pub disks_lost: usize,
     pub losses: usize,
     pub machines_replaced: usize,
+    /// The longest time without an acknowledged change, while machines were lost.
+    pub longest_silence_ms: u64,
     pub operations_answered: usize,
     pub operations_unanswered: usize,
     pub snapshots_installed: usize,
--- a/stand/src/simulator/disk.rs
+++ b/stand/src/simulator/disk.rs
@@ -89,11 +89,6 @@
         self.unsynced_changes.push(FolderChange::Made(name.into(), inode));
     }
 
-    fn sync_folder(&mut self) {
-        self.unsynced_changes.clear();
-        self.synced_names = self.names.clone();
-    }
-
     fn crash(&mut self, share: usize) {
         let mut seed = share as u64 + 1;
         for change in std::mem::take(&mut self.unsynced_changes) {
@@ -145,15 +140,10 @@
         if disk.is_full {
             return Err(io::ErrorKind::StorageFull.into());
         }
-        let is_new = !disk.names.contains_key(name);
-        if is_new {
+        if !disk.names.contains_key(name) {
             disk.make(name);
         }
         disk.content(name)?.bytes.extend_from_slice(bytes);
-        if is_new {
-            disk.burn()?;
-            disk.sync_folder();
-        }
         Ok(())
     }
 
@@ -181,8 +171,6 @@
         disk.names.insert(to.into(), inode);
         let (from, to) = (from.into(), to.into());
         disk.unsynced_changes.push(FolderChange::Renamed { from, to, inode });
-        disk.burn()?;
-        disk.sync_folder();
         Ok(())
     }
 
@@ -193,4 +181,12 @@
         disk.unsynced_changes.push(FolderChange::Removed(name.into()));
         Ok(())
     }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        let mut disk = self.0.lock();
+        disk.burn()?;
+        disk.unsynced_changes.clear();
+        disk.synced_names = disk.names.clone();
+        Ok(())
+    }
 }
--- a/stand/src/simulator/losses.rs
+++ b/stand/src/simulator/losses.rs
@@ -176,9 +176,10 @@
 
     /// What no loss within the plan may bring about: a long time without an
     /// acknowledged change.
-    pub(super) fn check_liveness(&self, since: u64) -> Result<(), String> {
+    pub(super) fn check_liveness(&mut self, since: u64) -> Result<(), String> {
         let Some(plan) = self.weather.losses else { return Ok(()) };
         let silent_ms = self.now - self.acknowledged_at.max(since);
+        self.report.longest_silence_ms = self.report.longest_silence_ms.max(silent_ms);
         if silent_ms <= plan.acknowledged_within_ms {
             return Ok(());
         }
--- a/stand/tests/simulator.rs
+++ b/stand/tests/simulator.rs
@@ -156,7 +156,7 @@
     println!(
         "{} seeds: {} acknowledged, {} confirmed, {} elections, {} crashes, {} disks lost, \
          {} snapshots installed, {} losses, {} machines replaced, {} operations answered, \
-         {} unanswered, longest time without an acknowledgement {} ms, {} failed",
+         {} unanswered, longest silence under losses {} ms, {} failed",
         seeds.len(),
         sum(|r| r.acknowledged),
         sum(|r| r.confirmed),
@@ -168,7 +168,7 @@
         sum(|r| r.machines_replaced),
         sum(|r| r.operations_answered),
         sum(|r| r.operations_unanswered),
-        reports.iter().map(|report| report.gap_ms).max().unwrap_or(0),
+        reports.iter().map(|report| report.longest_silence_ms).max().unwrap_or(0),
         failed.len(),
     );
     for (seed, text) in &failed {
