--- a/stand/src/simulator/history.rs
+++ b/stand/src/simulator/history.rs
@@ -86,12 +86,17 @@
     }
 }
 
+/// How much of a history is shown when it is wrong.
+const CALLS_SHOWN: usize = 16;
+
 struct Record {
-    operator: usize,
     call: Call<Intent, Response>,
+    /// When its operator stopped waiting for it.
+    abandoned_at: u64,
 }
 
-/// The calls of all operators.
+/// The calls of all operators. A change is one call with all its repeats, which
+/// are known as such. Each try of an order for a zone is a call of its own.
 #[derive(Default)]
 pub(super) struct History {
     records: Vec<Record>,
@@ -105,25 +110,31 @@
     }
 
     /// Returns the call's place.
-    pub(super) fn invoke(&mut self, operator: usize, intent: Intent) -> usize {
+    pub(super) fn invoke(&mut self, intent: Intent) -> usize {
         let invoked = self.tick();
         let call = Call { operation: intent, invoked, returned: None, expires: u64::MAX };
-        self.records.push(Record { operator, call });
+        self.records.push(Record { call, abandoned_at: u64::MAX });
         self.records.len() - 1
     }
 
-    /// A later order of the same operator for the same zone ends the time of those
-    /// that it gave up before.
+    /// The operator waits for this call no longer.
+    pub(super) fn abandon(&mut self, place: usize) {
+        self.records[place].abandoned_at = self.tick();
+    }
+
+    /// An order that was begun after others for its zone had been given up fences
+    /// them: they took effect before it is answered, or never will.
     pub(super) fn respond(&mut self, place: usize, response: Response) {
         let now = self.tick();
-        self.records[place].call.returned = Some((response, now));
-        let Intent::SetZone { zone, .. } = self.records[place].call.operation else { return };
-        let operator = self.records[place].operator;
+        let call = &mut self.records[place].call;
+        call.returned = Some((response, now));
+        let invoked = call.invoked;
+        let Intent::SetZone { zone, .. } = call.operation else { return };
         let is_same = |operation: &Intent| matches!(operation, Intent::SetZone { zone: other, .. } if *other == zone);
         for earlier in &mut self.records[..place] {
-            let call = &mut earlier.call;
-            if earlier.operator == operator && call.returned.is_none() && is_same(&call.operation) {
-                call.expires = call.expires.min(now);
+            let is_fenced = earlier.abandoned_at < invoked && is_same(&earlier.call.operation);
+            if is_fenced && earlier.call.returned.is_none() {
+                earlier.call.expires = earlier.call.expires.min(now);
             }
         }
     }
@@ -151,14 +162,52 @@
                 }
             }
         }
-        if !is_linearizable(Configuration::default(), &configuration) {
-            return Err(format!("the configuration's history: {configuration:#?}"));
-        }
+        judge_object("the configuration", Configuration::default(), &configuration)?;
         for (zone, calls) in zones {
-            if !is_linearizable(Zone(false), &calls) {
-                return Err(format!("zone-{zone}'s history: {calls:#?}"));
-            }
+            judge_object(&format!("zone-{zone}"), Zone(false), &calls)?;
         }
         Ok(())
     }
 }
+
+type Calls = [Call<Intent, Response>];
+
+/// On failure, says which response can't be explained and what came before it.
+fn judge_object<S>(name: &str, initial: S, calls: &Calls) -> Result<(), String>
+where
+    S: SequentialObject<Operation = Intent, Response = Response>,
+{
+    if is_linearizable(initial.clone(), calls) {
+        return Ok(());
+    }
+    let mut ends: Vec<u64> =
+        calls.iter().filter_map(|call| Some(call.returned.as_ref()?.1)).collect();
+    ends.sort_unstable();
+    let holds = |end: &u64| is_linearizable(initial.clone(), &until(calls, *end));
+    let first_wrong = ends[ends.partition_point(holds)];
+    let mut known = until(calls, first_wrong);
+    let shown = known.split_off(known.len().saturating_sub(CALLS_SHOWN));
+    let shown: Vec<String> = shown.iter().map(describe).collect();
+    Err(format!("{name} at event {first_wrong}, after:\n{}", shown.join("\n")))
+}
+
+/// The history as it was known at an event.
+fn until(calls: &Calls, end: u64) -> Vec<Call<Intent, Response>> {
+    let mut known: Vec<_> = calls.iter().filter(|call| call.invoked <= end).cloned().collect();
+    for call in &mut known {
+        call.returned = call.returned.take().filter(|(_, at)| *at <= end);
+        if call.expires > end {
+            call.expires = u64::MAX;
+        }
+    }
+    known
+}
+
+fn describe(call: &Call<Intent, Response>) -> String {
+    let Call { operation, invoked, returned, expires } = call;
+    match returned {
+        Some((response, end)) => format!("  {invoked}..{end}: {operation:?} -> {response:?}"),
+        None if *expires == u64::MAX => format!("  {invoked}..: {operation:?} -> unknown"),
+        None => format!("  {invoked}..: {operation:?} -> unknown, void from {expires} on"),
+    }
+}
--- a/stand/src/simulator/operators.rs
+++ b/stand/src/simulator/operators.rs
@@ -95,7 +95,7 @@
                 continue;
             }
             let intent = self.draw_intent(operator);
-            let place = self.operators.history.invoke(operator, intent.clone());
+            let place = self.operators.history.invoke(intent.clone());
             let state = &mut self.operators.operators[operator];
             state.operations += 1;
             state.open = Some(Operation { intent, place, tries: 0, attempt: 0 });
@@ -151,7 +151,17 @@
     /// The operator turns to another node, or gives up.
     pub(super) fn attempt_failed(&mut self, operator: usize, attempt: u64) {
         let Some(operation) = self.awaited(operator, attempt) else { return };
-        if operation.tries < TRIES {
+        let (place, tries, intent) = (operation.place, operation.tries, operation.intent.clone());
+        let is_order = matches!(intent, Intent::SetZone { .. });
+        if tries == TRIES || is_order {
+            self.operators.history.abandon(place);
+        }
+        if tries < TRIES {
+            if is_order {
+                let place = self.operators.history.invoke(intent);
+                let operation = self.awaited(operator, attempt).expect("it was just there");
+                operation.place = place;
+            }
             return self.send_attempt(operator);
         }
         let state = &mut self.operators.operators[operator];
