--- a/stand/src/simulator/machine.rs
+++ b/stand/src/simulator/machine.rs
@@ -10,6 +10,8 @@
 use residency::{Outcome, State, Submission};
 use std::collections::VecDeque;
 
+const LARGEST_CLOCK_OFFSET_MS: u64 = 100_000_000;
+
 pub(super) struct Machine {
     pub(super) identity: NodeId,
     pub(super) name: String,
@@ -77,8 +79,8 @@
         let snapshot_at = persisted.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let seed = self.draw(u64::MAX);
         let timing = Timing { batch: self.weather.batch, ..Timing::default() };
-        let node = Node::new(self.machines[at].identity, timing, seed, self.now, persisted);
         self.machines[at].life += 1;
+        let node = Node::new(self.machines[at].identity, timing, seed, self.clock(at), persisted);
         self.machines[at].is_blank = node.cluster() == 0;
         self.machines[at].live = Some(Live {
             node,
@@ -95,6 +97,13 @@
         Ok(())
     }
 
+    /// What a machine's clock shows: each runs since another moment, and begins anew
+    /// with each start.
+    fn clock(&self, at: usize) -> u64 {
+        let machine = &self.machines[at];
+        self.now + machine.identity.rotate_left(machine.life as u32) % LARGEST_CLOCK_OFFSET_MS
+    }
+
     /// Power goes; of what was being written, some may be on disk.
     pub(super) fn crash(&mut self, at: usize) {
         let is_within_write = self.chance(500);
@@ -116,7 +125,7 @@
     }
 
     pub(super) fn step(&mut self, at: usize, input: Input) -> Result<(), String> {
-        let now = self.now;
+        let now = self.clock(at);
         let Some(live) = self.machines[at].live.as_mut() else { return Ok(()) };
         // What `due` promises: before it, a beat finds nothing to do.
         let is_tick = matches!(input, Input::Tick);
@@ -230,7 +239,7 @@
     /// As the daemon does: between two steps, never within one, whose own writes
     /// would come after the snapshot's.
     pub(super) fn take_snapshot(&mut self, at: usize) -> Result<(), String> {
-        let now = self.now;
+        let now = self.clock(at);
         let Some(live) = self.machines[at].live.as_mut() else { return Ok(()) };
         let index = live.node.applied();
         if index < live.snapshot_at + SNAPSHOT_EVERY_ENTRIES {
--- a/stand/src/simulator/network.rs
+++ b/stand/src/simulator/network.rs
@@ -4,12 +4,16 @@
 use consensus::pack::{packed, unpacked};
 use consensus::Message;
 
+/// Connections are given up after so long.
+const LONGEST_HELD_BACK_MS: u64 = 4_000;
+
 impl Simulation {
     /// How long a question or an answer takes from one machine to another; `None`
-    /// where it is lost.
+    /// where it is lost. What meets a cut or a loss may be held back in a socket and
+    /// arrive long after.
     pub(super) fn transit(&mut self, from: usize, to: usize) -> Option<u64> {
         if self.cuts.contains(&(from, to)) || self.chance(self.weather.loss) {
-            return None;
+            return self.chance(500).then(|| 200 + self.draw(LONGEST_HELD_BACK_MS));
         }
         Some(1 + self.draw(self.weather.delay))
     }
