--- a/stand/tests/wal.rs
+++ b/stand/tests/wal.rs
@@ -142,3 +142,51 @@
     let (_, kept) = segments.reopened().expect("it is read back");
     assert_eq!(kept.entries.len(), 5, "what was not synced is cut off");
 }
+
+const OPERATIONS: std::ops::Range<u32> = 0..12;
+
+fn shares() -> impl Iterator<Item = usize> {
+    (0..=1000).step_by(20)
+}
+
+/// Guards: a snapshot that takes the log's place is there for good before the log
+/// before it is void, wherever the power fails and whatever of the folder is kept.
+#[test]
+fn power_that_fails_while_a_snapshot_is_installed_takes_nothing_along() {
+    for (operations, share) in OPERATIONS.flat_map(|o| shares().map(move |share| (o, share))) {
+        let files = written(&[&[entry(1, 1), entry(2, 1)]]);
+        let (mut log, _) = WriteAheadLog::open(files.clone()).expect("it opens");
+        files.crash_after(operations);
+        drop(log.write(&[Write::InstallSnapshot(picture(9, 2))]));
+        files.crash(share);
+        let (_, kept) = WriteAheadLog::open(files.clone()).expect("it opens");
+        let is_whole = match kept.snapshot {
+            Some(snapshot) => snapshot.index == 9,
+            None => kept.entries.len() == 2,
+        };
+        assert!(is_whole, "after {operations} operations, {share} kept");
+    }
+}
+
+/// Guards: a segment that was not even begun does not come back beside its
+/// successor, wherever the power fails in two starts, one after the other.
+#[test]
+fn power_that_fails_again_and_again_at_the_start_leaves_a_readable_log() {
+    let crash_at_start = |files: &MemoryFiles, operations: u32, share: usize| {
+        files.crash_after(operations);
+        drop(WriteAheadLog::open(files.clone()));
+        files.crash(share);
+    };
+    for (first, share) in OPERATIONS.take(5).flat_map(|o| shares().map(move |share| (o, share))) {
+        for (second, other) in OPERATIONS.take(5).flat_map(|o| shares().map(move |s| (o, s))) {
+            let files = written(&[&[entry(1, 1), entry(2, 1)]]);
+            crash_at_start(&files, first, share);
+            crash_at_start(&files, second, other);
+            let opened = WriteAheadLog::open(files.clone());
+            let (_, kept) = opened.unwrap_or_else(|error| {
+                panic!("after {first}, {share} kept, and {second}, {other} kept: {error}")
+            });
+            assert_eq!(kept.entries.len(), 2);
+        }
+    }
+}
