A job's time left may be any number

Cause: the time that is left of a forwarded job was added to the clock unchecked; its task ended by a panic in debug builds. Seen failing before: stand/tests/handed.rs, a_job_that_its_router_left_half_said_never_runs, which also breaks a router's side of the conversation off anywhere.

--- a/directory/src/jobs.rs
+++ b/directory/src/jobs.rs
@@ -89,7 +89,7 @@
         target: head.target.clone(),
         headers: headers_of(&head.headers)?,
         key,
-        deadline: now() + head.left_ms,
+        deadline: now().saturating_add(head.left_ms),
         prompt: Prompt::default(),
         urgency: None,
         aim_ms: 0,
--- a/stand/tests/handed.rs
+++ b/stand/tests/handed.rs
@@ -1,11 +1,16 @@
 //! Jobs that a router hands to a directory node whose connection breaks, falls silent
 //! or says what it may not, at every place of the conversation.
 
+mod common;
+
 use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use residency::{Command, Place, State, Submission};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use wire::{Answer, Frame, Kind, News};
 use yard::link;
@@ -144,7 +149,7 @@
             Trouble::Silence => std::future::pending().await,
             Trouble::HalfFrame => {
                 let bytes = wire::encode(&Frame::AnswerBody(vec![0; 100]));
-                tokio::io::AsyncWriteExt::write_all(stream, &bytes[..50]).await?;
+                stream.write_all(&bytes[..50]).await?;
             }
             Trouble::Unexpected => link::send(stream, &Frame::BodyEnd).await?,
             Trouble::Foreign => {
@@ -373,3 +378,99 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+/// The frames of a whole job, as a router sends them after the node's welcome.
+fn conversation(id: &str, left_ms: u64) -> Vec<u8> {
+    let header = |name: &str, value: &str| wire::Header {
+        name: name.into(),
+        value: value.as_bytes().to_vec(),
+    };
+    let head = wire::JobHead {
+        id: id.into(),
+        method: "POST".into(),
+        target: "/app/write".into(),
+        headers: vec![header("x-tenant-key", KEY), header("x-model", "writer")],
+        region: "north".into(),
+        epoch: 0,
+        left_ms,
+        is_charged: 1,
+    };
+    let mut frames = vec![Frame::Job(head)];
+    frames.extend((0..5).map(|_| Frame::Body(vec![b'x'; 700])));
+    frames.push(Frame::BodyEnd);
+    frames.iter().flat_map(wire::encode).collect()
+}
+
+async fn welcomed(node: SocketAddr) -> TcpStream {
+    let source = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut stream = link::dial(source, node, Kind::Job, "edge-9").await.expect("dialled");
+    let frame = link::receive(&mut stream, wire::HELLO_CAP).await.expect("a welcome");
+    assert_eq!(frame, Some(Frame::Welcome));
+    stream
+}
+
+/// Guards: a job that a router left half said, by a reset, a close or a silence, never
+/// runs; a whole one runs once, however far off its deadline is said to be.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_its_router_left_half_said_never_runs() {
+    let (_folder, fleet) = common::up("half-said").await;
+    common::served(fleet.get("router-1").door(), KEY, "before").await;
+    let node = fleet.get("directory-1").address();
+    let mut draw = StdRng::seed_from_u64(9);
+    let (mut silent, mut cut) = (Vec::new(), Vec::new());
+    for number in 0..40 {
+        let id = format!("cut-{number}");
+        let bytes = conversation(&id, 30_000);
+        let mut stream = welcomed(node).await;
+        let at = draw.random_range(0..bytes.len());
+        stream.write_all(&bytes[..at]).await.expect("sent");
+        match draw.random_range(0..4) {
+            0 => stream.set_zero_linger().expect("it is open"),
+            1 => {}
+            // A frame that has no place there.
+            2 => drop(stream.write_all(&wire::encode(&Frame::Welcome)).await),
+            _ => {
+                silent.push(stream);
+                cut.push(id);
+                continue;
+            }
+        }
+        drop(stream);
+        cut.push(id);
+    }
+    // What was left silent holds places at the engines until it is let go.
+    drop(silent);
+    for left_ms in [30_000, u64::MAX] {
+        let until = Instant::now() + PATIENCE;
+        let id = loop {
+            let id = format!("whole-{:x}", rand::random::<u64>());
+            let mut stream = welcomed(node).await;
+            stream.write_all(&conversation(&id, left_ms)).await.expect("sent");
+            let mut last = None;
+            while let Ok(Ok(Some(frame))) =
+                tokio::time::timeout(PATIENCE, link::receive(&mut stream, wire::CAP)).await
+            {
+                last = Some(frame);
+            }
+            match last {
+                Some(Frame::Declined { not_run: true, .. }) if Instant::now() < until => {
+                    let events = common::events_of(&fleet, &id);
+                    let has_run = events.iter().any(|event| event.starts_with("begun"));
+                    assert!(!has_run, "{id} was said not to have run: {events:?}");
+                }
+                last => {
+                    assert_eq!(last, Some(Frame::AnswerEnd), "{id}, {left_ms} ms left");
+                    break id;
+                }
+            }
+        };
+        common::noted(&fleet, &id, "ended").await;
+        let events = common::events_of(&fleet, &id);
+        let runs = events.iter().filter(|event| event.starts_with("begun")).count();
+        assert_eq!(runs, 1, "{id}: {events:?}");
+    }
+    for id in cut {
+        let events = common::events_of(&fleet, &id);
+        assert!(!events.iter().any(|event| event.starts_with("begun")), "{id}: {events:?}");
+    }
+}
