--- a/consensus/src/node/mod.rs
+++ b/consensus/src/node/mod.rs
@@ -19,7 +19,9 @@
 mod snapshot;
 mod types;
 
-pub use types::{Effect, Input, PersistedState, Refusal, Role, Timing, Token, Write};
+pub use types::{
+    Effect, Input, PersistedState, Refusal, Role, SnapshotPolicy, Timing, Token, Write,
+};
 
 /// How far another node is. Invariant: `matched` is only what that node said
 /// is synced, and only rises within a term.
@@ -28,8 +30,20 @@
     matched: LogIndex,
     round: u64,
     last_heard: u64,
-    /// When a whole snapshot was last sent; none is sent again for a while.
+    /// The round in which a snapshot was sent that is on its way still, however
+    /// long that takes. It is sent again when an answer of a later round shows that
+    /// it was lost.
     snapshot_sent: Option<u64>,
+    /// The last time that the peer's log did not match and `next` went back.
+    rewind: Option<Rewind>,
+}
+
+/// A step back of a peer's `next`. Invariant: answers of `round` and before are
+/// to messages that were sent before what went out with this step, or to that.
+#[derive(Clone, Copy)]
+struct Rewind {
+    matched: LogIndex,
+    round: u64,
 }
 
 /// Invariants: `base < entry.index` for all in `log`, which has no gap;
@@ -50,6 +64,8 @@
     membership_history: Vec<(LogIndex, Membership)>,
     commit: LogIndex,
     applied: LogIndex,
+    /// Bytes of the applied commands in `log`.
+    applied_bytes: usize,
     synced: LogIndex,
     ticket: u64,
     synced_ticket: u64,
@@ -91,6 +107,7 @@
             membership_history: vec![(snapshot.index, snapshot.members.clone())],
             commit: snapshot.index,
             applied: snapshot.index,
+            applied_bytes: 0,
             synced: snapshot.index,
             snapshot,
             log: VecDeque::new(),
@@ -281,7 +298,11 @@
         }
         self.writing.push_back((self.ticket, self.last(), self.now));
         let writes = std::mem::take(&mut self.pending);
-        self.effects.push(Effect::Write(self.ticket, writes));
+        // After a failure what is written next would leave a gap before it. The
+        // ticket is never synced, so nothing is sent that rests on it.
+        if !self.is_broken {
+            self.effects.push(Effect::Write(self.ticket, writes));
+        }
     }
 
     /// The one way in. `now` never falls.
--- a/consensus/src/node/replication.rs
+++ b/consensus/src/node/replication.rs
@@ -1,8 +1,20 @@
 //! Replication of the log: entries out, acknowledgements in, the commit index.
 
-use super::{Effect, Node, Peer, Refusal, Role};
+use super::{Effect, Node, Peer, Refusal, Rewind, Role};
 use crate::{Body, Entry, EntryPayload, LogIndex, NodeId, Term};
 
+/// A message takes no further entry once its commands have so many bytes. One
+/// entry always fits.
+const MESSAGE_BYTES: usize = 2 << 20;
+
+/// How many bytes of a command an entry carries.
+pub(super) fn command_bytes(entry: &Entry) -> usize {
+    match &entry.payload {
+        EntryPayload::Command(bytes) => bytes.len(),
+        EntryPayload::Blank | EntryPayload::Membership(_) => 0,
+    }
+}
+
 impl Node {
     /// Brings every other member up, by entries, a snapshot or an empty beat.
     pub(super) fn broadcast(&mut self) {
@@ -24,13 +36,14 @@
             round: 0,
             last_heard: now,
             snapshot_sent: None,
+            rewind: None,
         });
         let prior_index = peer.next - 1;
         let Some(prior_term) = self.term_at(prior_index) else {
             let peer = self.peers.get_mut(&to).expect("entered above");
-            if peer.snapshot_sent.is_none_or(|at| now - at > 2_000) {
-                peer.snapshot_sent = Some(now);
+            if peer.snapshot_sent.is_none() {
                 let snapshot = self.snapshot.clone();
+                peer.snapshot_sent = Some(round);
                 self.send(to, Body::InstallSnapshot { round, snapshot });
             } else {
                 // The snapshot is on its way; the beat keeps the peer from
@@ -54,11 +67,9 @@
             .skip(if self.log.is_empty() { 0 } else { from })
             .take(self.pace.batch)
             .take_while(|entry| {
-                let is_match = size < 2 << 20;
-                if let EntryPayload::Command(bytes) = &entry.payload {
-                    size += bytes.len();
-                }
-                is_match
+                let has_room = size < MESSAGE_BYTES;
+                size += command_bytes(entry);
+                has_room
             })
             .cloned()
             .collect();
@@ -86,7 +97,7 @@
         let floor = self.snapshot.index;
         let is_known = prior_index < floor || self.term_at(prior_index) == Some(prior_term);
         if !is_known {
-            let matched = self.last().min(prior_index.saturating_sub(1)).max(self.commit);
+            let matched = self.last_before_conflict(prior_index).max(self.commit);
             return self
                 .send(from, Body::AppendEntriesResponse { is_match: false, matched, round });
         }
@@ -105,6 +116,19 @@
         self.send(from, Body::AppendEntriesResponse { is_match: true, matched, round });
     }
 
+    /// Where the leader tries next after a mismatch at `prior_index`: before all
+    /// entries of the term that conflicts there, so that a long branch costs one
+    /// step for each of its terms and not one for each entry.
+    fn last_before_conflict(&self, prior_index: LogIndex) -> LogIndex {
+        match self.term_at(prior_index) {
+            Some(conflict) => {
+                let place = self.log.partition_point(|entry| entry.term < conflict);
+                self.log.get(place).map_or(self.snapshot.index, |entry| entry.index - 1)
+            }
+            None => self.last(),
+        }
+    }
+
     pub(super) fn on_answer(
         &mut self,
         from: NodeId,
@@ -112,29 +136,71 @@
         matched: LogIndex,
         round: u64,
     ) {
-        let last = self.last();
-        let now = self.now;
+        let (now, last) = (self.now, self.last());
         let Some(peer) = self.peers.get_mut(&from) else { return };
         peer.last_heard = now;
+        let is_newest = round >= peer.round;
         peer.round = peer.round.max(round);
-        if is_match {
-            peer.matched = peer.matched.max(matched.min(last));
-            peer.next = peer.next.max(peer.matched + 1);
-            if peer.matched > 0 {
-                peer.snapshot_sent = None;
-            }
-        } else {
-            peer.next = (matched + 1).min(last + 1).max(peer.matched + 1);
-        }
-        let (next, snapshot_sent) = (self.peers[&from].next, self.peers[&from].snapshot_sent);
-        // While a snapshot is on its way nothing is pushed out of turn.
-        let has_matter = self.term_at(next - 1).is_some() || snapshot_sent.is_none();
-        if has_matter && (!is_match || next <= last) {
+        let has_matter = match is_match {
+            true => self.on_match(from, matched.min(last)),
+            false => self.on_mismatch(from, matched.min(last), round, is_newest),
+        };
+        if has_matter {
             self.replicate_to(from);
         }
         self.settle_reads();
     }
 
+    /// Whether something is to be sent at once.
+    fn on_match(&mut self, from: NodeId, matched: LogIndex) -> bool {
+        let (last, round) = (self.last(), self.round);
+        let peer = self.peers.get_mut(&from).expect("its answer is being looked at");
+        peer.matched = peer.matched.max(matched);
+        peer.next = peer.next.max(peer.matched + 1);
+        let (next, matched) = (peer.next, peer.matched);
+        let is_in_log = self.term_at(next - 1).is_some();
+        let peer = self.peers.get_mut(&from).expect("its answer is being looked at");
+        if peer.snapshot_sent.is_some() {
+            // While a snapshot is on its way nothing is pushed out of turn.
+            if !is_in_log {
+                return false;
+            }
+            peer.snapshot_sent = None;
+            // Heartbeats that were on their way meanwhile did not match.
+            peer.rewind = Some(Rewind { matched, round });
+        }
+        next <= last
+    }
+
+    /// Steps back to where the peer says. Whether something is to be sent at once:
+    /// not for answers to what was on its way before the last step back, since what
+    /// went out with that step answers them, too.
+    fn on_mismatch(
+        &mut self,
+        from: NodeId,
+        matched: LogIndex,
+        round: u64,
+        is_newest: bool,
+    ) -> bool {
+        let own_round = self.round;
+        let peer = self.peers.get_mut(&from).expect("its answer is being looked at");
+        let is_late =
+            peer.rewind.is_some_and(|last| round <= last.round && matched >= last.matched);
+        if is_late {
+            return false;
+        }
+        peer.rewind = Some(Rewind { matched, round: own_round });
+        // A peer that denies what it claimed before may have an older disk. An answer
+        // that was passed by a newer one may not lead back so far.
+        let floor = if is_newest { 0 } else { peer.matched };
+        peer.next = matched.max(floor) + 1;
+        // An answer to something that was sent after the snapshot: that was lost, or
+        // else the peer would be past it.
+        peer.snapshot_sent = peer.snapshot_sent.filter(|sent| round <= *sent);
+        let (next, is_on_its_way) = (peer.next, peer.snapshot_sent.is_some());
+        !is_on_its_way || self.term_at(next - 1).is_some()
+    }
+
     pub(super) fn on_synced(&mut self, ticket: u64) {
         self.synced_ticket = self.synced_ticket.max(ticket);
         let mut synced = self.synced;
@@ -207,6 +273,7 @@
                 None => None,
             };
             self.applied = index;
+            self.applied_bytes += command_bytes(&entry);
             // A node that comes back applies membership_history again that were before it.
             let was_removed = matches!(&entry.payload, EntryPayload::Membership(_))
                 && self.membership_history.last().is_some_and(|(newest, _)| *newest == index)
--- a/consensus/src/node/snapshot.rs
+++ b/consensus/src/node/snapshot.rs
@@ -1,9 +1,16 @@
 //! Snapshots: taking one of the applied state, installing one from the leader.
 
-use super::{Effect, Node, Write};
+use super::replication::command_bytes;
+use super::{Effect, Node, SnapshotPolicy, Write};
 use crate::{Body, LogIndex, NodeId, Snapshot};
 
 impl Node {
+    /// Whether so much was applied since the last snapshot that one is to be taken.
+    pub fn is_snapshot_due(&self, policy: SnapshotPolicy) -> bool {
+        let entries = self.applied - self.snapshot.index;
+        entries >= policy.entries || (entries > 0 && self.applied_bytes >= policy.bytes)
+    }
+
     pub(super) fn install(&mut self, from: NodeId, round: u64, snapshot: Snapshot) {
         if snapshot.index <= self.commit {
             // It says nothing new.
@@ -17,7 +24,9 @@
             self.membership_history = vec![(snapshot.index, snapshot.members.clone())];
             self.commit = snapshot.index;
             self.applied = snapshot.index;
-            self.synced = self.snapshot.index;
+            // A snapshot that was taken here may not be on the disk yet, either.
+            self.synced = self.synced.min(self.snapshot.index);
+            self.applied_bytes = 0;
             for (_, last, _) in &mut self.writing {
                 *last = (*last).min(self.synced);
             }
@@ -44,7 +53,8 @@
             .expect("a membership stands at the snapshot or before it");
         self.membership_history.retain(|(at, _)| *at > index);
         self.membership_history.insert(0, (index, members.clone()));
-        while self.log.front().is_some_and(|entry| entry.index <= index) {
+        while let Some(entry) = self.log.front().filter(|entry| entry.index <= index) {
+            self.applied_bytes -= command_bytes(entry);
             self.log.pop_front();
         }
         self.snapshot = Snapshot { index, term, cluster: self.hard_state.cluster, members, state };
--- a/consensus/src/node/types.rs
+++ b/consensus/src/node/types.rs
@@ -26,6 +26,17 @@
     }
 }
 
+/// When the log is long enough for a snapshot. Invariant: what is on the disk is
+/// bounded by about twice `bytes`, or twice `entries`, whichever comes first, with
+/// two snapshots and what is not committed.
+#[derive(Clone, Copy, Debug)]
+pub struct SnapshotPolicy {
+    /// Entries applied since the last snapshot.
+    pub entries: u64,
+    /// Bytes of the commands among them.
+    pub bytes: usize,
+}
+
 pub type Token = u64;
 
 pub enum Input {
--- /dev/null
+++ b/consensus/tests/snapshots.rs
@@ -0,0 +1,286 @@
+//! Snapshots: how much log lies between two of them, how much disk that takes,
+//! and what a follower claims and keeps when snapshots and entries reach it late,
+//! twice, out of order or before its disk is done.
+
+mod support;
+
+use consensus::node::{Effect, Input, Node, PersistedState, SnapshotPolicy, Timing, Write};
+use consensus::wal::WriteAheadLog;
+use consensus::{
+    Body, Entry, EntryPayload, HardState, LogIndex, Member, Membership, Message, Snapshot, Term,
+};
+use support::cluster::{Cluster, Conditions};
+use support::disk::MemoryDisk;
+
+const CLUSTER: u64 = 7;
+const LEADER: u64 = 2;
+const MIB: usize = 1 << 20;
+
+/// Guards: the log between two snapshots is bounded in bytes, not only in entries.
+/// 256 documents of 1 MiB would be 256 MiB.
+#[test]
+fn large_documents_bring_a_snapshot_before_the_entries_do() {
+    let conditions = Conditions { change_bytes: MIB, state_bytes: MIB, ..Conditions::default() };
+    let mut cluster = Cluster::led(1, conditions);
+    cluster.storm(200, 10);
+    cluster.run(4_000);
+    assert!(cluster.acknowledged > 200, "all are taken");
+    let most = cluster.machines[0].disk.most_bytes();
+    println!("200 changes of 1 MiB: at most {most} bytes on the disk");
+    assert!(most < 32 * MIB, "{most} bytes");
+}
+
+/// Guards: 10,000 changes with documents of 60 KB, on a disk of 128 MB, with power
+/// lost in their midst again and again.
+#[test]
+fn ten_thousand_changes_fit_a_small_disk() {
+    for crashes in [0, 40] {
+        let conditions =
+            Conditions { change_bytes: 60_000, state_bytes: 400_000, ..Conditions::default() };
+        let mut cluster = Cluster::led(1, conditions);
+        cluster.storm(10_000, 10);
+        for _ in 0..crashes {
+            let pause = 1_000 + cluster.draw(2_500);
+            cluster.run(pause);
+            cluster.crash(0);
+            cluster.start(0);
+        }
+        let is_done = |cluster: &Cluster| cluster.proposed >= 10_000;
+        cluster.run_until(300_000, is_done).expect("all are proposed");
+        cluster.run(2_000);
+        let disk = &cluster.machines[0].disk;
+        let (most, now) = (disk.most_bytes(), disk.bytes());
+        println!("{crashes} crashes: at most {most} bytes, {now} at the end");
+        assert!(cluster.acknowledged > 9_000, "{}", cluster.acknowledged);
+        assert!(most < 32_000_000, "{most} bytes");
+    }
+}
+
+/// Guards: a snapshot is not taken over and over while large changes wait.
+#[test]
+fn only_what_is_applied_counts_towards_a_snapshot() {
+    let policy = SnapshotPolicy { entries: 1_000, bytes: 100 };
+    let mut follower = Follower::new();
+    follower.hear(append(1, 1, 1, (2..=9).map(|index| command(index, 1)).collect()));
+    assert!(!follower.node.is_snapshot_due(policy), "nothing of it is committed");
+    follower.hear(append(9, 1, 4, Vec::new()));
+    assert!(follower.node.is_snapshot_due(policy));
+    follower.step(Input::SnapshotTaken(2, vec![1]));
+    assert!(follower.node.is_snapshot_due(policy), "two of fifty bytes each are left");
+    follower.step(Input::SnapshotTaken(4, vec![1]));
+    assert!(!follower.node.is_snapshot_due(policy), "what is committed is in it");
+    follower.hear(append(9, 1, 9, Vec::new()));
+    assert!(follower.node.is_snapshot_due(policy));
+    follower.hear(install(50, 1));
+    assert!(!follower.node.is_snapshot_due(policy), "the leader's one holds it all");
+}
+
+fn member(identity: u64) -> Member {
+    Member {
+        identity,
+        name: format!("node-{identity}"),
+        region: "north".into(),
+        zone: "north-a".into(),
+        address: String::new(),
+        desk: String::new(),
+    }
+}
+
+fn members() -> Membership {
+    Membership { voters: (1..=3).map(member).collect(), ..Membership::default() }
+}
+
+fn command(index: LogIndex, term: Term) -> Entry {
+    Entry { index, term, payload: EntryPayload::Command(vec![7; 50]) }
+}
+
+fn append(prior_index: LogIndex, prior_term: Term, commit: LogIndex, entries: Vec<Entry>) -> Body {
+    Body::AppendEntries { prior_index, prior_term, commit, round: 1, entries }
+}
+
+fn snapshot(index: LogIndex, term: Term) -> Snapshot {
+    Snapshot { index, term, cluster: CLUSTER, members: members(), state: vec![3; 10] }
+}
+
+fn install(index: LogIndex, term: Term) -> Body {
+    Body::InstallSnapshot { round: 1, snapshot: snapshot(index, term) }
+}
+
+/// One follower of a leader that the test plays, and its disk.
+struct Follower {
+    node: Node,
+    log: WriteAheadLog<MemoryDisk>,
+    disk: MemoryDisk,
+    unwritten: Vec<(u64, Vec<Write>)>,
+    /// The most that it ever claimed to have on its disk.
+    claimed: LogIndex,
+    applied: LogIndex,
+}
+
+impl Follower {
+    fn new() -> Follower {
+        let disk = MemoryDisk::default();
+        let (mut log, _) = WriteAheadLog::open(disk.clone()).expect("a blank disk opens");
+        let payload = EntryPayload::Membership(members());
+        log.write(&[
+            Write::HardState(HardState { term: 1, vote: 0, cluster: CLUSTER }),
+            Write::Entry(Entry { index: 1, term: 1, payload }),
+        ])
+        .expect("there is room");
+        let (log, kept) = WriteAheadLog::open(disk.clone()).expect("it is read back");
+        Follower {
+            node: Node::new(1, Timing::default(), 5, 1_000, kept),
+            log,
+            disk,
+            unwritten: Vec::new(),
+            claimed: 0,
+            applied: 0,
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        for effect in self.node.step(1_000, input) {
+            match effect {
+                Effect::Write(ticket, writes) => self.unwritten.push((ticket, writes)),
+                Effect::Send(Message {
+                    body: Body::AppendEntriesResponse { is_match: true, matched, .. },
+                    ..
+                }) => {
+                    self.claimed = self.claimed.max(matched);
+                }
+                Effect::Apply(entry, _) => {
+                    assert_eq!(entry.index, self.applied + 1, "in order");
+                    self.applied = entry.index;
+                }
+                Effect::Restore(snapshot) => {
+                    assert!(snapshot.index > self.applied, "a state is never undone");
+                    self.applied = snapshot.index;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn hear(&mut self, body: Body) {
+        let term = self.node.term();
+        self.step(Input::Received(Message { from: LEADER, to: 1, cluster: CLUSTER, term, body }));
+    }
+
+    fn write_one(&mut self) {
+        if self.unwritten.is_empty() {
+            return;
+        }
+        let (ticket, writes) = self.unwritten.remove(0);
+        self.log.write(&writes).expect("there is room");
+        self.step(Input::Synced(ticket));
+    }
+
+    /// What the disk would give back now.
+    fn on_disk(&self) -> PersistedState {
+        WriteAheadLog::open(self.disk.copied()).expect("it is read back").1
+    }
+
+    /// How far the disk goes.
+    fn last_on_disk(&self) -> LogIndex {
+        let kept = self.on_disk();
+        let base = kept.snapshot.map_or(0, |snapshot| snapshot.index);
+        kept.entries.last().map_or(base, |entry| entry.index)
+    }
+}
+
+/// Guards: what is claimed to be synced is on the disk. A snapshot that the node
+/// took of committed entries before its own disk had them is not on it, either.
+#[test]
+fn a_snapshot_that_is_not_written_yet_is_not_claimed() {
+    let mut follower = Follower::new();
+    follower.hear(append(1, 1, 9, (2..=9).map(|index| command(index, 1)).collect()));
+    assert_eq!(follower.applied, 9, "a majority of others has them");
+    follower.step(Input::SnapshotTaken(9, vec![1]));
+    assert_eq!(follower.claimed, 1);
+    follower.hear(install(50, 1));
+    assert_eq!(follower.claimed, 1, "the disk holds no more");
+    while !follower.unwritten.is_empty() {
+        follower.write_one();
+        assert!(follower.claimed <= follower.last_on_disk());
+    }
+    assert_eq!(follower.claimed, 50);
+}
+
+/// Guards: a heartbeat commits what it vouches for and no more: what follows in the
+/// log may be of a branch that the leader does not have.
+#[test]
+fn a_heartbeat_commits_no_branch() {
+    let mut follower = Follower::new();
+    follower.hear(append(1, 1, 1, (2..=5).map(|index| command(index, 1)).collect()));
+    let message = |body| Message { from: 3, to: 1, cluster: CLUSTER, term: 2, body };
+    follower.step(Input::Received(message(append(1, 1, 4, Vec::new()))));
+    assert_eq!((follower.node.commit(), follower.node.last()), (1, 5));
+    let entries = vec![command(2, 2), command(3, 2)];
+    follower.step(Input::Received(message(append(1, 1, 4, entries))));
+    assert_eq!((follower.node.commit(), follower.node.last()), (3, 3));
+}
+
+/// Guards: a node whose disk took one write not, and the next ones, would claim a
+/// log with a gap. After a failure nothing more is written, and nothing is said
+/// that rests on it.
+#[test]
+fn nothing_is_written_after_a_failed_write() {
+    let mut follower = Follower::new();
+    follower.hear(append(1, 1, 1, vec![command(2, 1)]));
+    follower.write_one();
+    assert_eq!(follower.claimed, 2);
+    follower.hear(append(2, 1, 2, vec![command(3, 1)]));
+    follower.unwritten.clear();
+    follower.step(Input::DiskFailed);
+    follower.hear(append(3, 1, 3, vec![command(4, 1)]));
+    follower.hear(install(50, 1));
+    assert!(follower.unwritten.is_empty(), "there would be a gap");
+    assert_eq!((follower.claimed, follower.last_on_disk()), (2, 2));
+}
+
+fn draw(seed: &mut u64, below: u64) -> u64 {
+    *seed ^= *seed << 13;
+    *seed ^= *seed >> 7;
+    *seed ^= *seed << 17;
+    (*seed >> 11) % below
+}
+
+/// Guards: duplicated, reordered and late snapshots and entries of one leader undo
+/// nothing: what was claimed stays on the disk, the commit never falls, and a state
+/// is never replaced by an older one.
+#[test]
+fn reordered_snapshots_and_entries_undo_nothing() {
+    const LAST: LogIndex = 60;
+    for number in 1..=300u64 {
+        let mut seed = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let mut follower = Follower::new();
+        let mut commit = 0;
+        // The leader's log grows; what it sends comes from any moment of that.
+        for turn in 0..80 {
+            let grown = 2 + turn * LAST / 80;
+            let index = 1 + draw(&mut seed, grown);
+            let far = index + draw(&mut seed, grown + 1 - index + 1).min(12);
+            let committed = draw(&mut seed, far.min(grown) + 1);
+            match draw(&mut seed, 10) {
+                0 | 1 => follower.hear(install(index, 1)),
+                2 => follower.hear(append(grown, 1, 0, Vec::new())),
+                3 | 4 => follower.write_one(),
+                5 => {
+                    let applied = follower.applied;
+                    follower.step(Input::SnapshotTaken(applied, vec![2]));
+                }
+                _ => {
+                    let entries = (index + 1..=far).map(|index| command(index, 1)).collect();
+                    follower.hear(append(index, 1, committed, entries));
+                }
+            }
+            assert!(follower.node.commit() >= commit, "seed {number}: the commit fell");
+            commit = follower.node.commit();
+            assert!(follower.claimed <= follower.last_on_disk(), "seed {number}, turn {turn}");
+        }
+        // Power goes: all that was claimed is there.
+        let claimed = follower.claimed;
+        follower.disk.lose_power(draw(&mut seed, u64::MAX), draw(&mut seed, 1_001) as usize);
+        assert!(follower.last_on_disk() >= claimed, "seed {number}");
+    }
+}
--- a/consensus/tests/support/disk.rs
+++ b/consensus/tests/support/disk.rs
@@ -53,6 +53,10 @@
         self.disk().is_full = is_full;
     }
 
+    pub fn is_full(&self) -> bool {
+        self.disk().is_full
+    }
+
     /// Lets so many operations through and fails all that follow.
     pub fn fail_after(&self, operations: Option<u32>) {
         self.disk().operations_left = operations;
--- a/consensus/tests/support/mod.rs
+++ b/consensus/tests/support/mod.rs
@@ -5,3 +5,5 @@
 
 pub mod cluster;
 pub mod disk;
+pub mod state;
+pub mod traffic;
--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -3,7 +3,9 @@
 //! bounded ring.
 
 use crate::links::Links;
-use consensus::node::{Effect, Input, Node, PersistedState, Refusal as No, Role, Timing, Write};
+use consensus::node::{
+    Effect, Input, Node, PersistedState, Refusal as No, Role, SnapshotPolicy, Timing, Write,
+};
 use consensus::pack::{packed, unpacked};
 use consensus::wal::{Folder, WriteAheadLog};
 use consensus::{EntryPayload, Member, Membership, Message, NodeId};
@@ -22,6 +24,9 @@
 use yard::web::Refusal;
 
 const RING: usize = 4096;
+/// A snapshot is taken once so many bytes of changes lie past the last one. Invariant:
+/// three times this, with two snapshots, is well within a small disk.
+const LOG_BYTES: usize = 8 << 20;
 const ASK_PATIENCE_MS: u64 = 1_500;
 /// The ledger's thread looks around at least this often.
 const LONGEST_WAIT_MS: u64 = 500;
@@ -582,7 +587,8 @@
     }
 
     fn picture(&mut self) {
-        if self.node.applied() >= self.node.snapshot().index + self.picture_every {
+        let policy = SnapshotPolicy { entries: self.picture_every, bytes: LOG_BYTES };
+        if self.node.is_snapshot_due(policy) {
             let state = self.state.read().picture();
             let index = self.node.applied();
             self.step(Input::SnapshotTaken(index, state));
