--- /dev/null
+++ b/residency/tests/snapshot_size.rs
@@ -0,0 +1,83 @@
+//! How large a snapshot of the state is, at the most that the platform's documents
+//! make of it.
+
+use residency::{Command, Engine, EngineState, Outcome, Sheet, State, Submission};
+
+const DOCUMENT_BYTES: usize = 60_000;
+/// More than the state remembers.
+const CHANGES: u64 = 5_000;
+const TENANTS: usize = 600;
+const ENGINES: u64 = 60;
+
+/// A topology file of about the size of the operators' document.
+fn topology() -> String {
+    let tenants: Vec<String> = (0..TENANTS)
+        .map(|number| {
+            let name = format!("tenant-{number:04}-{}", "x".repeat(50));
+            format!(r#""{name}": {{ "homes": ["north"], "fresh": "10s" }}"#)
+        })
+        .collect();
+    format!(
+        r#"{{ "zones": {{ "n-a": {{ "region": "north" }} }}, "cells": {{ "n-1": {{ "zone": "n-a" }} }},
+        "services": {{ "writer": {{}} }}, "tenants": {{ {} }},
+        "rules": "door app at \"/app/\" tenant header \"k\" model header \"m\"\nroute w on app POST \"/app/w\" to model once" }}"#,
+        tenants.join(", ")
+    )
+}
+
+fn engine(number: u64) -> Command {
+    Command::Engine(Engine {
+        name: format!("engine-{number}").as_str().into(),
+        address: format!("127.0.0.1:{}", 1_000 + number),
+        cell: "n-1".into(),
+        services: vec!["writer".into()],
+        slots: 4,
+        state: EngineState::Serving,
+        cold_ms: 0,
+    })
+}
+
+fn adopt(revision: u64) -> Command {
+    let sheet = Sheet { revision, based: revision - 1, text: "d".repeat(DOCUMENT_BYTES) };
+    Command::Adopt { sheet, text: topology() }
+}
+
+/// An id of the most characters that are taken.
+fn id(index: u64) -> String {
+    format!("{index:064}")
+}
+
+/// Guards: bounded snapshots, however many changes there were, and a repeat is
+/// known as one on the other side of a snapshot, too.
+#[test]
+fn a_snapshot_is_bounded_however_many_changes_there_were() {
+    let mut state = State::default();
+    let mut largest = 0;
+    let mut index = 0;
+    let mut must = |state: &mut State, command: Command| {
+        index += 1;
+        let (outcome, _) = state.apply(index, &Submission { id: id(index), base: 0, command });
+        assert!(matches!(outcome, Outcome::Applied { .. }), "{outcome:?}");
+    };
+    must(&mut state, adopt(1));
+    for number in 0..CHANGES {
+        must(&mut state, engine(number % ENGINES));
+        if number % 500 == 0 {
+            largest = largest.max(state.picture().len());
+        }
+    }
+    must(&mut state, adopt(2));
+    let snapshot = state.picture();
+    largest = largest.max(snapshot.len());
+    println!("topology file {} bytes, snapshot {largest} bytes", topology().len());
+    assert!(largest < 1 << 20, "{largest} bytes");
+
+    let restored = State::restore(&snapshot).expect("it is read back");
+    // The keys of the topology file have no order.
+    assert_eq!(restored.picture().len(), snapshot.len());
+    assert!(restored.view.picture() == state.view.picture(), "the view is the same");
+    assert!(restored.sheet() == state.sheet(), "the document is the same");
+    let oldest_kept = index - residency::SUBMISSIONS_KEPT as u64 + 1;
+    assert!(restored.has_taken(&id(index)) && restored.has_taken(&id(oldest_kept)));
+    assert!(!restored.has_taken(&id(oldest_kept - 1)), "the ones before are forgotten");
+}
