--- a/consensus/src/node/mod.rs
+++ b/consensus/src/node/mod.rs
@@ -36,6 +36,8 @@
     snapshot_sent: Option<u64>,
     /// The last time that the peer's log did not match and `next` went back.
     rewind: Option<Rewind>,
+    /// When it last said that it is about to stop.
+    leaving_at: Option<u64>,
 }
 
 /// A step back of a peer's `next`. Invariant: answers of `round` and before are
@@ -320,6 +322,7 @@
             Input::Propose(token, bytes) => self.propose(token, EntryPayload::Command(bytes)),
             Input::AddLearner(token, member) => self.add_learner(token, member),
             Input::RemoveMember(token, identity) => self.remove_member(token, identity),
+            Input::Leave(token, identity) => self.leave(token, identity),
             Input::ReadIndex(token) => self.read_index(token),
             Input::TransferLeadership => self.transfer_leadership(),
             Input::SnapshotTaken(index, state) => self.take_snapshot(index, state),
--- a/consensus/src/node/replication.rs
+++ b/consensus/src/node/replication.rs
@@ -37,6 +37,7 @@
             last_heard: now,
             snapshot_sent: None,
             rewind: None,
+            leaving_at: None,
         });
         let prior_index = peer.next - 1;
         let Some(prior_term) = self.term_at(prior_index) else {
--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -2,13 +2,14 @@
 //! the thread that owns the disk. Everybody else talks to them through one
 //! bounded ring.
 
+use crate::forwarding::{is_valid, LeaderClock};
 use crate::links::Links;
 use consensus::node::{
     Effect, Input, Node, PersistedState, Refusal as No, Role, SnapshotPolicy, Timing, Write,
 };
 use consensus::pack::{packed, unpacked};
 use consensus::wal::{Folder, WriteAheadLog};
-use consensus::{EntryPayload, Member, Membership, Message, NodeId};
+use consensus::{EntryPayload, Member, Membership, Message, NodeId, Term};
 use parking_lot::RwLock;
 use placement::{Margin, Paces, Pools};
 use residency::{Event, Mapping, State, Submission, View};
@@ -18,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use wire::{Frame, FrontDemand, FrontShares, Question, Reply, LICENCE_MS};
+use wire::{Frame, FrontDemand, FrontShares, Question, Reply, Validity, LICENCE_MS};
 use yard::counters::Counters;
 use yard::now;
 use yard::web::Refusal;
@@ -30,6 +31,10 @@
 const ASK_PATIENCE_MS: u64 = 1_500;
 /// The ledger's thread looks around at least this often.
 const LONGEST_WAIT_MS: u64 = 500;
+/// Between two questions whether this node may stop.
+const LEAVE_RETRY_MS: u64 = 80;
+/// Without a leader for so long, a node that is to stop does not wait for its word.
+const LEADERLESS_MS: u64 = 1_000;
 
 /// What the ledger thread is asked.
 pub enum Call {
@@ -38,13 +43,46 @@
     DiskFailed,
     /// The disk takes writes again: what it holds, and the way to it.
     DiskBack(PersistedState, SyncSender<(u64, Vec<Write>)>),
-    Ask(Question, oneshot::Sender<Reply>),
-    /// A question from another node, to be answered there.
-    AskedBy(NodeId, u64, Question),
-    Replied(u64, Reply),
+    Ask(Asked, oneshot::Sender<Reply>),
+    AskedBy(Forwarded),
+    Replied {
+        number: u64,
+        clock_ms: u64,
+        reply: Reply,
+    },
     Found(oneshot::Sender<Result<(), String>>),
     Attach(mpsc::Sender<Frame>),
     HandOver,
+    /// How the members stand, as their leader knows it.
+    Members(oneshot::Sender<MembershipReport>),
+}
+
+/// How the leader sees the members. Nothing but defaults where another node leads.
+#[derive(Clone, Default)]
+pub struct MembershipReport {
+    /// Milliseconds since each other member was heard of.
+    pub silent_ms: Vec<(NodeId, u64)>,
+    /// A change of membership is proposed and not yet committed.
+    pub is_changing: bool,
+    /// What repair does next, or why it does nothing.
+    pub repair: String,
+}
+
+/// A question from this process.
+pub struct Asked {
+    question: Question,
+    /// Nothing is proposed for it past this time.
+    until: u64,
+    /// Where it is of use only while this node leads in this term.
+    only_term: Option<Term>,
+}
+
+/// A question from another node, to be answered there.
+pub struct Forwarded {
+    pub from: NodeId,
+    pub number: u64,
+    pub validity: Validity,
+    pub question: Question,
 }
 
 /// How this node stands, for all to see.
@@ -79,8 +117,13 @@
     }
 
     pub async fn ask(&self, question: Question) -> Reply {
+        let until = now() + ASK_PATIENCE_MS;
+        self.ask_asked(Asked { question, until, only_term: None }).await
+    }
+
+    async fn ask_asked(&self, asked: Asked) -> Reply {
         let (sender, receiver) = oneshot::channel();
-        if !self.send(Call::Ask(question, sender)) {
+        if !self.send(Call::Ask(asked, sender)) {
             return Reply::Busy;
         }
         receiver.await.unwrap_or(Reply::Lost)
@@ -95,18 +138,31 @@
         receiver.await.unwrap_or(Err("the ledger ended".into()))
     }
 
-    /// Submits until the outcome is known or patience ends. The submission's
-    /// id makes the repeats harmless.
-    pub async fn submit(&self, submission: Submission, patience: Duration) -> Reply {
-        let until = tokio::time::Instant::now() + patience;
-        loop {
-            let reply = self.ask(Question::Submit(submission.clone())).await;
-            let is_final = matches!(reply, Reply::Submitted(_));
-            if is_final || tokio::time::Instant::now() >= until {
+    /// Submits until the outcome is known or `until` has come; past that nothing is
+    /// proposed for it any more. The submission's id makes the repeats harmless.
+    pub async fn submit(&self, submission: Submission, until: u64) -> Reply {
+        let mut reply = Reply::Lost;
+        while now() < until {
+            let question = Question::Submit(submission.clone());
+            let asked =
+                Asked { question, until: until.min(now() + ASK_PATIENCE_MS), only_term: None };
+            let left = Duration::from_millis(until.saturating_sub(now()));
+            let answer = tokio::time::timeout(left, self.ask_asked(asked)).await;
+            reply = answer.unwrap_or(Reply::Lost);
+            if matches!(reply, Reply::Submitted(_)) {
                 return reply;
             }
             tokio::time::sleep(yard::jitter(120)).await;
         }
+        reply
+    }
+
+    /// Submits once, and only while this node leads in that term.
+    pub async fn submit_as_leader(&self, submission: Submission, term: Term, until: u64) -> Reply {
+        let question = Question::Submit(submission);
+        let asked = Asked { question, until, only_term: Some(term) };
+        let left = Duration::from_millis(until.saturating_sub(now()));
+        tokio::time::timeout(left, self.ask_asked(asked)).await.unwrap_or(Reply::Lost)
     }
 
     pub fn note_confirmed(&self, asked: u64) {
@@ -131,8 +187,39 @@
         }
     }
 
+    /// How the members stand, by the leader's own account if it is here.
+    pub async fn membership(&self) -> MembershipReport {
+        let (sender, receiver) = oneshot::channel();
+        if !self.send(Call::Members(sender)) {
+            return MembershipReport::default();
+        }
+        receiver.await.unwrap_or_default()
+    }
+
+    /// Before this node stops: hands leadership over, and waits until the others hold
+    /// all that counts and, where a learner stands ready, one has taken its place.
+    pub async fn prepare_to_stop(&self, identity: NodeId, patience: Duration) {
+        let is_alone = self.standing.borrow().members.all().all(|m| m.identity == identity);
+        if is_alone {
+            return;
+        }
+        self.transfer_leadership().await;
+        let until = tokio::time::Instant::now() + patience;
+        let mut led_at = now();
+        while tokio::time::Instant::now() < until && now() < led_at + LEADERLESS_MS {
+            if matches!(self.ask(Question::Leave { identity }).await, Reply::Confirmed { .. }) {
+                return;
+            }
+            if self.standing.borrow().leader.is_some() {
+                led_at = now();
+            }
+            tokio::time::sleep(yard::jitter(LEAVE_RETRY_MS)).await;
+        }
+        log::warn!("stops though the others may lack what counts: no leader says otherwise");
+    }
+
     /// Hands leadership over, if it is here, and waits for a new leader.
-    pub async fn stop(&self) {
+    async fn transfer_leadership(&self) {
         if self.standing.borrow().is_leader && self.send(Call::HandOver) {
             let mut standing = self.standing.clone();
             let gone = standing.wait_for(|standing| !standing.is_leader);
@@ -156,6 +243,14 @@
     }
 }
 
+/// A question that was sent to the leader.
+struct Sent {
+    leader: NodeId,
+    term: Term,
+    until: u64,
+    reply: oneshot::Sender<Reply>,
+}
+
 enum Waiter {
     Here(oneshot::Sender<Reply>),
     There(NodeId, u64),
@@ -180,8 +275,9 @@
     next: u64,
     /// Matters handed to the node here, by token.
     tokens: HashMap<u64, Waiter>,
-    /// Questions sent to the leader, by number, with the time of sending.
-    asked: HashMap<u64, (u64, oneshot::Sender<Reply>)>,
+    /// Questions sent to the leader, by number.
+    asked: HashMap<u64, Sent>,
+    leader_clock: LeaderClock,
     /// Confirmed by the leader; answered once this index is applied here.
     confirms: Vec<(u64, Waiter, Vec<FrontShares>)>,
     /// Shares that go out with a confirmation under way, by its token.
@@ -239,9 +335,11 @@
         links,
         counters,
         sessions: Vec::new(),
-        next: rand::random::<u32>().into(),
+        // Far from the numbers of any earlier process.
+        next: rand::random::<u64>() >> 1,
         tokens: HashMap::new(),
         asked: HashMap::new(),
+        leader_clock: LeaderClock::default(),
         confirms: Vec::new(),
         granted: HashMap::new(),
         grants: Grants::new(margin),
@@ -298,6 +396,14 @@
     }
 }
 
+fn describe(members: &Membership) -> String {
+    let names = |members: &[Member]| {
+        let names: Vec<&str> = members.iter().map(|member| member.name.as_str()).collect();
+        names.join(", ")
+    };
+    format!("voters: {}; learners: {}", names(&members.voters), names(&members.learners))
+}
+
 impl Thread {
     fn run(&mut self, ring: &Receiver<Call>) {
         loop {
@@ -324,7 +430,7 @@
 
     /// How long nothing happens here by itself.
     fn wait(&self) -> Duration {
-        let asked = self.asked.values().map(|(at, _)| at + ASK_PATIENCE_MS + 1).min();
+        let asked = self.asked.values().map(|sent| sent.until).min();
         let due = self.node.due().min(asked.unwrap_or(u64::MAX));
         Duration::from_millis(due.saturating_sub(now()).min(LONGEST_WAIT_MS))
     }
@@ -340,22 +446,17 @@
             Call::Synced(ticket) => self.step(Input::Synced(ticket)),
             Call::DiskFailed => self.step(Input::DiskFailed),
             Call::DiskBack(kept, disk) => self.begin_again(kept, disk),
-            Call::Ask(question, reply) => self.ask(question, reply),
-            Call::AskedBy(from, number, question) => {
-                let waiter = Waiter::There(from, number);
-                match self.node.role() == Role::Leader {
-                    true => self.lead(question, waiter),
-                    false => self.deliver(waiter, Reply::NotLeader),
-                }
-            }
-            Call::Replied(number, reply) => {
-                let Some((_, sender)) = self.asked.remove(&number) else { return };
+            Call::Ask(asked, reply) => self.ask(asked, reply),
+            Call::AskedBy(forwarded) => self.asked_by(forwarded),
+            Call::Replied { number, clock_ms, reply } => {
+                let Some(sent) = self.asked.remove(&number) else { return };
+                self.leader_clock.learn(sent.leader, sent.term, clock_ms, now());
                 match reply {
                     Reply::Confirmed { index, shares } => {
-                        self.confirms.push((index, Waiter::Here(sender), shares));
+                        self.confirms.push((index, Waiter::Here(sent.reply), shares));
                         self.settle();
                     }
-                    reply => self.deliver(Waiter::Here(sender), reply),
+                    reply => self.deliver(Waiter::Here(sent.reply), reply),
                 }
             }
             Call::Found(reply) => {
@@ -377,6 +478,25 @@
                 }
             }
             Call::HandOver => self.step(Input::TransferLeadership),
+            Call::Members(reply) => drop(reply.send(self.membership_report())),
+        }
+    }
+
+    fn membership_report(&self) -> MembershipReport {
+        if self.node.role() != Role::Leader {
+            return MembershipReport::default();
+        }
+        let members = self.node.members();
+        let voters = self.node.health_of(&members.voters);
+        let learners = self.node.health_of(&members.learners);
+        let health = voters.iter().chain(&learners);
+        MembershipReport {
+            silent_ms: health.map(|known| (known.member.identity, known.silent_ms)).collect(),
+            is_changing: !self.node.is_settled(),
+            repair: match self.node.next_change() {
+                Ok(change) => format!("{change:?}"),
+                Err(standstill) => standstill.to_string(),
+            },
         }
     }
 
@@ -397,8 +517,8 @@
         for (_, waiter, _) in std::mem::take(&mut self.confirms) {
             self.deliver(waiter, Reply::Lost);
         }
-        for (_, (_, sender)) in std::mem::take(&mut self.asked) {
-            drop(sender.send(Reply::Lost));
+        for (_, sent) in std::mem::take(&mut self.asked) {
+            drop(sent.reply.send(Reply::Lost));
         }
         self.granted.clear();
         self.node = node;
@@ -409,8 +529,18 @@
     }
 
     /// A question from this process: answered here by the leader, else there.
-    fn ask(&mut self, question: Question, reply: oneshot::Sender<Reply>) {
-        if self.node.role() == Role::Leader {
+    fn ask(&mut self, asked: Asked, reply: oneshot::Sender<Reply>) {
+        let Asked { question, until, only_term } = asked;
+        let is_leader = self.node.role() == Role::Leader;
+        let term = self.node.term();
+        if only_term.is_some_and(|only| !is_leader || only != term) {
+            return self.deliver(Waiter::Here(reply), Reply::NotLeader);
+        }
+        // This process may have stood still meanwhile.
+        if now() >= until {
+            return self.deliver(Waiter::Here(reply), Reply::Lost);
+        }
+        if is_leader {
             return self.lead(question, Waiter::Here(reply));
         }
         let leader = self.node.leader().and_then(|id| self.node.members().get(id)).cloned();
@@ -418,11 +548,24 @@
             return self.deliver(Waiter::Here(reply), Reply::NotLeader);
         };
         let number = self.number();
-        self.asked.insert(number, (now(), reply));
-        let frame = Frame::Ask { from: self.me.identity, number, question };
+        let validity = self.leader_clock.validity(leader.identity, term, until);
+        self.asked.insert(number, Sent { leader: leader.identity, term, until, reply });
+        let frame = Frame::Ask { from: self.me.identity, number, validity, question };
         self.links.send(&leader.address, frame);
     }
 
+    /// A question from another node. What is late is not acted on; whoever still
+    /// waits asks anew.
+    fn asked_by(&mut self, forwarded: Forwarded) {
+        let Forwarded { from, number, validity, question } = forwarded;
+        let waiter = Waiter::There(from, number);
+        let is_leader = self.node.role() == Role::Leader;
+        match is_leader && is_valid(&question, validity, self.node.term(), now()) {
+            true => self.lead(question, waiter),
+            false => self.deliver(waiter, Reply::NotLeader),
+        }
+    }
+
     fn lead(&mut self, question: Question, waiter: Waiter) {
         let token = self.number();
         let input = match question {
@@ -432,8 +575,13 @@
                 Input::ReadIndex(token)
             }
             Question::Submit(submission) => {
-                // A repeat, a conflict or a refusal needs no entry.
-                if let Some(outcome) = self.state.read().check(&submission) {
+                // A repeat, a conflict or a refusal needs no entry, once all that
+                // former leaders left is applied: an older state says nothing.
+                let outcome = match self.node.is_settled() {
+                    true => self.state.read().check(&submission),
+                    false => None,
+                };
+                if let Some(outcome) = outcome {
                     return self.deliver(waiter, Reply::Submitted(outcome));
                 }
                 // What too few hold might go with the loss of one.
@@ -444,6 +592,7 @@
             }
             Question::Admit(member) => Input::AddLearner(token, member),
             Question::Retire { identity } => Input::RemoveMember(token, identity),
+            Question::Leave { identity } => Input::Leave(token, identity),
         };
         self.tokens.insert(token, waiter);
         self.step(input);
@@ -466,7 +615,9 @@
         match waiter {
             // Who asked may have left; then nobody needs the answer.
             Waiter::Here(sender) => drop(sender.send(reply)),
-            Waiter::There(to, number) => self.links.send_to(to, Frame::Reply { number, reply }),
+            Waiter::There(to, number) => {
+                self.links.send_to(to, Frame::Reply { number, clock_ms: now(), reply });
+            }
         }
     }
 
@@ -493,8 +644,7 @@
                     let reply = match &entry.payload {
                         EntryPayload::Blank => None,
                         EntryPayload::Membership(members) => {
-                            log::info!(index = entry.index; "members: {} voters, {} learners",
-                                members.voters.len(), members.learners.len());
+                            log::info!(index = entry.index; "{}", describe(members));
                             Some(Reply::Changed)
                         }
                         EntryPayload::Command(bytes) => Some(self.apply(entry.index, bytes)),
@@ -576,12 +726,12 @@
     }
 
     fn expire(&mut self) {
-        let old = now().saturating_sub(ASK_PATIENCE_MS);
+        let now = now();
         let late: Vec<u64> =
-            self.asked.iter().filter(|(_, (at, _))| *at < old).map(|(n, _)| *n).collect();
+            self.asked.iter().filter(|(_, sent)| sent.until <= now).map(|(n, _)| *n).collect();
         for number in late {
-            if let Some((_, sender)) = self.asked.remove(&number) {
-                drop(sender.send(Reply::Lost));
+            if let Some(sent) = self.asked.remove(&number) {
+                drop(sent.reply.send(Reply::Lost));
             }
         }
     }
@@ -633,8 +783,8 @@
         }
         if before.leader != standing.leader {
             // What was asked of the former leader is asked again elsewhere.
-            for (_, (_, sender)) in std::mem::take(&mut self.asked) {
-                drop(sender.send(Reply::Lost));
+            for (_, sent) in std::mem::take(&mut self.asked) {
+                drop(sent.reply.send(Reply::Lost));
             }
             log::info!(term = standing.term; "leader is {}",
                 standing.leader.and_then(|id| standing.members.get(id)).map_or("not known".into(), |m| m.to_string()));
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -4,11 +4,14 @@
 //! The node is a library: `run` carries one out by its settings, and `Ports`
 //! are the seams at which another interface than our own can be put to it.
 
+pub mod asked;
 mod desk;
+pub mod forwarding;
 mod hub;
 mod jobs;
 mod links;
 pub mod listing;
+mod orders;
 mod sessions;
 mod windows;
 
@@ -19,7 +22,7 @@
 use consensus::wal::{Folder, WriteAheadLog};
 use consensus::Member;
 use parking_lot::{Mutex, RwLock};
-use residency::{Sheet, State, Submission, View};
+use residency::{Sheet, State, View};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -65,6 +68,8 @@
     pub first_start: bool,
     /// No change is acknowledged before so many voters count.
     pub is_confirmed_by: usize,
+    /// How long a node that is told to stop waits for the others to do without it.
+    pub leave_patience: Duration,
     /// How far past its quota a tenant may get over all routers, where no job is to
     /// wait for the leader's word.
     pub margin: Option<placement::Margin>,
@@ -136,11 +141,6 @@
         tokio::time::timeout(patience, ask).await.is_ok()
     }
 
-    /// Submits until the outcome is known or patience ends.
-    pub async fn submit(&self, submission: Submission, patience: Duration) -> Reply {
-        self.hub.submit(submission, patience).await
-    }
-
     /// Looks at the state as it is applied here.
     pub fn look<T>(&self, at: impl FnOnce(&State) -> T) -> T {
         at(&self.hub.state.read())
@@ -342,7 +342,7 @@
     log::info!(identity = format!("{identity:016x}"); "directory node is up at {address}");
     yard::wait_for_end().await?;
     log::info!("stopping");
-    desk.hub.stop().await;
+    desk.hub.prepare_to_stop(identity, settings.leave_patience).await;
     // Jobs that are being relayed get a bounded time to finish.
     let until = tokio::time::Instant::now() + Duration::from_secs(20);
     while desk.job_places.available_permits() < jobs && tokio::time::Instant::now() < until {
