Control nodes: answers from old state rest on a majority's word

Cause, by reading the code for what each answer rests on: - /book handed out the document that the node held, however long it had been cut off. - A leader refused a submission (unknown zone, conflict) by the state it had applied, without asking a majority: one that is cut off, or has just been elected and does not know yet how far its predecessors came, refuses for good by old knowledge. - A forwarded job was resolved after its body had come, up to 10 s after the lease was looked at, and the mapping handed to the router's caches. - The lease of a node whose disk was reopened could be renewed by an answer from before. - Beats and reports of routers that waited in sockets over a freeze or a cut counted as fresh when they were read: a router that had ended was named again, at all nodes.

--- a/directory/src/desk.rs
+++ b/directory/src/desk.rs
@@ -15,6 +15,8 @@
 
 /// The most that a submission may hold.
 const SUBMISSION_CAP: usize = 8 << 20;
+/// How long a majority is waited for before the document is read.
+const CONFIRM_PATIENCE: Duration = Duration::from_millis(1_500);
 /// How long a submission is tried for, over changes of leader.
 const PATIENCE: Duration = Duration::from_millis(3_500);
 
@@ -37,7 +39,7 @@
         ("GET", "/counters") => web::json(200, &desk.counters.value()),
         ("GET", "/traffic") => web::json(200, &yard::traffic::value()),
         ("GET", "/status") => status(desk),
-        ("GET", "/book") => book(desk),
+        ("GET", "/book") => book(desk).await,
         ("GET", "/explain") => explain(desk, &request),
         ("POST", "/found") => found(desk).await,
         ("POST", "/retire") => retire(desk, request).await,
@@ -159,7 +161,12 @@
     web::json(200, &value)
 }
 
-fn book(desk: &Desk) -> Response {
+/// The document in force, never one older than what was acknowledged before it
+/// was asked for.
+async fn book(desk: &Desk) -> Response {
+    if !desk.confirm_within(CONFIRM_PATIENCE).await {
+        return refused(503, "no-majority", "no majority confirms what is newest");
+    }
     let state = desk.hub.state.read();
     let document = residency::parse_text(&state.document()).unwrap_or_default();
     web::json(200, &json!({ "epoch": state.epoch(), "book": document }))
@@ -198,6 +205,7 @@
         "fresh_ms": mapping.fresh_ms,
         "expire_ms": mapping.expire_ms,
         "epoch": mapping.epoch,
+        "recent": desk.hub.is_recent(),
         "engine": engine,
         "why": why,
         "engines": desk.dispatcher.roster.value(view.program.points.fill),
--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -9,7 +9,7 @@
 use consensus::{EntryPayload, Member, Membership, Message, NodeId};
 use parking_lot::RwLock;
 use placement::{Margin, Paces, Pools};
-use residency::{Event, Mapping, State, Submission, View};
+use residency::{Event, Mapping, Outcome, State, Submission, View};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
@@ -104,23 +104,31 @@
         }
     }
 
-    pub fn note_confirmed(&self, asked: u64) {
-        self.confirmed.fetch_max(asked, Ordering::Relaxed);
-    }
-
     /// Whether what this node holds is known to be recent.
     pub fn is_recent(&self) -> bool {
         now() < self.confirmed.load(Ordering::Relaxed) + LICENCE_MS
     }
 
+    /// Resolves a key from a state that is known to be recent; `None` where it is
+    /// not. The lease is looked at under the state's lock: when a node falls back to
+    /// what its disk holds, the lease ends before the state is replaced.
+    pub fn resolve(
+        &self,
+        tenant: &str,
+        service: &str,
+        region: &str,
+    ) -> Option<Result<Mapping, (&'static str, String)>> {
+        let state = self.state.read();
+        self.is_recent().then(|| state.resolve(tenant, service, region))
+    }
+
     /// Leave to dispatch a forwarded job, in the last moment.
     pub fn leave(&self, mapping: &Mapping) -> Result<(), Refusal> {
-        if !self.is_recent() {
-            let text = "this directory node is cut off from a majority";
-            return Err(Refusal::not_run(503, "no-licence", text));
-        }
         let asker = mapping.regions.first().map_or("", |region| region.0.as_str());
-        match self.state.read().resolve(&mapping.tenant, &mapping.service, asker) {
+        let Some(resolved) = self.resolve(&mapping.tenant, &mapping.service, asker) else {
+            return Err(cut_off());
+        };
+        match resolved {
             Ok(now) if mapping.regions.iter().all(|region| now.regions.contains(region)) => Ok(()),
             _ => Err(Refusal::not_run(503, "mapping-void", "homes changed meanwhile")),
         }
@@ -136,6 +144,11 @@
     }
 }
 
+/// The refusal of a node that no majority has confirmed lately.
+pub fn cut_off() -> Refusal {
+    Refusal::not_run(503, "no-licence", "this directory node is cut off from a majority")
+}
+
 /// How the leader hands out tenants' quotas.
 enum Grants {
     Paces(Paces),
@@ -151,8 +164,11 @@
     }
 }
 
+/// Who waits for an answer.
 enum Waiter {
-    Here(oneshot::Sender<Reply>),
+    /// A task of this process; the question came in at `asked_at`.
+    Here { sender: oneshot::Sender<Reply>, asked_at: u64 },
+    /// Another node, with its own number of the question.
     There(NodeId, u64),
 }
 
@@ -344,13 +360,14 @@
                 }
             }
             Call::Replied(number, reply) => {
-                let Some((_, sender)) = self.asked.remove(&number) else { return };
+                let Some((asked_at, sender)) = self.asked.remove(&number) else { return };
+                let waiter = Waiter::Here { sender, asked_at };
                 match reply {
                     Reply::Confirmed { index, shares } => {
-                        self.confirms.push((index, Waiter::Here(sender), shares));
+                        self.confirms.push((index, waiter, shares));
                         self.settle();
                     }
-                    reply => self.deliver(Waiter::Here(sender), reply),
+                    reply => self.deliver(waiter, reply),
                 }
             }
             Call::Found(reply) => {
@@ -405,15 +422,17 @@
 
     /// A question from this process: answered here by the leader, else there.
     fn ask(&mut self, question: Question, reply: oneshot::Sender<Reply>) {
+        let waiter = Waiter::Here { sender: reply, asked_at: now() };
         if self.node.role() == Role::Leader {
-            return self.lead(question, Waiter::Here(reply));
+            return self.lead(question, waiter);
         }
         let leader = self.node.leader().and_then(|id| self.node.members().get(id)).cloned();
         let Some(leader) = leader else {
-            return self.deliver(Waiter::Here(reply), Reply::NotLeader);
+            return self.deliver(waiter, Reply::NotLeader);
         };
+        let Waiter::Here { sender, asked_at } = waiter else { return };
         let number = self.number();
-        self.asked.insert(number, (now(), reply));
+        self.asked.insert(number, (asked_at, sender));
         let frame = Frame::Ask { from: self.me.identity, number, question };
         self.links.send(&leader.address, frame);
     }
@@ -427,8 +446,11 @@
                 Input::ReadIndex(token)
             }
             Question::Submit(submission) => {
-                // A repeat, a conflict or a refusal needs no entry.
-                if let Some(outcome) = self.state.read().check(&submission) {
+                // That a submission was applied stays true and needs no entry. A
+                // conflict or a refusal may rest on old state, here or at a leader
+                // that has just been elected: it is decided where it is applied.
+                let known = self.state.read().check(&submission);
+                if let Some(outcome @ Outcome::Repeated { .. }) = known {
                     return self.deliver(waiter, Reply::Submitted(outcome));
                 }
                 // What too few hold might go with the loss of one.
@@ -460,7 +482,7 @@
     fn deliver(&self, waiter: Waiter, reply: Reply) {
         match waiter {
             // Who asked may have left; then nobody needs the answer.
-            Waiter::Here(sender) => drop(sender.send(reply)),
+            Waiter::Here { sender, .. } => drop(sender.send(reply)),
             Waiter::There(to, number) => self.links.send_to(to, Frame::Reply { number, reply }),
         }
     }
@@ -565,7 +587,13 @@
         let epoch = self.state.read().epoch();
         for (index, waiter, shares) in done {
             // Here the epoch is of use, to another node the index.
-            let index = if matches!(waiter, Waiter::Here(_)) { epoch } else { index };
+            let index = match &waiter {
+                Waiter::Here { asked_at, .. } => {
+                    self.confirmed.fetch_max(*asked_at, Ordering::Relaxed);
+                    epoch
+                }
+                Waiter::There(..) => index,
+            };
             self.deliver(waiter, Reply::Confirmed { index, shares });
         }
     }
--- a/directory/src/jobs.rs
+++ b/directory/src/jobs.rs
@@ -1,6 +1,7 @@
 //! Forwarded jobs: one connection each. The mapping goes back first, then the
 //! engine's answer, then an end frame; without it the answer is broken.
 
+use crate::hub::cut_off;
 use crate::Desk;
 use anyhow::{anyhow, bail};
 use bytes::Bytes;
@@ -184,8 +185,7 @@
     reader: &mut (impl AsyncRead + Unpin),
 ) -> anyhow::Result<Result<Found, Refusal>> {
     if !desk.hub.is_recent() {
-        let text = "this directory node is cut off from a majority";
-        return Ok(Err(Refusal::not_run(503, "no-licence", text)));
+        return Ok(Err(cut_off()));
     }
     // Never from an older state than the router's own.
     let mut views = desk.hub.view.clone();
@@ -245,7 +245,10 @@
     let Field::Known(service) = &extract.service else {
         return refuse(400, "no-model", "no model is to be found in this job");
     };
-    let resolved = desk.hub.state.read().resolve(tenant, service, &head.region);
+    // Looked at after the body, which may have taken long to come.
+    let Some(resolved) = desk.hub.resolve(tenant, service, &head.region) else {
+        return Ok(Err(cut_off()));
+    };
     Ok(match resolved {
         Ok(mapping) => Ok(Found { mapping, extract, key, held: held.into(), is_ended, route }),
         Err((code, text)) => Err(web::no_place(code, text)),
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -117,13 +117,8 @@
     /// Has a majority confirm that what counts is known here. True only once
     /// all that counted when this was asked is applied at this node.
     pub async fn confirm(&self) -> bool {
-        let at = yard::now();
         let reply = self.hub.ask(Question::Confirm { demands: Vec::new() }).await;
-        let is_confirmed = matches!(reply, Reply::Confirmed { .. });
-        if is_confirmed {
-            self.hub.note_confirmed(at);
-        }
-        is_confirmed
+        matches!(reply, Reply::Confirmed { .. })
     }
 
     /// The same, asked again until it holds or patience ends.
--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -139,7 +139,13 @@
 
 /// Frames from another directory node.
 async fn hear(desk: Arc<Desk>, mut stream: TcpStream) -> anyhow::Result<()> {
+    let mut heard_at = now();
+    // Whether frames may have waited on their way. Those of the consensus carry
+    // terms and rounds and may be late; reports of routers say only how old they
+    // were when they were sent.
+    let mut may_be_late = false;
     while let Some(frame) = link::receive(&mut stream, wire::CAP).await? {
+        may_be_late |= now() - std::mem::replace(&mut heard_at, now()) >= sessions::SILENCE_MS;
         match frame {
             Frame::Introduce(member) => {
                 desk.links.known.lock().insert(member.identity, member.address);
@@ -154,6 +160,7 @@
                 desk.hub.send(Call::Replied(number, reply));
             }
             Frame::Fronts { fronts, .. } => {
+                anyhow::ensure!(!may_be_late, "its reports of routers come late");
                 let mut known = desk.fronts.lock();
                 let is_other = known.take(fronts, false);
                 desk.hub.routers.store(known.count(), Ordering::Relaxed);
--- a/directory/src/sessions.rs
+++ b/directory/src/sessions.rs
@@ -23,6 +23,11 @@
 const GATHER: Duration = Duration::from_millis(10);
 /// How often this node has itself confirmed without a beat.
 const CONFIRM_MS: u64 = 500;
+/// After so long without a frame a connection, or this process, stood still: how old
+/// a report that comes next is cannot be told, and the connection is closed. Whoever
+/// is there connects again. Invariant: longer than a router's own patience with a
+/// session that brings it no licence.
+pub const SILENCE_MS: u64 = 1_300;
 /// Frames waiting for one router, at the most.
 const QUEUE: usize = 1024;
 
@@ -127,7 +132,10 @@
         anyhow::Ok(())
     };
     let reading = async {
+        let mut heard_at = now();
         while let Some(frame) = link::receive(&mut reader, 1 << 20).await? {
+            let silence = now() - std::mem::replace(&mut heard_at, now());
+            anyhow::ensure!(silence < SILENCE_MS, "its frames come {silence} ms late");
             let Some(out) = way.upgrade() else { anyhow::bail!("it fell behind") };
             match frame {
                 Frame::Beat { front, demand } => {
@@ -158,12 +166,10 @@
 }
 
 fn resolve(desk: &Desk, tenant: &str, service: &str, region: &str) -> Answer {
-    if !desk.hub.is_recent() {
-        return Answer::Later;
-    }
-    match desk.hub.state.read().resolve(tenant, service, region) {
-        Ok(mapping) => Answer::Mapping(mapping),
-        Err((code, text)) => Answer::None { code: code.into(), text: text.as_str().into() },
+    match desk.hub.resolve(tenant, service, region) {
+        Some(Ok(mapping)) => Answer::Mapping(mapping),
+        Some(Err((code, text))) => Answer::None { code: code.into(), text: text.as_str().into() },
+        None => Answer::Later,
     }
 }
 
@@ -191,7 +197,6 @@
         let demands = said.filter(is_told).cloned().collect();
         match desk.hub.ask(Question::Confirm { demands }).await {
             Reply::Confirmed { index, shares } => {
-                desk.hub.note_confirmed(at);
                 let share = |demand: &FrontDemand| {
                     let is_its = |share: &&FrontShares| {
                         share.front == demand.front && share.number == demand.number
