--- a/consensus/tests/cut_leader.rs
+++ b/consensus/tests/cut_leader.rs
@@ -390,6 +390,28 @@
     });
 }
 
+/// Guards: a follower that misses its leader alone, and is heard by all the others,
+/// neither unseats the leader nor raises the term, with its log as long as theirs.
+#[test]
+fn a_follower_that_misses_the_leader_alone_disturbs_nobody() {
+    each(|mut cluster, cut, what| {
+        let leader = cluster.leader();
+        let term = cluster.node(leader).term();
+        let follower = cluster.identities().into_iter().find(|node| *node != leader).expect("one");
+        if cut.outward {
+            cluster.cuts.insert((follower, leader));
+        }
+        if cut.inward {
+            cluster.cuts.insert((leader, follower));
+        }
+        cluster.run(CUT);
+        cluster.heal();
+        cluster.agree();
+        let now = (cluster.leader(), cluster.node(follower).term());
+        assert_eq!(now, (leader, term), "{what}: leader and term stay");
+    });
+}
+
 /// Guards: restarts in the midst of a cut, of the node that is cut off and of those
 /// that went on without it, change nothing of this.
 #[test]
@@ -483,3 +505,44 @@
         }
     }
 }
+
+/// Guards: answers to an earlier life of a leader, with rounds and indexes that are
+/// higher than its own now, count for nothing when it leads again.
+#[test]
+fn answers_of_an_earlier_term_count_for_nothing() {
+    for seed in 1..=5 {
+        let mut cluster = Cluster::new(3, seed, Loss::Late);
+        let old = cluster.leader();
+        // Many rounds, so that the counter of a new life is far below.
+        cluster.run(CUT);
+        cluster.cut(old, Cut { outward: false, inward: true });
+        cluster.propose(old);
+        cluster.run(2_000);
+        let late: Vec<Message> = std::mem::take(&mut cluster.held);
+        assert!(!late.is_empty(), "seed {seed}: answers are on their way");
+        cluster.cuts.clear();
+        cluster.restart(old);
+        cluster.agree();
+        for _ in 0..20 {
+            let leader = cluster.leader();
+            if leader == old {
+                break;
+            }
+            cluster.cut(leader, CUTS[0]);
+            cluster.run(2_000);
+            cluster.cuts.clear();
+            cluster.agree();
+        }
+        assert_eq!(cluster.leader(), old, "seed {seed}: it leads again");
+        cluster.cut(old, CUTS[0]);
+        let mut at_old = vec![cluster.read(old), cluster.propose(old)];
+        cluster.run(2 * TICK);
+        assert_eq!(cluster.node(old).role(), Role::Leader, "it believes so for a while");
+        for message in late {
+            cluster.step(old, Input::Received(message));
+            at_old.push(cluster.read(old));
+        }
+        cluster.run(CUT);
+        cluster.none_done(&at_old, &format!("seed {seed}"));
+    }
+}
--- /dev/null
+++ b/stand/tests/cut_leader.rs
@@ -0,0 +1,309 @@
+//! A control node without its majority, as real processes: operators, routers and
+//! forwarded jobs on its side are served nothing old, and nothing is refused for
+//! good or confirmed by it alone. Everything waits on events.
+
+mod common;
+
+use common::*;
+use nix::sys::signal::Signal;
+use simd_json::prelude::*;
+use simd_json::{json, OwnedValue};
+use stand::fleet::{wait, Fleet, Kind};
+use std::net::SocketAddr;
+use std::time::Duration;
+use wire::{Answer, Frame, Header, JobHead};
+use yard::{link, web};
+
+const ANA: &str = "ana-key-0001";
+
+/// One call to a node's desk, with whatever status.
+async fn call_desk(
+    desk: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &OwnedValue,
+) -> anyhow::Result<(u16, OwnedValue)> {
+    let text = if body.is_null() { String::new() } else { body.encode() };
+    let patience = Duration::from_secs(12);
+    let (status, bytes) = web::ask(desk, method, path, &[], text.into(), patience).await?;
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    Ok((status, residency::parse_text(&text).map_err(anyhow::Error::msg)?))
+}
+
+async fn get(desk: SocketAddr, path: &str) -> (u16, OwnedValue) {
+    call_desk(desk, "GET", path, &OwnedValue::null()).await.expect("it answers")
+}
+
+async fn submit(desk: SocketAddr, body: OwnedValue) -> (u16, OwnedValue) {
+    call_desk(desk, "POST", "/submit", &body).await.expect("it answers")
+}
+
+fn number(value: &OwnedValue, field: &str) -> u64 {
+    value.get(field).and_then(|value| value.as_u64()).unwrap_or(0)
+}
+
+fn is_set(value: &OwnedValue, field: &str) -> bool {
+    value.get(field).and_then(|value| value.as_bool()) == Some(true)
+}
+
+fn names(fleet: &Fleet, kind: Kind) -> Vec<String> {
+    fleet.of(kind).iter().map(|process| process.name.clone()).collect()
+}
+
+async fn leader_but(fleet: &Fleet, cut: &str) -> String {
+    let mut found = String::new();
+    wait(PATIENCE, "another leader", async || {
+        for node in fleet.of(Kind::Directory).iter().filter(|node| node.name != cut) {
+            if is_set(&get(node.desk(), "/status").await.1, "leads") {
+                found = node.name.clone();
+                return Ok(());
+            }
+        }
+        anyhow::bail!("none yet")
+    })
+    .await
+    .expect("the others elect");
+    found
+}
+
+async fn is_no_longer_recent(desk: SocketAddr) {
+    wait(PATIENCE, "the end of its lease", async || {
+        anyhow::ensure!(!is_set(&get(desk, "/vitals").await.1, "recent"), "it is recent");
+        Ok(())
+    })
+    .await
+    .expect("its lease ends");
+}
+
+/// Operators on the side of a node without a majority: whatever they ask for is
+/// refused for now, with no old document, no refusal for good and no word.
+async fn serves_no_operator(desk: SocketAddr, mark: &str) {
+    let (status, book) = get(desk, "/book").await;
+    assert_eq!(status, 503, "{mark}: {book}");
+    for (name, order) in [
+        ("taken", json!({ "do": "evacuate", "zone": "west-a" })),
+        ("back", json!({ "do": "give-back", "zone": "south-a" })),
+        // By what this node knows there is no such zone; the others know it.
+        ("unknown", json!({ "do": "evacuate", "zone": "east-a" })),
+        // By what this node knows, this conflicts with nothing.
+        ("based", json!({ "do": "evacuate", "zone": "north-a", "base": 1 })),
+    ] {
+        let mut order = order;
+        order.insert("id", format!("{mark}-{name}")).expect("an object");
+        let (status, answer) = submit(desk, order).await;
+        assert_eq!(status, 503, "{mark}, {name}: {answer}");
+    }
+}
+
+/// Guards: a leader that is cut off in either direction or both hands out no old
+/// document, refuses nothing for good by what it knew, and confirms nothing, also
+/// when it is restarted meanwhile; when it is back it holds what the majority
+/// agreed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_leader_serves_no_operator() {
+    let (_folder, mut fleet) = up_with_relays("cut-leader").await;
+    for (round, (outward, inward)) in
+        [(true, true), (true, false), (false, true)].into_iter().enumerate()
+    {
+        let old = fleet.leader().await.expect("somebody leads");
+        let desk = fleet.get(&old).desk();
+        fleet.cut(std::slice::from_ref(&old), outward, inward).expect("it is cut");
+        // At once, while it may still believe that it leads.
+        serves_no_operator(desk, &format!("first-{round}")).await;
+
+        let leader = leader_but(&fleet, &old).await;
+        let zone = format!("east-{round}");
+        let book = json!({ "zones": { "east-a": { "region": "east" }, (zone.as_str()): { "region": "east" } } });
+        let order =
+            json!({ "do": "revise", "whole": false, "book": book, "id": format!("r-{round}") });
+        let (status, answer) = submit(fleet.get(&leader).desk(), order).await;
+        assert_eq!(status, 200, "{answer}");
+        let epoch = number(&answer, "epoch");
+        serves_no_operator(desk, &format!("second-{round}")).await;
+
+        fleet.kill(&old);
+        fleet.start(&old).expect("it starts");
+        wait(PATIENCE, "its desk", async || {
+            let (_, vitals) = call_desk(desk, "GET", "/vitals", &OwnedValue::null()).await?;
+            assert!(!is_set(&vitals, "recent"), "a new process has no lease: {vitals}");
+            Ok(())
+        })
+        .await
+        .expect("its desk is back");
+        serves_no_operator(desk, &format!("third-{round}")).await;
+
+        fleet.network.as_ref().expect("it has relays").heal();
+        wait(PATIENCE, "the document that the others hold", async || {
+            let (status, book) = get(desk, "/book").await;
+            anyhow::ensure!(status == 200, "{status}: {book}");
+            assert!(number(&book, "epoch") >= epoch, "it handed out an old document: {book}");
+            assert!(book.encode().contains(&zone), "{book}");
+            Ok(())
+        })
+        .await
+        .expect("it is read back");
+    }
+    let mut books = Vec::new();
+    for desk in fleet.desks() {
+        let (status, book) = get(desk, "/book").await;
+        assert_eq!(status, 200, "{book}");
+        books.push(book.get("book").expect("the document").encode());
+    }
+    assert!(books.iter().all(|book| *book == books[0]), "{books:?}");
+}
+
+/// Guards: a leader whose followers have just fallen silent, and which still leads
+/// by its own belief, refuses nothing for good; a refusal is decided where it is
+/// applied, so it is never a leader's own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_takes_a_majority() {
+    let (_folder, fleet) = up("refusal").await;
+    let unknown = |id: &str| json!({ "do": "evacuate", "zone": "nowhere", "id": id });
+    let leader = fleet.leader().await.expect("somebody leads");
+    let desk = fleet.get(&leader).desk();
+    let before = number(&get(desk, "/status").await.1, "commit");
+    let (status, answer) = submit(desk, unknown("with-all")).await;
+    assert_eq!(status, 422, "{answer}");
+    let after = number(&get(desk, "/status").await.1, "commit");
+    assert!(after > before, "an entry decides: {before}, {after}");
+
+    let followers: Vec<String> =
+        names(&fleet, Kind::Directory).into_iter().filter(|name| *name != leader).collect();
+    for name in &followers {
+        fleet.signal(name, Signal::SIGSTOP).expect("it freezes");
+    }
+    let (status, answer) = submit(desk, unknown("alone")).await;
+    assert_eq!(status, 503, "{answer}");
+    for name in &followers {
+        fleet.signal(name, Signal::SIGCONT).expect("it goes on");
+    }
+    wait(PATIENCE, "a clear refusal", async || {
+        let (status, answer) = submit(desk, unknown("with-all-again")).await;
+        anyhow::ensure!(status == 422, "{status}: {answer}");
+        Ok(())
+    })
+    .await
+    .expect("a majority refuses it");
+}
+
+/// Guards: a node that is cut off from the other control nodes alone resolves no
+/// key for routers and no forwarded job once its lease has ended, also not one
+/// whose body was under way; routers beside it go elsewhere and serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_a_majority_resolves_nothing() {
+    let (_folder, fleet) = up_with_relays("resolve").await;
+    let source = SocketAddr::from(([127, 0, 0, 1], 0));
+    let cut = fleet.leader().await.expect("somebody leads");
+    let (desk, address) = (fleet.get(&cut).desk(), fleet.get(&cut).address());
+
+    let dial = async |kind| link::dial(source, address, kind, "probe").await.expect("it listens");
+    let mut job = dial(wire::Kind::Job).await;
+    let welcome = link::receive(&mut job, wire::CAP).await.expect("a frame");
+    assert_eq!(welcome, Some(Frame::Welcome));
+    let header = |name: &str, value: &str| Header { name: name.into(), value: value.into() };
+    let head = JobHead {
+        id: "under-way".into(),
+        method: "POST".into(),
+        target: "/app/write".into(),
+        headers: vec![header("x-tenant-key", ANA), header("x-model", "writer")],
+        region: "north".into(),
+        epoch: 0,
+        left_ms: 30_000,
+        is_charged: 1,
+    };
+    link::send(&mut job, &Frame::Job(head)).await.expect("it is sent");
+
+    let network = fleet.network.as_ref().expect("it has relays");
+    for other in fleet.of(Kind::Directory).iter().filter(|other| other.name != cut) {
+        network.cut([(fleet.get(&cut).ip, other.ip), (other.ip, fleet.get(&cut).ip)]);
+    }
+    is_no_longer_recent(desk).await;
+
+    link::send(&mut job, &Frame::Body(br#"{"prompt":"x"}"#.to_vec())).await.expect("it is sent");
+    link::send(&mut job, &Frame::BodyEnd).await.expect("it is sent");
+    match link::receive(&mut job, wire::CAP).await.expect("a frame") {
+        Some(Frame::Declined { code, not_run: true, .. }) => assert_eq!(code, "no-licence"),
+        other => panic!("a job is mapped by old state: {other:?}"),
+    }
+
+    let mut session = dial(wire::Kind::Router).await;
+    let resolve = Frame::Resolve {
+        number: 1,
+        tenant: "ana".into(),
+        service: "writer".into(),
+        region: "north".into(),
+    };
+    link::send(&mut session, &resolve).await.expect("it is sent");
+    loop {
+        match link::receive(&mut session, wire::CAP).await.expect("a frame") {
+            Some(Frame::Resolved { answer, .. }) => break assert_eq!(answer, Answer::Later),
+            Some(Frame::Licence { .. }) => panic!("it gives a lease"),
+            Some(_) => {}
+            None => panic!("it closed"),
+        }
+    }
+    for (round, router) in fleet.of(Kind::Router).iter().enumerate() {
+        served(router.door(), ANA, &format!("elsewhere-{round}")).await;
+    }
+}
+
+/// Guards: a node that stood still and finds the heartbeats of a router that ended
+/// meanwhile in its sockets does not name it again, here or at the other nodes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_wakes_names_no_router_that_is_gone() {
+    let (_folder, mut fleet) = up("wakes").await;
+    let gone = "router-3";
+    served(fleet.get(gone).door(), ANA, "before").await;
+    let zone = fleet.get(gone).zone.clone();
+    let node =
+        fleet.of(Kind::Directory).iter().find(|node| node.zone == zone).expect("one").name.clone();
+    let sessions =
+        async |fleet: &Fleet| number(&get(fleet.get(gone).desk(), "/counters").await.1, "sessions");
+    let before = sessions(&fleet).await;
+    fleet.signal(&node, Signal::SIGSTOP).expect("it freezes");
+    wait(PATIENCE, "a session elsewhere", async || {
+        let now = sessions(&fleet).await;
+        anyhow::ensure!(now > before, "{now} sessions");
+        Ok(())
+    })
+    .await
+    .expect("the router goes elsewhere");
+    fleet.kill(gone);
+
+    let others: Vec<SocketAddr> = fleet
+        .of(Kind::Directory)
+        .iter()
+        .filter(|other| other.name != node)
+        .map(|other| other.desk())
+        .collect();
+    let names_it = async |desk: SocketAddr| {
+        let (_, status) = get(desk, "/status").await;
+        let routers = status.get("routers").and_then(|list| list.as_array()).expect("a list");
+        let is_it =
+            |router: &OwnedValue| router.get("name").and_then(|name| name.as_str()) == Some(gone);
+        let is_named = routers.iter().any(is_it);
+        is_named
+    };
+    wait(PATIENCE, "the router's end", async || {
+        for desk in &others {
+            anyhow::ensure!(!names_it(*desk).await, "it is named");
+        }
+        Ok(())
+    })
+    .await
+    .expect("it is forgotten");
+
+    fleet.signal(&node, Signal::SIGCONT).expect("it goes on");
+    let desk = fleet.get(&node).desk();
+    let mut looks = 0;
+    wait(PATIENCE, "looks at all nodes", async || {
+        for desk in others.iter().chain([&desk]) {
+            assert!(!names_it(*desk).await, "a router that is gone is named again at {desk}");
+        }
+        looks += usize::from(is_set(&get(desk, "/vitals").await.1, "recent"));
+        anyhow::ensure!(looks > 20, "{looks}");
+        Ok(())
+    })
+    .await
+    .expect("the node has caught up");
+}
