--- a/stand/tests/cut_leader.rs
+++ b/stand/tests/cut_leader.rs
@@ -249,25 +249,71 @@
     }
 }
 
+/// How a node falls behind with what it reads.
+#[derive(Clone, Copy, PartialEq)]
+enum Silence {
+    /// The process stands still; its sockets fill up.
+    Frozen,
+    /// The network hands over what was sent when it is whole again.
+    Cut,
+}
+
 /// Guards: a node that stood still and finds the heartbeats of a router that ended
 /// meanwhile in its sockets does not name it again, here or at the other nodes.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_wakes_names_no_router_that_is_gone() {
-    let (_folder, mut fleet) = up("wakes").await;
+    let (_folder, fleet) = up("wakes").await;
+    names_no_router_that_is_gone(fleet, Silence::Frozen).await;
+}
+
+/// Guards: the same of heartbeats that a cut network held back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_cut_off_names_no_router_that_is_gone() {
+    let (_folder, fleet) = up_with_relays("late").await;
+    names_no_router_that_is_gone(fleet, Silence::Cut).await;
+}
+
+/// The control node of a router's session, by its address.
+async fn session_of(fleet: &Fleet, router: &str) -> anyhow::Result<String> {
+    let vitals =
+        call_desk(fleet.get(router).desk(), "GET", "/vitals", &OwnedValue::null()).await?.1;
+    let address = vitals.get("session").and_then(|address| address.as_str());
+    address.map(String::from).ok_or(anyhow::anyhow!("it has no session: {vitals}"))
+}
+
+/// Starts a router anew until its session is with a follower: one with the leader
+/// would be tried again while the others elect.
+async fn session_with_a_follower(fleet: &mut Fleet, router: &str) -> String {
+    let leader = fleet.leader().await.expect("somebody leads");
+    let leader = fleet.get(&leader).address().to_string();
+    loop {
+        served(fleet.get(router).door(), ANA, "before").await;
+        let address = session_of(fleet, router).await.expect("it has a session");
+        if address != leader {
+            return address;
+        }
+        fleet.kill(router);
+        fleet.start(router).expect("it starts");
+    }
+}
+
+async fn names_no_router_that_is_gone(mut fleet: Fleet, silence: Silence) {
     let gone = "router-3";
-    served(fleet.get(gone).door(), ANA, "before").await;
-    let session = async |fleet: &Fleet| {
-        let (_, vitals) = get(fleet.get(gone).desk(), "/vitals").await;
-        vitals.get("session").and_then(|address| address.as_str()).map(String::from)
+    let first = match silence {
+        Silence::Frozen => session_of(&fleet, gone).await.expect("it has a session"),
+        Silence::Cut => session_with_a_follower(&mut fleet, gone).await,
     };
-    let first = session(&fleet).await.expect("it has a session");
     let is_first = |node: &&&Process| node.address().to_string() == first;
-    let node =
-        fleet.of(Kind::Directory).iter().find(is_first).expect("one of the nodes").name.clone();
-    fleet.signal(&node, Signal::SIGSTOP).expect("it freezes");
+    let nodes = fleet.of(Kind::Directory);
+    let node = nodes.iter().find(is_first).expect("one of the nodes").name.clone();
+    match silence {
+        Silence::Frozen => fleet.signal(&node, Signal::SIGSTOP),
+        Silence::Cut => fleet.cut(std::slice::from_ref(&node), true, true),
+    }
+    .expect("it falls silent");
     wait(PATIENCE, "a session elsewhere", async || {
-        let now = session(&fleet).await;
-        anyhow::ensure!(now.as_ref().is_some_and(|now| *now != first), "{now:?}");
+        let now = session_of(&fleet, gone).await?;
+        anyhow::ensure!(now != first, "{now}");
         Ok(())
     })
     .await
@@ -275,12 +321,9 @@
     served(fleet.get(gone).door(), ANA, "elsewhere").await;
     fleet.kill(gone);
 
-    let others: Vec<SocketAddr> = fleet
-        .of(Kind::Directory)
-        .iter()
-        .filter(|other| other.name != node)
-        .map(|other| other.desk())
-        .collect();
+    let desk = fleet.get(&node).desk();
+    let others: Vec<SocketAddr> =
+        fleet.desks().into_iter().filter(|other| *other != desk).collect();
     let names_it = async |desk: SocketAddr| {
         let (_, status) = get(desk, "/status").await;
         let routers = status.get("routers").and_then(|list| list.as_array()).expect("a list");
@@ -290,7 +333,11 @@
         is_named
     };
     wait(PATIENCE, "the router's end", async || {
-        for desk in &others {
+        let running = match silence {
+            Silence::Frozen => &others[..],
+            Silence::Cut => &fleet.desks()[..],
+        };
+        for desk in running {
             anyhow::ensure!(!names_it(*desk).await, "it is named");
         }
         Ok(())
@@ -298,12 +345,14 @@
     .await
     .expect("it is forgotten");
 
-    fleet.signal(&node, Signal::SIGCONT).expect("it goes on");
-    let desk = fleet.get(&node).desk();
+    match silence {
+        Silence::Frozen => fleet.signal(&node, Signal::SIGCONT).expect("it goes on"),
+        Silence::Cut => fleet.network.as_ref().expect("it has relays").heal(),
+    }
     let mut looks = 0;
     wait(PATIENCE, "looks at all nodes", async || {
-        for desk in others.iter().chain([&desk]) {
-            assert!(!names_it(*desk).await, "a router that is gone is named again at {desk}");
+        for desk in fleet.desks() {
+            assert!(!names_it(desk).await, "a router that is gone is named again at {desk}");
         }
         looks += usize::from(is_set(&get(desk, "/vitals").await.1, "recent"));
         anyhow::ensure!(looks > 20, "{looks}");
