--- a/stand/tests/cut_leader.rs
+++ b/stand/tests/cut_leader.rs
@@ -11,7 +11,7 @@
 use stand::fleet::{wait, Fleet, Kind, Process};
 use std::net::SocketAddr;
 use std::time::Duration;
-use wire::{Answer, Frame, Header, JobHead};
+use wire::{Answer, Frame, Front, FrontDemand, Header, JobHead};
 use yard::{link, web};
 
 const ANA: &str = "ana-key-0001";
@@ -281,6 +281,33 @@
     address.map(String::from).ok_or(anyhow::anyhow!("it has no session: {vitals}"))
 }
 
+/// What a router that tries this node sends: the kernel takes the connection and
+/// the heartbeat for a process that stands still.
+async fn beat_once(fleet: &Fleet, router: &str, node: SocketAddr) {
+    let router = fleet.get(router);
+    let source = SocketAddr::from(([127, 0, 0, 1], 0));
+    let dialled = link::dial(source, node, wire::Kind::Router, &router.name).await;
+    let mut stream = dialled.expect("the kernel takes it");
+    let front = Front {
+        name: router.name.clone(),
+        region: router.region.clone(),
+        zone: router.zone.clone(),
+        door: router.door().to_string(),
+        address: router.address().to_string(),
+        epoch: 1,
+        age_ms: 0,
+        is_leaving: 0,
+    };
+    let demand = FrontDemand {
+        front: router.name.clone(),
+        life: 1,
+        number: 1,
+        age_ms: 1_000,
+        demands: Vec::new(),
+    };
+    link::send(&mut stream, &Frame::Beat { front, demand }).await.expect("the kernel takes it");
+}
+
 /// Starts a router anew until its session is with a follower: one with the leader
 /// would be tried again while the others elect.
 async fn session_with_a_follower(fleet: &mut Fleet, router: &str) -> String {
@@ -319,6 +346,9 @@
     .await
     .expect("the router goes elsewhere");
     served(fleet.get(gone).door(), ANA, "elsewhere").await;
+    if silence == Silence::Frozen {
+        beat_once(&fleet, gone, fleet.get(&node).address()).await;
+    }
     fleet.kill(gone);
 
     let desk = fleet.get(&node).desk();
