--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -1,5 +1,6 @@
 //! Links to the other directory nodes, and the port they all come in by.
 
+use crate::asked::Asked;
 use crate::hub::Call;
 use crate::{jobs, sessions, Desk};
 use consensus::{Member, NodeId};
@@ -30,12 +31,21 @@
     out: Mutex<HashMap<String, mpsc::Sender<Frame>>>,
     /// Where those who introduced themselves are to be found.
     known: Mutex<HashMap<NodeId, String>>,
+    /// Which question went where.
+    asked: Mutex<Asked>,
 }
 
 impl Links {
     pub fn new(me: Member, source: SocketAddr) -> Arc<Links> {
         let runtime = tokio::runtime::Handle::current();
-        Arc::new(Links { me, source, runtime, out: Default::default(), known: Default::default() })
+        Arc::new(Links {
+            me,
+            source,
+            runtime,
+            out: Default::default(),
+            known: Default::default(),
+            asked: Default::default(),
+        })
     }
 
     pub fn send_to(self: &Arc<Links>, to: NodeId, frame: Frame) {
@@ -46,6 +56,9 @@
     }
 
     pub fn send(self: &Arc<Links>, address: &str, frame: Frame) {
+        if let Frame::Ask { number, .. } = &frame {
+            self.asked.lock().sent(now(), *number, address);
+        }
         let mut out = self.out.lock();
         let sender = out.entry(address.to_string()).or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(QUEUE);
@@ -56,6 +69,33 @@
         drop(sender.try_send(frame));
     }
 
+    /// Hands on a frame that `peer`, who introduced itself on its link, may send: it
+    /// speaks for itself alone. `None` stands for an answer that nobody waits for from
+    /// there: it is late, surplus, or meant for an earlier process at this address.
+    ///
+    /// # Errors
+    /// The frame speaks for another node, or came before an introduction.
+    fn admit(&self, peer: &mut Option<Member>, frame: Frame) -> anyhow::Result<Option<Frame>> {
+        let speaker = match &frame {
+            Frame::Introduce(member) => {
+                *peer = Some(member.clone());
+                return Ok(Some(frame));
+            }
+            Frame::Ledger(message) => Some(message.from),
+            Frame::Ask { from, .. } => Some(*from),
+            Frame::Reply { .. } => None,
+            _ => return Ok(Some(frame)),
+        };
+        let Some(peer) = peer else { anyhow::bail!("it did not say who it is") };
+        let is_itself = speaker.is_none_or(|speaker| speaker == peer.identity);
+        anyhow::ensure!(is_itself, "{peer} speaks for another node");
+        if let Frame::Reply { number, .. } = &frame {
+            let is_awaited = self.asked.lock().is_answered(now(), *number, &peer.address);
+            return Ok(is_awaited.then_some(frame));
+        }
+        Ok(Some(frame))
+    }
+
     async fn carry(self: Arc<Links>, address: String, mut frames: mpsc::Receiver<Frame>) {
         let Ok(to) = address.parse() else { return };
         // A frame that waits for the other side to come up, and since when.
@@ -139,6 +179,7 @@
 
 /// Frames from another directory node.
 async fn hear(desk: Arc<Desk>, mut stream: TcpStream) -> anyhow::Result<()> {
+    let mut peer = None;
     let mut heard_at = now();
     // Whether frames may have waited on their way. Those of the consensus carry
     // terms and rounds and may be late; reports of routers say only how old they
@@ -146,6 +187,7 @@
     let mut may_be_late = false;
     while let Some(frame) = link::receive(&mut stream, wire::CAP).await? {
         may_be_late |= now() - std::mem::replace(&mut heard_at, now()) >= sessions::SILENCE_MS;
+        let Some(frame) = desk.links.admit(&mut peer, frame)? else { continue };
         match frame {
             Frame::Introduce(member) => {
                 desk.links.known.lock().insert(member.identity, member.address);
@@ -194,9 +236,8 @@
 
 /// Asks the seeds to be let in, until this node is a member as it stands. One
 /// that no leader counts in asks, too: the entry that let it in may have been
-/// lost with the leader that proposed it.
+/// lost with the leader that proposed it, or it was forgotten while it was gone.
 pub async fn join(desk: Arc<Desk>) {
-    let mut said = String::new();
     let mut led = now();
     loop {
         let standing = desk.hub.standing.borrow().clone();
@@ -207,23 +248,30 @@
             led = now();
         }
         if is_blank || has_moved || now() > led + ALONE_MS {
-            let others = |seed: &SocketAddr| seed.to_string() != desk.member.address;
-            for seed in desk.seeds().into_iter().filter(others) {
-                match ask_in(&desk, seed).await {
-                    Ok((true, _)) => break,
-                    Ok((false, text)) if text != said => {
-                        log::info!("{seed} does not let this node in yet: {text}");
-                        said = text;
-                    }
-                    Ok(_) => {}
-                    Err(error) => log::debug!("asking {seed}: {error:#}"),
-                }
-            }
+            ask_seeds(&desk).await;
         }
         tokio::time::sleep(yard::jitter(if is_blank { BLANK_MS } else { CALM_MS })).await;
     }
 }
 
+/// Asks all seeds at once, so that one that is dark or cut off holds nothing up;
+/// ends with the first that lets this node in.
+async fn ask_seeds(desk: &Arc<Desk>) {
+    let mut asked = tokio::task::JoinSet::new();
+    for seed in desk.seeds().into_iter().filter(|seed| seed.to_string() != desk.member.address) {
+        let desk = Arc::clone(desk);
+        asked.spawn(async move { (seed, ask_in(&desk, seed).await) });
+    }
+    while let Some(answer) = asked.join_next().await {
+        match answer {
+            Ok((_, Ok((true, _)))) => return,
+            Ok((seed, Ok((false, text)))) => log::info!("{seed} does not let this node in: {text}"),
+            Ok((seed, Err(error))) => log::debug!("asking {seed}: {error:#}"),
+            Err(_) => {}
+        }
+    }
+}
+
 async fn ask_in(desk: &Desk, seed: SocketAddr) -> anyhow::Result<(bool, String)> {
     let mut stream = link::dial(desk.source, seed, Kind::Directory, &desk.member.name).await?;
     link::send(&mut stream, &Frame::Join(desk.member.clone())).await?;
