--- a/stand/src/relay.rs
+++ b/stand/src/relay.rs
@@ -5,6 +5,7 @@
 use parking_lot::Mutex;
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -15,17 +16,29 @@
 pub struct Network {
     cuts: watch::Sender<BTreeSet<(IpAddr, IpAddr)>>,
     relays: Mutex<Vec<tokio::task::AbortHandle>>,
+    drops_new: AtomicBool,
 }
 
 impl Network {
     pub fn new() -> Arc<Network> {
-        Arc::new(Network { cuts: watch::channel(BTreeSet::new()).0, relays: Mutex::default() })
+        Arc::new(Network {
+            cuts: watch::channel(BTreeSet::new()).0,
+            relays: Mutex::default(),
+            drops_new: AtomicBool::new(false),
+        })
     }
 
     pub fn cut(&self, pairs: impl IntoIterator<Item = (IpAddr, IpAddr)>) {
         self.cuts.send_modify(|cuts| cuts.extend(pairs));
     }
 
+    /// From now on a connection that is begun within a cut never comes about, as
+    /// where the first packet is lost; what is sent on it is lost. Otherwise it comes
+    /// about when the cut is over.
+    pub fn drop_new_connections(&self) {
+        self.drops_new.store(true, Ordering::Relaxed);
+    }
+
     pub fn heal(&self) {
         self.cuts.send_modify(|cuts| cuts.clear());
     }
@@ -52,7 +65,15 @@
     }
 
     async fn join(&self, near: TcpStream, from: IpAddr, real: SocketAddr) -> std::io::Result<()> {
+        let is_cut = {
+            let cuts = self.cuts.borrow();
+            cuts.contains(&(from, real.ip())) || cuts.contains(&(real.ip(), from))
+        };
         self.open(from, real.ip()).await;
+        if is_cut && self.drops_new.load(Ordering::Relaxed) {
+            self.open(real.ip(), from).await;
+            return Ok(());
+        }
         let far = TcpStream::connect(real).await?;
         near.set_nodelay(true)?;
         far.set_nodelay(true)?;
--- a/stand/tests/cut_leader.rs
+++ b/stand/tests/cut_leader.rs
@@ -270,6 +270,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_was_cut_off_names_no_router_that_is_gone() {
     let (_folder, fleet) = up_with_relays("late").await;
+    // Late is what was sent on connections that outlive the cut.
+    fleet.network.as_ref().expect("it has relays").drop_new_connections();
     names_no_router_that_is_gone(fleet, Silence::Cut).await;
 }
 
