--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -4,6 +4,7 @@
 
 use crate::forwarding::{is_valid, LeaderClock};
 use crate::links::Links;
+use crate::sessions::SILENCE_MS;
 use consensus::node::{
     Effect, Input, Node, PersistedState, Refusal as No, Role, SnapshotPolicy, Timing, Write,
 };
@@ -12,7 +13,7 @@
 use consensus::{EntryPayload, Member, Membership, Message, NodeId, Term};
 use parking_lot::RwLock;
 use placement::{Margin, Paces, Pools};
-use residency::{Event, Mapping, State, Submission, View};
+use residency::{Event, Mapping, Outcome, State, Submission, View};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
@@ -109,6 +110,34 @@
     confirmed: Arc<AtomicU64>,
     /// How many routers are known here.
     pub routers: Arc<AtomicUsize>,
+    standstill: Arc<Standstill>,
+}
+
+/// Tells whether this process stood still lately (frozen, or without a processor), so
+/// that what it reads may have waited in its sockets. Invariant: the thread that
+/// watches comes by several times in each `SILENCE_MS`.
+struct Standstill {
+    watched_at: AtomicU64,
+    ended_at: AtomicU64,
+}
+
+impl Standstill {
+    fn new() -> Standstill {
+        Standstill { watched_at: AtomicU64::new(now()), ended_at: AtomicU64::new(0) }
+    }
+
+    fn watch(&self) {
+        let before = self.watched_at.swap(now(), Ordering::Relaxed);
+        if now() > before + SILENCE_MS {
+            self.ended_at.store(now(), Ordering::Relaxed);
+        }
+    }
+
+    fn is_recent(&self) -> bool {
+        let newest = self.ended_at.load(Ordering::Relaxed) + SILENCE_MS;
+        // Whoever asks may run before the thread that watches.
+        now() > self.watched_at.load(Ordering::Relaxed) + SILENCE_MS || now() < newest
+    }
 }
 
 impl Hub {
@@ -165,23 +194,36 @@
         tokio::time::timeout(left, self.ask_asked(asked)).await.unwrap_or(Reply::Lost)
     }
 
-    pub fn note_confirmed(&self, asked: u64) {
-        self.confirmed.fetch_max(asked, Ordering::Relaxed);
-    }
-
     /// Whether what this node holds is known to be recent.
     pub fn is_recent(&self) -> bool {
         now() < self.confirmed.load(Ordering::Relaxed) + LICENCE_MS
     }
 
+    /// Whether what is read from sockets may date from before a standstill.
+    pub fn stood_still(&self) -> bool {
+        self.standstill.is_recent()
+    }
+
+    /// Resolves a key from a state that is known to be recent; `None` where it is
+    /// not. The lease is looked at under the state's lock: when a node falls back to
+    /// what its disk holds, the lease ends before the state is replaced.
+    pub fn resolve(
+        &self,
+        tenant: &str,
+        service: &str,
+        region: &str,
+    ) -> Option<Result<Mapping, (&'static str, String)>> {
+        let state = self.state.read();
+        self.is_recent().then(|| state.resolve(tenant, service, region))
+    }
+
     /// Leave to dispatch a forwarded job, in the last moment.
     pub fn leave(&self, mapping: &Mapping) -> Result<(), Refusal> {
-        if !self.is_recent() {
-            let text = "this directory node is cut off from a majority";
-            return Err(Refusal::not_run(503, "no-licence", text));
-        }
         let asker = mapping.regions.first().map_or("", |region| region.0.as_str());
-        match self.state.read().resolve(&mapping.tenant, &mapping.service, asker) {
+        let Some(resolved) = self.resolve(&mapping.tenant, &mapping.service, asker) else {
+            return Err(cut_off());
+        };
+        match resolved {
             Ok(now) if mapping.regions.iter().all(|region| now.regions.contains(region)) => Ok(()),
             _ => Err(Refusal::not_run(503, "mapping-void", "homes changed meanwhile")),
         }
@@ -228,6 +270,11 @@
     }
 }
 
+/// The refusal of a node that no majority has confirmed lately.
+pub fn cut_off() -> Refusal {
+    Refusal::not_run(503, "no-licence", "this directory node is cut off from a majority")
+}
+
 /// How the leader hands out tenants' quotas.
 enum Grants {
     Paces(Paces),
@@ -247,12 +294,16 @@
 struct Sent {
     leader: NodeId,
     term: Term,
+    asked_at: u64,
     until: u64,
     reply: oneshot::Sender<Reply>,
 }
 
+/// Who waits for an answer.
 enum Waiter {
-    Here(oneshot::Sender<Reply>),
+    /// A task of this process; the question came in at `asked_at`.
+    Here { sender: oneshot::Sender<Reply>, asked_at: u64 },
+    /// Another node, with its own number of the question.
     There(NodeId, u64),
 }
 
@@ -286,6 +337,7 @@
     margin: Option<Margin>,
     /// Routers that are known to this node.
     routers: Arc<AtomicUsize>,
+    standstill: Arc<Standstill>,
     picture_every: u64,
     /// Nothing is proposed for operators before so many voters count.
     is_confirmed_by: usize,
@@ -319,6 +371,7 @@
         standing: standing_out,
         confirmed: Arc::clone(&confirmed),
         routers: Arc::default(),
+        standstill: Arc::new(Standstill::new()),
     });
     std::thread::Builder::new()
         .name("disk".into())
@@ -345,6 +398,7 @@
         grants: Grants::new(margin),
         margin,
         routers: Arc::clone(&hub.routers),
+        standstill: Arc::clone(&hub.standstill),
         picture_every,
         is_confirmed_by,
     };
@@ -407,7 +461,9 @@
 impl Thread {
     fn run(&mut self, ring: &Receiver<Call>) {
         loop {
-            match ring.recv_timeout(self.wait()) {
+            let next = ring.recv_timeout(self.wait());
+            self.standstill.watch();
+            match next {
                 Ok(call) => {
                     self.handle(call);
                     // What waits in the ring travels together.
@@ -451,12 +507,13 @@
             Call::Replied { number, clock_ms, reply } => {
                 let Some(sent) = self.asked.remove(&number) else { return };
                 self.leader_clock.learn(sent.leader, sent.term, clock_ms, now());
+                let waiter = Waiter::Here { sender: sent.reply, asked_at: sent.asked_at };
                 match reply {
                     Reply::Confirmed { index, shares } => {
-                        self.confirms.push((index, Waiter::Here(sent.reply), shares));
+                        self.confirms.push((index, waiter, shares));
                         self.settle();
                     }
-                    reply => self.deliver(Waiter::Here(sent.reply), reply),
+                    reply => self.deliver(waiter, reply),
                 }
             }
             Call::Found(reply) => {
@@ -531,25 +588,29 @@
     /// A question from this process: answered here by the leader, else there.
     fn ask(&mut self, asked: Asked, reply: oneshot::Sender<Reply>) {
         let Asked { question, until, only_term } = asked;
+        let asked_at = now();
+        let waiter = Waiter::Here { sender: reply, asked_at };
         let is_leader = self.node.role() == Role::Leader;
         let term = self.node.term();
         if only_term.is_some_and(|only| !is_leader || only != term) {
-            return self.deliver(Waiter::Here(reply), Reply::NotLeader);
+            return self.deliver(waiter, Reply::NotLeader);
         }
         // This process may have stood still meanwhile.
-        if now() >= until {
-            return self.deliver(Waiter::Here(reply), Reply::Lost);
+        if asked_at >= until {
+            return self.deliver(waiter, Reply::Lost);
         }
         if is_leader {
-            return self.lead(question, Waiter::Here(reply));
+            return self.lead(question, waiter);
         }
         let leader = self.node.leader().and_then(|id| self.node.members().get(id)).cloned();
         let Some(leader) = leader else {
-            return self.deliver(Waiter::Here(reply), Reply::NotLeader);
+            return self.deliver(waiter, Reply::NotLeader);
         };
+        let Waiter::Here { sender, .. } = waiter else { return };
         let number = self.number();
         let validity = self.leader_clock.validity(leader.identity, term, until);
-        self.asked.insert(number, Sent { leader: leader.identity, term, until, reply });
+        let sent = Sent { leader: leader.identity, term, asked_at, until, reply: sender };
+        self.asked.insert(number, sent);
         let frame = Frame::Ask { from: self.me.identity, number, validity, question };
         self.links.send(&leader.address, frame);
     }
@@ -575,13 +636,11 @@
                 Input::ReadIndex(token)
             }
             Question::Submit(submission) => {
-                // A repeat, a conflict or a refusal needs no entry, once all that
-                // former leaders left is applied: an older state says nothing.
-                let outcome = match self.node.is_settled() {
-                    true => self.state.read().check(&submission),
-                    false => None,
-                };
-                if let Some(outcome) = outcome {
+                // That a submission was applied stays true and needs no entry. A
+                // conflict or a refusal may rest on old state, here or at a leader
+                // that has just been elected: it is decided where it is applied.
+                let known = self.state.read().check(&submission);
+                if let Some(outcome @ Outcome::Repeated { .. }) = known {
                     return self.deliver(waiter, Reply::Submitted(outcome));
                 }
                 // What too few hold might go with the loss of one.
@@ -614,7 +673,7 @@
     fn deliver(&self, waiter: Waiter, reply: Reply) {
         match waiter {
             // Who asked may have left; then nobody needs the answer.
-            Waiter::Here(sender) => drop(sender.send(reply)),
+            Waiter::Here { sender, .. } => drop(sender.send(reply)),
             Waiter::There(to, number) => {
                 self.links.send_to(to, Frame::Reply { number, clock_ms: now(), reply });
             }
@@ -720,7 +779,13 @@
         let epoch = self.state.read().epoch();
         for (index, waiter, shares) in done {
             // Here the epoch is of use, to another node the index.
-            let index = if matches!(waiter, Waiter::Here(_)) { epoch } else { index };
+            let index = match &waiter {
+                Waiter::Here { asked_at, .. } => {
+                    self.confirmed.fetch_max(*asked_at, Ordering::Relaxed);
+                    epoch
+                }
+                Waiter::There(..) => index,
+            };
             self.deliver(waiter, Reply::Confirmed { index, shares });
         }
     }
--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -180,7 +180,13 @@
 /// Frames from another directory node.
 async fn hear(desk: Arc<Desk>, mut stream: TcpStream) -> anyhow::Result<()> {
     let mut peer = None;
+    let mut heard_at = now();
+    // Whether frames may have waited on their way. Those of the consensus carry
+    // terms and rounds and may be late; reports of routers say only how old they
+    // were when they were sent.
+    let mut may_be_late = false;
     while let Some(frame) = link::receive(&mut stream, wire::CAP).await? {
+        may_be_late |= now() - std::mem::replace(&mut heard_at, now()) >= sessions::SILENCE_MS;
         let Some(frame) = desk.links.admit(&mut peer, frame)? else { continue };
         match frame {
             Frame::Introduce(member) => {
@@ -196,6 +202,10 @@
                 desk.hub.send(Call::Replied { number, clock_ms, reply });
             }
             Frame::Fronts { fronts, .. } => {
+                anyhow::ensure!(!may_be_late, "its reports of routers come late");
+                if desk.hub.stood_still() {
+                    continue;
+                }
                 let mut known = desk.fronts.lock();
                 let is_other = known.take(fronts, false);
                 desk.hub.routers.store(known.count(), Ordering::Relaxed);
