What this build can't read does not get as far as the log

After: its link is ended, with the reason in the log; the node stays what it was and takes over a good one.

--- a/directory/src/links.rs
+++ b/directory/src/links.rs
@@ -3,8 +3,10 @@
 use crate::asked::Asked;
 use crate::hub::{Call, Forwarded};
 use crate::{jobs, sessions, Desk};
-use consensus::{Member, NodeId};
+use consensus::pack::unpacked;
+use consensus::{Body, EntryPayload, Member, NodeId};
 use parking_lot::Mutex;
+use residency::{State, Submission};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -89,6 +91,9 @@
         let Some(peer) = peer else { anyhow::bail!("it did not say who it is") };
         let is_itself = speaker.is_none_or(|speaker| speaker == peer.identity);
         anyhow::ensure!(is_itself, "{peer} speaks for another node");
+        if let Frame::Ledger(message) = &frame {
+            check_content(&message.body).map_err(|text| anyhow::anyhow!("{peer}: {text}"))?;
+        }
         if let Frame::Reply { number, .. } = &frame {
             let is_awaited = self.asked.lock().is_answered(now(), *number, &peer.address);
             return Ok(is_awaited.then_some(frame));
@@ -163,6 +168,21 @@
     }
 }
 
+/// Whether this build can read what a message of the consensus brings. Nothing else
+/// may get as far as the log: what is in it has to be applied.
+fn check_content(body: &Body) -> Result<(), String> {
+    match body {
+        Body::InstallSnapshot { snapshot, .. } => State::restore(&snapshot.state).map(drop),
+        Body::AppendEntries { entries, .. } => {
+            entries.iter().try_for_each(|entry| match &entry.payload {
+                EntryPayload::Command(bytes) => unpacked::<Submission>(bytes).map(drop),
+                _ => Ok(()),
+            })
+        }
+        _ => Ok(()),
+    }
+}
+
 pub async fn accept(desk: Arc<Desk>, listener: TcpListener) {
     link::accept(listener, |stream| welcome(Arc::clone(&desk), stream)).await;
 }
