--- a/consensus/src/wal.rs
+++ b/consensus/src/wal.rs
@@ -23,11 +23,8 @@
     /// Gives a file a new name, in place of what had it.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
     fn remove(&mut self, name: &str) -> io::Result<()>;
-    /// Makes what was made, renamed and removed last. Files whose folder changes
-    /// last at once, as in a simulation, have nothing to do.
-    fn sync_folder(&mut self) -> io::Result<()> {
-        Ok(())
-    }
+    /// Makes what was made, renamed and removed last.
+    fn sync_folder(&mut self) -> io::Result<()>;
 }
 
 /// Why a folder can't be used as it is.
@@ -324,7 +321,9 @@
     // A crash may keep a new file's length and lose its bytes.
     let is_blank = bytes.len() < HEAD || bytes.iter().all(|byte| *byte == 0);
     if is_last && is_blank {
+        // For good before another is begun: one that comes back would be damage then.
         files.remove(&name)?;
+        files.sync_folder()?;
         return Ok(false);
     }
     check_head(&name, &bytes, SEGMENT)?;
