Consensus: the node is model checked, breadth-first and by seeded walks

The product gets derives (Clone, Hash) alone, and a draw below one or zero draws nothing, so that states repeat.

--- a/consensus/src/lib.rs
+++ b/consensus/src/lib.rs
@@ -21,7 +21,7 @@
 /// to one data folder for good; a node that lost its folder gets another.
 #[binrw]
 #[brw(big)]
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Member {
     pub identity: NodeId,
     #[br(parse_with = read_text)]
@@ -46,7 +46,7 @@
 /// Invariant: no identity stands twice, in one list or over all three.
 #[binrw]
 #[brw(big)]
-#[derive(Clone, Debug, PartialEq, Default)]
+#[derive(Clone, Debug, PartialEq, Default, Hash)]
 pub struct Membership {
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
@@ -80,7 +80,7 @@
 
 #[binrw]
 #[brw(big)]
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum EntryPayload {
     /// A new leader's first entry; it says nothing.
     #[brw(magic = 0u8)]
@@ -97,7 +97,7 @@
 
 #[binrw]
 #[brw(big)]
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Entry {
     pub index: LogIndex,
     pub term: Term,
@@ -108,7 +108,7 @@
 /// force at `index`, and `state` holds every entry up to it and none past it.
 #[binrw]
 #[brw(big)]
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Snapshot {
     pub index: LogIndex,
     pub term: Term,
@@ -124,7 +124,7 @@
 /// never falls; `vote` changes only along with `term`.
 #[binrw]
 #[brw(big)]
-#[derive(Clone, Copy, Debug, PartialEq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Default, Hash)]
 pub struct HardState {
     pub term: Term,
     /// 0 stands for no vote.
@@ -135,7 +135,7 @@
 
 #[binrw]
 #[brw(big)]
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Message {
     pub from: NodeId,
     pub to: NodeId,
@@ -146,7 +146,7 @@
 
 #[binrw]
 #[brw(big)]
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Body {
     /// Asks whether a vote would be given; changes nothing at the asked.
     #[brw(magic = 0u8)]
--- a/consensus/src/node.rs
+++ b/consensus/src/node.rs
@@ -14,7 +14,7 @@
 /// All times in milliseconds of the caller's monotonic clock. Invariant: a
 /// beat is well shorter than an election, an election well shorter than the
 /// routers' licence.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Hash)]
 pub struct Timing {
     pub beat: u64,
     /// A follower waits this long, and up to twice as long, for its leader.
@@ -56,7 +56,7 @@
     SnapshotTaken(LogIndex, Vec<u8>),
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum Refusal {
     NotLeader,
     Busy,
@@ -66,7 +66,7 @@
     Lost,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum Write {
     HardState(HardState),
     /// Entries from here on are void.
@@ -78,7 +78,7 @@
     Snapshot(Snapshot),
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Effect {
     /// To be written and synced in order, then reported by this ticket.
     Write(u64, Vec<Write>),
@@ -93,7 +93,7 @@
     Refused(Token, Refusal),
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug, Hash)]
 pub enum Role {
     Follower,
     PreCandidate,
@@ -103,6 +103,7 @@
 
 /// How far another node is. Invariant: `matched` is only what that node said
 /// is synced, and only rises within a term.
+#[derive(Clone, Hash)]
 struct Peer {
     next: LogIndex,
     matched: LogIndex,
@@ -115,6 +116,7 @@
 /// Invariants: `base < entry.index` for all in `log`, which has no gap;
 /// `applied <= commit <= last`; `synced <= last`; a message is let out only
 /// when the hard_state it rests on is synced; `term` never falls.
+#[derive(Clone, Hash)]
 pub struct Node {
     identity: NodeId,
     pace: Timing,
@@ -151,7 +153,7 @@
 }
 
 /// What a disk gave back at the start.
-#[derive(Default, Clone)]
+#[derive(Default, Clone, Hash)]
 pub struct PersistedState {
     pub hard_state: HardState,
     pub snapshot: Option<Snapshot>,
@@ -270,10 +272,13 @@
     }
 
     fn random(&mut self, below: u64) -> u64 {
+        if below <= 1 {
+            return 0;
+        }
         self.seed ^= self.seed << 13;
         self.seed ^= self.seed >> 7;
         self.seed ^= self.seed << 17;
-        self.seed % below.max(1)
+        self.seed % below
     }
 
     /// The first wait after a start is a shorter one: a leader that is there beats
--- /dev/null
+++ b/consensus/tests/model/actions.rs
@@ -0,0 +1,330 @@
+//! What may happen next, and what comes of it.
+
+use consensus::node::{Input, Role};
+use consensus::{Body, Message, NodeId};
+use std::fmt::{self, Debug};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::Arc;
+
+use crate::checker::{Model, Violation};
+use crate::cluster::{is_request, member, Cluster, Grain, EPOCH_MS};
+use crate::history::broken;
+use crate::server::Server;
+
+#[derive(Clone)]
+pub enum Action {
+    /// All timers run out, everybody counts as silent.
+    TimePasses,
+    Tick(NodeId),
+    Deliver {
+        message: Arc<Message>,
+        /// A duplicate stays on its way.
+        is_kept: bool,
+        /// The answer gets lost (where a call is one step).
+        is_answer_lost: bool,
+    },
+    Sync(NodeId),
+    Propose(NodeId),
+    ReadIndex(NodeId),
+    AddLearner {
+        leader: NodeId,
+        learner: NodeId,
+    },
+    RemoveMember {
+        leader: NodeId,
+        removed: NodeId,
+    },
+    TransferLeadership(NodeId),
+    /// What was written first may have reached the disk without word of it.
+    CrashAndRestart {
+        server: NodeId,
+        writes_kept: usize,
+    },
+    LoseDisk(NodeId),
+    TakeSnapshot(NodeId),
+}
+
+impl Debug for Action {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Action::TimePasses => write!(f, "time passes"),
+            Action::Tick(at) => write!(f, "tick {at}"),
+            Action::Deliver { message, is_kept, is_answer_lost } => {
+                let Message { from, to, term, body, .. } = message.as_ref();
+                write!(f, "deliver {from} -> {to}, term {term}: {body:?}")?;
+                write!(f, "{}", if *is_kept { " (and again)" } else { "" })?;
+                write!(f, "{}", if *is_answer_lost { " (answer lost)" } else { "" })
+            }
+            Action::Sync(at) => write!(f, "sync {at}"),
+            Action::Propose(at) => write!(f, "propose at {at}"),
+            Action::ReadIndex(at) => write!(f, "read at {at}"),
+            Action::AddLearner { leader, learner } => write!(f, "add {learner} at {leader}"),
+            Action::RemoveMember { leader, removed } => write!(f, "remove {removed} at {leader}"),
+            Action::TransferLeadership(at) => write!(f, "transfer leadership from {at}"),
+            Action::CrashAndRestart { server, writes_kept } => {
+                write!(f, "crash {server}, {writes_kept} unsynced writes kept")
+            }
+            Action::LoseDisk(at) => write!(f, "lose disk of {at}"),
+            Action::TakeSnapshot(at) => write!(f, "snapshot at {at}"),
+        }
+    }
+}
+
+/// A cluster in some state, from which everything is explored.
+pub struct Scenario {
+    pub name: &'static str,
+    pub start: Cluster,
+}
+
+impl Model for Scenario {
+    type State = Cluster;
+    type Action = Action;
+
+    fn initial(&self) -> Cluster {
+        self.start.clone()
+    }
+
+    fn actions(&self, state: &Cluster) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (_, message) in &state.network {
+            deliveries(state, message, &mut actions);
+        }
+        for server in &state.servers {
+            server_actions(state, server, &mut actions);
+        }
+        if state.left.epochs > 0 {
+            actions.push(Action::TimePasses);
+        }
+        actions
+    }
+
+    /// The product's own assertions count as properties.
+    fn next(&self, state: &Cluster, action: &Action) -> Result<Cluster, Violation> {
+        let run = || {
+            let mut next = state.clone();
+            next.perform(action).map(|()| next)
+        };
+        catch_unwind(AssertUnwindSafe(run)).unwrap_or_else(|panic| {
+            let text = panic.downcast_ref::<&str>().map(ToString::to_string);
+            let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
+            broken("assertions of the node", text.unwrap_or_default())
+        })
+    }
+
+    fn fingerprint(&self, state: &Cluster) -> u64 {
+        state.fingerprint()
+    }
+}
+
+fn deliveries(state: &Cluster, message: &Arc<Message>, actions: &mut Vec<Action>) {
+    let Some(receiver) = state.server(message.to) else { return };
+    let is_call = state.grain == Grain::Calls;
+    if is_call && message.term < receiver.node.term() {
+        return;
+    }
+    let deliver = |is_kept, is_answer_lost| Action::Deliver {
+        message: message.clone(),
+        is_kept,
+        is_answer_lost,
+    };
+    actions.push(deliver(false, false));
+    if is_call && is_request(&message.body) {
+        actions.push(deliver(false, true));
+    }
+    if state.left.duplicates > 0 {
+        actions.push(deliver(true, false));
+    }
+}
+
+fn server_actions(state: &Cluster, server: &Server, actions: &mut Vec<Action>) {
+    let (at, left) = (server.identity(), &state.left);
+    if !server.unsynced.is_empty() {
+        actions.push(Action::Sync(at));
+    }
+    if left.crashes > 0 {
+        actions.push(Action::CrashAndRestart { server: at, writes_kept: 0 });
+        let unsynced = server.unsynced.len();
+        if unsynced > 0 {
+            actions.push(Action::CrashAndRestart { server: at, writes_kept: unsynced });
+        }
+    }
+    if left.disks_lost > 0 && server.disk.hard_state.cluster != 0 {
+        actions.push(Action::LoseDisk(at));
+    }
+    if left.snapshots > 0 && server.node.applied() > server.node.snapshot().index {
+        actions.push(Action::TakeSnapshot(at));
+    }
+    if server.node.role() == Role::Leader {
+        leader_actions(state, server, actions);
+    } else if left.campaigns > 0
+        && server.node.members().is_voter(at)
+        && server.node.due() <= state.now
+    {
+        actions.push(Action::Tick(at));
+    }
+}
+
+fn leader_actions(state: &Cluster, server: &Server, actions: &mut Vec<Action>) {
+    let (at, left) = (server.identity(), &state.left);
+    if left.heartbeats > 0 {
+        actions.push(Action::Tick(at));
+    }
+    if left.proposals > 0 {
+        actions.push(Action::Propose(at));
+    }
+    if left.reads > 0 {
+        actions.push(Action::ReadIndex(at));
+    }
+    if left.transfers > 0 {
+        actions.push(Action::TransferLeadership(at));
+    }
+    for other in state.servers.iter().map(|other| other.identity()) {
+        let is_member = server.node.members().get(other).is_some();
+        if left.additions > 0 && !is_member {
+            actions.push(Action::AddLearner { leader: at, learner: other });
+        }
+        if left.removals > 0 && is_member && other != at {
+            actions.push(Action::RemoveMember { leader: at, removed: other });
+        }
+    }
+}
+
+impl Cluster {
+    fn at(&self, identity: NodeId) -> usize {
+        self.position(identity).expect("actions name servers that there are")
+    }
+
+    fn token(&mut self) -> u64 {
+        let history = Arc::make_mut(&mut self.history);
+        history.tokens += 1;
+        history.tokens
+    }
+
+    pub fn perform(&mut self, action: &Action) -> Result<(), Violation> {
+        match action {
+            Action::TimePasses => {
+                self.left.epochs -= 1;
+                self.now += EPOCH_MS;
+                Ok(())
+            }
+            Action::Tick(at) => self.tick(self.at(*at)),
+            Action::Deliver { message, is_kept, is_answer_lost } => {
+                if *is_kept {
+                    self.left.duplicates -= 1;
+                } else {
+                    self.network
+                        .retain(|(_, other)| !Arc::ptr_eq(other, message) && other != message);
+                }
+                self.deliver(message, *is_answer_lost)
+            }
+            Action::Sync(at) => self.sync_one(self.at(*at)),
+            Action::Propose(at) => {
+                self.left.proposals -= 1;
+                let token = self.token();
+                self.step(self.at(*at), Input::Propose(token, vec![token as u8]))
+            }
+            Action::ReadIndex(at) => {
+                self.left.reads -= 1;
+                let token = self.token();
+                let floor = self.history.committed.len() as u64;
+                Arc::make_mut(&mut self.history).reads.insert(token, floor);
+                self.step(self.at(*at), Input::ReadIndex(token))
+            }
+            Action::AddLearner { leader, learner } => {
+                self.left.additions -= 1;
+                let token = self.token();
+                let member = self.servers[self.at(*learner)].member.clone();
+                self.step(self.at(*leader), Input::AddLearner(token, member))
+            }
+            Action::RemoveMember { leader, removed } => {
+                self.left.removals -= 1;
+                let token = self.token();
+                self.step(self.at(*leader), Input::RemoveMember(token, *removed))
+            }
+            Action::TransferLeadership(at) => {
+                self.left.transfers -= 1;
+                self.step(self.at(*at), Input::TransferLeadership)
+            }
+            Action::CrashAndRestart { server, writes_kept } => {
+                self.left.crashes -= 1;
+                self.crash(self.at(*server), *writes_kept)
+            }
+            Action::LoseDisk(at) => {
+                self.left.disks_lost -= 1;
+                self.lose_disk(self.at(*at));
+                Ok(())
+            }
+            Action::TakeSnapshot(at) => {
+                self.left.snapshots -= 1;
+                let server = &self.servers[self.at(*at)];
+                let taken = Input::SnapshotTaken(server.node.applied(), server.machine.clone());
+                self.step(self.at(*at), taken)
+            }
+        }
+    }
+
+    fn tick(&mut self, at: usize) -> Result<(), Violation> {
+        if self.servers[at].node.role() == Role::Leader {
+            self.left.heartbeats -= 1;
+            return self.step(at, Input::Tick);
+        }
+        self.left.campaigns -= 1;
+        self.step(at, Input::Tick)?;
+        if self.grain == Grain::Calls {
+            let from = self.servers[at].identity();
+            while let Some(message) = self.take(|m| m.from == from && is_pre_vote(&m.body)) {
+                self.deliver(&message, false)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, is_wanted: impl Fn(&Message) -> bool) -> Option<Arc<Message>> {
+        let at = self.network.iter().position(|(_, message)| is_wanted(message))?;
+        Some(self.network.remove(at).1)
+    }
+
+    fn deliver(&mut self, message: &Message, is_answer_lost: bool) -> Result<(), Violation> {
+        let Some(receiver) = self.position(message.to) else { return Ok(()) };
+        let is_call = self.grain == Grain::Calls && is_request(&message.body);
+        self.step(receiver, Input::Received(message.clone()))?;
+        if is_call {
+            // A request of the asked one's own (it may have begun to lead) stays.
+            let (asker, asked) = (message.from, message.to);
+            let is_answer = |m: &Message| m.from == asked && m.to == asker && !is_request(&m.body);
+            while let Some(answer) = self.take(is_answer) {
+                if !is_answer_lost && self.position(asker).is_some() {
+                    self.step(self.at(asker), Input::Received(answer.as_ref().clone()))?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn crash(&mut self, at: usize, writes_kept: usize) -> Result<(), Violation> {
+        let mut server = Server::clone(&self.servers[at]);
+        for _ in 0..writes_kept {
+            let (_, writes) = server.unsynced.pop_front().expect("no more than there are");
+            self.write(&mut server, &writes)?;
+        }
+        let (member, disk) = (server.member, server.disk.as_ref().clone());
+        self.replace(at, Server::start(member, self.timing, self.now, disk));
+        crate::properties::check_state(self, at)
+    }
+
+    /// The machine comes back blank, under its name and a new identity.
+    fn lose_disk(&mut self, at: usize) {
+        let old = &self.servers[at];
+        let (identity, name) = (old.identity(), old.member.name.clone());
+        let lost = old.disk.as_ref().clone();
+        Arc::make_mut(&mut self.history).lost_disks.insert(identity, lost);
+        let fresh = self.servers.iter().map(|s| s.identity()).max().unwrap_or(0) + 1;
+        let member = consensus::Member { name, ..member(fresh, fresh) };
+        let blank = consensus::node::PersistedState::default();
+        self.replace(at, Server::start(member, self.timing, self.now, blank));
+    }
+}
+
+fn is_pre_vote(body: &Body) -> bool {
+    matches!(body, Body::PreVote { .. })
+}
--- /dev/null
+++ b/consensus/tests/model/properties.rs
@@ -0,0 +1,165 @@
+//! Properties of a whole state. Those of a single step are in `history` and
+//! `cluster`.
+
+use consensus::node::{PersistedState, Role};
+use consensus::{Entry, EntryPayload, Membership, NodeId};
+
+use crate::checker::Violation;
+use crate::cluster::Cluster;
+use crate::history::broken;
+use crate::server::{holds, last_of, members_of, Server};
+
+pub fn check_state(cluster: &Cluster, changed: usize) -> Result<(), Violation> {
+    check_log_matching(cluster, changed)?;
+    check_membership(cluster, &cluster.servers[changed])?;
+    check_leader(cluster, &cluster.servers[changed])?;
+    check_leader_completeness(cluster)
+}
+
+/// Log Matching: logs that agree on an entry's index and term agree on the
+/// entry and on all before it.
+fn check_log_matching(cluster: &Cluster, changed: usize) -> Result<(), Violation> {
+    let mine = &cluster.servers[changed];
+    for other in cluster.servers.iter().filter(|s| s.identity() != mine.identity()) {
+        let mut have_agreed = false;
+        for entry in mine.memory.entries.iter().rev() {
+            let same = other.memory.entries.iter().find(|e| e.index == entry.index);
+            let Some(same) = same else { continue };
+            let agree = same.term == entry.term;
+            if (agree && same != entry) || (have_agreed && !agree) {
+                return broken("log matching", format!("{entry:?} and {same:?}"));
+            }
+            have_agreed |= agree;
+        }
+    }
+    Ok(())
+}
+
+/// The memberships in a log's entries, oldest first.
+fn memberships(log: &PersistedState) -> Vec<(&Entry, &Membership)> {
+    let entries = log.entries.iter();
+    let with_members = entries.filter_map(|entry| match &entry.payload {
+        EntryPayload::Membership(members) => Some((entry, members)),
+        EntryPayload::Blank | EntryPayload::Command(_) => None,
+    });
+    with_members.collect()
+}
+
+/// Any majority of the one shares a voter with any majority of the other.
+fn majorities_meet(one: &Membership, other: &Membership) -> bool {
+    let voters = |members: &Membership| -> Vec<NodeId> {
+        members.voters.iter().map(|voter| voter.identity).collect()
+    };
+    let (one_voters, other_voters) = (voters(one), voters(other));
+    let shared = one_voters.iter().filter(|voter| other_voters.contains(voter)).count();
+    let union = one_voters.len() + other_voters.len() - shared;
+    // The smallest majorities, laid as far apart as they go.
+    let free_of_other = one_voters.len() - shared;
+    let from_shared = one.majority().saturating_sub(free_of_other);
+    let left_for_other = shared - from_shared + (other_voters.len() - shared);
+    union > 0 && left_for_other < other.majority()
+}
+
+fn check_membership(cluster: &Cluster, server: &Server) -> Result<(), Violation> {
+    let log = &server.memory;
+    let found = memberships(log);
+    let base = log.snapshot.as_ref().map(|snapshot| &snapshot.members);
+    let chain: Vec<&Membership> =
+        base.into_iter().chain(found.iter().map(|(_, members)| *members)).collect();
+    for pair in chain.windows(2) {
+        if !majorities_meet(pair[0], pair[1]) {
+            let names = |m: &Membership| m.voters.iter().map(|v| v.identity).collect::<Vec<_>>();
+            return broken(
+                "majorities of neighbouring memberships meet",
+                format!("{:?} and {:?}", names(pair[0]), names(pair[1])),
+            );
+        }
+        let back = pair[0].retired.iter().find(|id| pair[1].get(**id).is_some());
+        let lost = pair[0].retired.iter().find(|id| !pair[1].retired.contains(id));
+        if back.is_some() || lost.is_some() {
+            return broken("a retired identity stays out", format!("{back:?} {lost:?}"));
+        }
+        check_promoted(cluster, server, pair[0], pair[1])?;
+    }
+    Ok(())
+}
+
+/// A learner is made a voter when its disk holds the cluster and the entry
+/// that let it in: a blank voter counts for a majority and can't vote.
+fn check_promoted(
+    cluster: &Cluster,
+    server: &Server,
+    before: &Membership,
+    after: &Membership,
+) -> Result<(), Violation> {
+    if server.node.role() != Role::Leader {
+        return Ok(());
+    }
+    let promoted = after.voters.iter().filter(|voter| !before.is_voter(voter.identity));
+    for voter in promoted {
+        let Some(other) = cluster.server(voter.identity) else { continue };
+        let knows_itself = members_of(&other.disk).get(voter.identity).is_some();
+        if !knows_itself {
+            return broken(
+                "a promoted learner has caught up",
+                format!("{} does not hold the entry that let it in", voter.identity),
+            );
+        }
+    }
+    Ok(())
+}
+
+/// Changes of membership are made one at a time, each by a leader that has
+/// committed an entry of its own term.
+fn check_leader(cluster: &Cluster, server: &Server) -> Result<(), Violation> {
+    if server.node.role() != Role::Leader {
+        return Ok(());
+    }
+    let term = server.node.term();
+    let found = memberships(&server.memory);
+    // A node that comes back has yet to learn what is committed.
+    let committed = cluster.history.committed.len() as u64;
+    let open = found.iter().filter(|(entry, _)| entry.index > committed).count();
+    if open > 1 {
+        return broken("one unsettled membership", format!("{open} at {}", server.identity()));
+    }
+    let early = found.iter().find(|(entry, _)| {
+        let before = cluster.history.committed.iter().take_while(|e| e.index < entry.index);
+        entry.term == term && before.filter(|e| e.term == term).count() == 0
+    });
+    if let Some((entry, _)) = early {
+        return broken(
+            "a leader commits in its term before it changes the membership",
+            format!("{entry:?}"),
+        );
+    }
+    Ok(())
+}
+
+/// Leader Completeness, one election ahead: if every node crashed now, whoever
+/// could win the votes of a majority of its voters holds all that is committed.
+fn check_leader_completeness(cluster: &Cluster) -> Result<(), Violation> {
+    for candidate in &cluster.servers {
+        let log = &candidate.disk;
+        let members = members_of(log);
+        if !members.is_voter(candidate.identity()) {
+            continue;
+        }
+        let grants = members.voters.iter().filter(|voter| {
+            let voter = cluster.server(voter.identity);
+            voter
+                .is_some_and(|v| v.disk.hard_state.cluster != 0 && last_of(&v.disk) <= last_of(log))
+        });
+        if grants.count() < members.majority() {
+            continue;
+        }
+        let missing = cluster.history.committed.iter().find(|entry| !holds(log, entry));
+        if let Some(entry) = missing {
+            return broken(
+                "committed entries are never lost",
+                format!("{} could lead without {entry:?}", candidate.identity()),
+            );
+        }
+    }
+    Ok(())
+}
