--- a/consensus/tests/model/actions.rs
+++ b/consensus/tests/model/actions.rs
@@ -7,10 +7,13 @@
 use std::sync::Arc;
 
 use crate::checker::{Model, Violation};
-use crate::cluster::{is_request, member, Cluster, Grain, EPOCH_MS};
+use crate::cluster::{is_request, member, Cluster, Grain, CLUSTER, EPOCH_MS};
 use crate::history::broken;
 use crate::server::Server;
 
+/// Who founds.
+const FIRST_SEED: NodeId = 1;
+
 #[derive(Clone)]
 pub enum Action {
     /// All timers run out, everybody counts as silent.
@@ -42,6 +45,8 @@
     },
     LoseDisk(NodeId),
     TakeSnapshot(NodeId),
+    /// The first seed founds the cluster, while it is blank.
+    Bootstrap(NodeId),
 }
 
 impl Debug for Action {
@@ -66,6 +71,7 @@
             }
             Action::LoseDisk(at) => write!(f, "lose disk of {at}"),
             Action::TakeSnapshot(at) => write!(f, "snapshot at {at}"),
+            Action::Bootstrap(at) => write!(f, "{at} founds"),
         }
     }
 }
@@ -158,6 +164,9 @@
     if left.snapshots > 0 && server.node.applied() > server.node.snapshot().index {
         actions.push(Action::TakeSnapshot(at));
     }
+    if left.foundings > 0 && at == FIRST_SEED && server.node.cluster() == 0 {
+        actions.push(Action::Bootstrap(at));
+    }
     if server.node.role() == Role::Leader {
         leader_actions(state, server, actions);
     } else if left.campaigns > 0
@@ -264,6 +273,12 @@
                 let taken = Input::SnapshotTaken(server.node.applied(), server.machine.clone());
                 self.step(self.at(*at), taken)
             }
+            Action::Bootstrap(at) => {
+                self.left.foundings -= 1;
+                let founder = self.at(*at);
+                let member = self.servers[founder].member.clone();
+                self.step(founder, Input::Bootstrap(member, CLUSTER))
+            }
         }
     }
 
--- a/consensus/tests/model/cluster.rs
+++ b/consensus/tests/model/cluster.rs
@@ -58,6 +58,7 @@
     pub removals: u8,
     pub transfers: u8,
     pub snapshots: u8,
+    pub foundings: u8,
 }
 
 #[derive(Clone)]
--- a/consensus/tests/model/main.rs
+++ b/consensus/tests/model/main.rs
@@ -105,7 +105,7 @@
 
 #[test]
 fn founding_by_messages() {
-    bounded("founding, by messages", 8);
+    bounded("founding, by messages", 9);
 }
 
 #[test]
--- a/consensus/tests/model/scenarios.rs
+++ b/consensus/tests/model/scenarios.rs
@@ -1,6 +1,6 @@
 //! Where the exploration starts, and what may happen from there.
 
-use consensus::node::{Input, Role};
+use consensus::node::Role;
 use consensus::{Body, Entry, EntryPayload, HardState, Membership, Message, NodeId, Term};
 
 use crate::actions::{Action, Scenario};
@@ -113,13 +113,10 @@
     cluster
 }
 
-/// Node 1 has been told to found a cluster, and nothing of it is synced; 2 and 3
-/// are blank.
-fn founding() -> Cluster {
+/// Nobody has founded anything.
+fn blank() -> Cluster {
     let logs = (0..3).map(|_| Log::default()).collect();
-    let mut cluster = Cluster::new(Grain::Messages, timing(3), logs);
-    cluster.step(0, Input::Bootstrap(member(1, 1), CLUSTER)).expect("a founding");
-    cluster
+    Cluster::new(Grain::Messages, timing(3), logs)
 }
 
 pub fn named(name: &str, size: Size) -> Scenario {
@@ -133,7 +130,7 @@
         5 => led(Grain::Calls, 3, 2, 5),
         6 => led(Grain::Calls, 3, 1, 3),
         7 => led(Grain::Calls, 3, 0, 3),
-        _ => founding(),
+        _ => blank(),
     };
     start.left = budget(at, size);
     Scenario { name: NAMES[at], start }
@@ -220,6 +217,7 @@
             proposals: extra,
             additions: 2,
             crashes: 1 + extra,
+            foundings: 1 + extra,
             ..none
         },
     }
