--- a/consensus/src/node/mod.rs
+++ b/consensus/src/node/mod.rs
@@ -25,6 +25,7 @@
 
 /// How far another node is. Invariant: `matched` is only what that node said
 /// is synced, and only rises within a term.
+#[derive(Clone, Hash)]
 struct Peer {
     next: LogIndex,
     matched: LogIndex,
@@ -42,7 +43,7 @@
 
 /// A step back of a peer's `next`. Invariant: answers of `round` and before are
 /// to messages that were sent before what went out with this step, or to that.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Hash)]
 struct Rewind {
     matched: LogIndex,
     round: u64,
@@ -51,6 +52,7 @@
 /// Invariants: `base < entry.index` for all in `log`, which has no gap;
 /// `applied <= commit <= last`; `synced <= last`; a message is let out only
 /// when the hard_state it rests on is synced; `term` never falls.
+#[derive(Clone, Hash)]
 pub struct Node {
     identity: NodeId,
     pace: Timing,
@@ -201,10 +203,13 @@
     }
 
     fn random(&mut self, below: u64) -> u64 {
+        if below <= 1 {
+            return 0;
+        }
         self.seed ^= self.seed << 13;
         self.seed ^= self.seed >> 7;
         self.seed ^= self.seed << 17;
-        self.seed % below.max(1)
+        self.seed % below
     }
 
     /// The first wait after a start is a shorter one: a leader that is there beats
--- a/consensus/src/node/types.rs
+++ b/consensus/src/node/types.rs
@@ -5,7 +5,7 @@
 /// All times in milliseconds of the caller's monotonic clock. Invariant: a
 /// beat is well shorter than an election, an election well shorter than the
 /// routers' licence.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Hash)]
 pub struct Timing {
     pub beat: u64,
     /// A follower waits this long, and up to twice as long, for its leader.
@@ -74,7 +74,7 @@
     SnapshotTaken(LogIndex, Vec<u8>),
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum Refusal {
     NotLeader,
     Busy,
@@ -84,7 +84,7 @@
     Lost,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum Write {
     HardState(HardState),
     /// Entries from here on are void.
@@ -96,7 +96,7 @@
     Snapshot(Snapshot),
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Effect {
     /// To be written and synced in order, then reported by this ticket.
     Write(u64, Vec<Write>),
@@ -111,7 +111,7 @@
     Refused(Token, Refusal),
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug, Hash)]
 pub enum Role {
     Follower,
     PreCandidate,
@@ -120,7 +120,7 @@
 }
 
 /// What a disk gave back at the start.
-#[derive(Default, Clone)]
+#[derive(Default, Clone, Hash)]
 pub struct PersistedState {
     pub hard_state: HardState,
     pub snapshot: Option<Snapshot>,
