--- a/wire/tests/formats/frames.rs
+++ b/wire/tests/formats/frames.rs
@@ -239,8 +239,10 @@
         Question::Confirm { demands: vec![demand()] },
         Question::Admit(member(9)),
         Question::Retire { identity: 9 },
+        Question::Leave { identity: 9 },
     ]);
-    frames.extend(questions.map(|question| Frame::Ask { from: 1, number: 2, question }));
+    let validity = Validity { term: 3, deadline_ms: 1_234 };
+    frames.extend(questions.map(|question| Frame::Ask { from: 1, number: 2, validity, question }));
     let outcomes = [
         Outcome::Applied { epoch: 9 },
         Outcome::Repeated { epoch: 9 },
@@ -255,7 +257,7 @@
         Reply::Unfit(name("why")),
         Reply::Lost,
     ]);
-    frames.extend(replies.map(|reply| Frame::Reply { number: 2, reply }));
+    frames.extend(replies.map(|reply| Frame::Reply { number: 2, clock_ms: 3, reply }));
     let none = Answer::None { code: name("no-place"), text: name("nowhere") };
     let answers = [Answer::Mapping(mapping()), none, Answer::Later];
     frames.extend(answers.map(|answer| Frame::Resolved { number: 2, answer }));
