--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -586,12 +586,11 @@
     }
 
     /// A question from this process: answered here by the leader, else there.
-    fn ask(&mut self, asked: Asked, reply: oneshot::Sender<Reply>) {
+    fn ask(&mut self, asked: Asked, sender: oneshot::Sender<Reply>) {
         let Asked { question, until, only_term } = asked;
-        let asked_at = now();
-        let waiter = Waiter::Here { sender: reply, asked_at };
         let is_leader = self.node.role() == Role::Leader;
-        let term = self.node.term();
+        let (term, asked_at) = (self.node.term(), now());
+        let waiter = Waiter::Here { sender, asked_at };
         if only_term.is_some_and(|only| !is_leader || only != term) {
             return self.deliver(waiter, Reply::NotLeader);
         }
@@ -637,8 +636,8 @@
             }
             Question::Submit(submission) => {
                 // That a submission was applied stays true and needs no entry. A
-                // conflict or a refusal may rest on old state, here or at a leader
-                // that has just been elected: it is decided where it is applied.
+                // conflict or a refusal may rest on old state, at a leader that has
+                // just been elected or is cut off: it is decided where it is applied.
                 let known = self.state.read().check(&submission);
                 if let Some(outcome @ Outcome::Repeated { .. }) = known {
                     return self.deliver(waiter, Reply::Submitted(outcome));
