What a leader finds due is tried until its outcome is known, within its term

Cause: submitted once, it was dropped where the backlog was full or the disk slow, and came again only with the next period. Now it is tried as orders are, until its outcome is known, patience ends or the term does.

--- a/directory/src/hub.rs
+++ b/directory/src/hub.rs
@@ -136,15 +136,30 @@
     /// Submits until the outcome is known or `until` has come; past that nothing is
     /// proposed for it any more. The submission's id makes the repeats harmless.
     pub async fn submit(&self, submission: Submission, until: u64) -> Reply {
+        self.submit_in(submission, until, None).await
+    }
+
+    /// The same, only while this node leads in that term.
+    pub async fn submit_as_leader(&self, submission: Submission, term: Term, until: u64) -> Reply {
+        self.submit_in(submission, until, Some(term)).await
+    }
+
+    async fn submit_in(
+        &self,
+        submission: Submission,
+        until: u64,
+        only_term: Option<Term>,
+    ) -> Reply {
         let mut reply = Reply::Lost;
         while now() < until {
             let question = Question::Submit(submission.clone());
-            let asked =
-                Asked { question, until: until.min(now() + ASK_PATIENCE_MS), only_term: None };
+            let until_reply = until.min(now() + ASK_PATIENCE_MS);
+            let asked = Asked { question, until: until_reply, only_term };
             let left = Duration::from_millis(until.saturating_sub(now()));
             let answer = tokio::time::timeout(left, self.ask_asked(asked)).await;
             reply = answer.unwrap_or(Reply::Lost);
-            if matches!(reply, Reply::Submitted(_)) {
+            let is_deposed = only_term.is_some() && reply == Reply::NotLeader;
+            if is_deposed || matches!(reply, Reply::Submitted(_)) {
                 return reply;
             }
             tokio::time::sleep(yard::jitter(120)).await;
@@ -152,14 +167,6 @@
         reply
     }
 
-    /// Submits once, and only while this node leads in that term.
-    pub async fn submit_as_leader(&self, submission: Submission, term: Term, until: u64) -> Reply {
-        let question = Question::Submit(submission);
-        let asked = Asked { question, until, only_term: Some(term) };
-        let left = Duration::from_millis(until.saturating_sub(now()));
-        tokio::time::timeout(left, self.ask_asked(asked)).await.unwrap_or(Reply::Lost)
-    }
-
     pub fn note_confirmed(&self, asked: u64) {
         self.confirmed.fetch_max(asked, Ordering::Relaxed);
     }
--- a/directory/src/orders.rs
+++ b/directory/src/orders.rs
@@ -49,8 +49,8 @@
         self.hub.submit(submission, yard::now() + patience.as_millis() as u64).await
     }
 
-    /// Submits, once, what this node found due as the leader of a term. No other
-    /// term's leader proposes it.
+    /// Submits what this node found due as the leader of a term, until the outcome is
+    /// known or patience ends. No other term's leader proposes it.
     pub async fn submit_as_leader(
         &self,
         submission: Submission,
