--- /dev/null
+++ b/consensus/tests/cut_leader/main.rs
@@ -0,0 +1,250 @@
+//! Nodes that are cut off for twenty seconds, one way or both, frozen, or
+//! restarted meanwhile: several real nodes in virtual time, with questions and
+//! proposals put to every side of the cut throughout.
+
+mod cluster;
+
+use cluster::*;
+use consensus::node::{Input, Role, Timing, Token};
+use consensus::Message;
+
+/// Every side of every cut, with messages dropped and with messages that come late.
+fn each(mut run: impl FnMut(Cluster, Cut, &str)) {
+    for seed in [1, 200, 3_000] {
+        for count in [3, 5] {
+            for cut in CUTS {
+                for loss in [Loss::Dropped, Loss::Late] {
+                    let what = format!("seed {seed}, {count} nodes, {cut:?}, {loss:?}");
+                    run(Cluster::new(count, seed, loss), cut, &what);
+                }
+            }
+        }
+    }
+}
+
+/// Guards: a leader that is cut off, whichever way, confirms nothing and
+/// acknowledges nothing from the moment of the cut on, also not by answers that
+/// reach it late; it steps down within an election's time; the others go on; what
+/// it took is never lost to them, and its return disturbs nobody.
+#[test]
+fn a_leader_that_is_cut_off_serves_nothing_old() {
+    each(|mut cluster, cut, what| {
+        let old = cluster.leader();
+        let first = cluster.propose(old);
+        cluster.run(1_000);
+        assert!(cluster.done.contains(&first), "{what}");
+        cluster.cut(old, cut);
+        let begun = cluster.now;
+        let (mut at_old, mut stepped_down, mut acknowledged) = (Vec::new(), None, 0);
+        while cluster.now < begun + CUT {
+            let before = cluster.acknowledged;
+            at_old.extend([cluster.read(old), cluster.propose(old)]);
+            if let Some(leader) = cluster.leader_but(Some(old)) {
+                cluster.propose(leader);
+                cluster.read(leader);
+            }
+            cluster.run(50);
+            acknowledged += usize::from(cluster.acknowledged > before);
+            if cluster.node(old).role() != Role::Leader {
+                stepped_down.get_or_insert(cluster.now - begun);
+            } else {
+                assert!(stepped_down.is_none(), "{what}: it leads again");
+            }
+        }
+        cluster.none_done(&at_old, what);
+        let bound = Timing::default().election + 4 * LATENCY + 50;
+        assert!(stepped_down.is_some_and(|after| after <= bound), "{what}: {stepped_down:?}");
+        assert!(acknowledged > 100, "{what}: the others acknowledged {acknowledged} times");
+        let leader = cluster.leader_but(Some(old)).expect("the others have a leader");
+        let term = cluster.node(leader).term();
+        cluster.heal();
+        cluster.agree();
+        assert_eq!((cluster.leader(), cluster.node(old).term()), (leader, term), "{what}");
+        cluster.none_done(&at_old, what);
+        let is_open = |token: &&Token| !cluster.refused.contains(token);
+        let open: Vec<&Token> = at_old.iter().filter(is_open).collect();
+        assert!(open.is_empty(), "{what}: nobody was told of {open:?}");
+    });
+}
+
+/// Guards: a follower that is cut off, whichever way, for however long, neither
+/// answers for the leader nor unseats it when it is back.
+#[test]
+fn a_follower_that_is_cut_off_disturbs_nobody() {
+    each(|mut cluster, cut, what| {
+        let leader = cluster.leader();
+        let term = cluster.node(leader).term();
+        let follower = cluster.identities().into_iter().find(|node| *node != leader).expect("one");
+        cluster.cut(follower, cut);
+        let begun = cluster.now;
+        let (mut at_follower, mut at_leader) = (Vec::new(), Vec::new());
+        while cluster.now < begun + CUT {
+            at_follower.extend([cluster.read(follower), cluster.propose(follower)]);
+            at_leader.extend([cluster.read(leader), cluster.propose(leader)]);
+            cluster.run(50);
+        }
+        cluster.heal();
+        cluster.agree();
+        cluster.none_done(&at_follower, what);
+        assert!(at_leader.iter().all(|token| cluster.done.contains(token)), "{what}");
+        let now = (cluster.leader(), cluster.node(follower).term());
+        assert_eq!(now, (leader, term), "{what}: leader and term stay");
+    });
+}
+
+/// Guards: a follower that misses its leader alone, and is heard by all the others,
+/// neither unseats the leader nor raises the term, with its log as long as theirs.
+#[test]
+fn a_follower_that_misses_the_leader_alone_disturbs_nobody() {
+    each(|mut cluster, cut, what| {
+        let leader = cluster.leader();
+        let term = cluster.node(leader).term();
+        let follower = cluster.identities().into_iter().find(|node| *node != leader).expect("one");
+        if cut.outward {
+            cluster.cuts.insert((follower, leader));
+        }
+        if cut.inward {
+            cluster.cuts.insert((leader, follower));
+        }
+        cluster.run(CUT);
+        cluster.heal();
+        cluster.agree();
+        let now = (cluster.leader(), cluster.node(follower).term());
+        assert_eq!(now, (leader, term), "{what}: leader and term stay");
+    });
+}
+
+/// Guards: restarts in the midst of a cut, of the node that is cut off and of those
+/// that went on without it, change nothing of this.
+#[test]
+fn restarts_within_a_cut_bring_nothing_old_back() {
+    each(|mut cluster, cut, what| {
+        let old = cluster.leader();
+        cluster.cut(old, cut);
+        // Entries that only the cut-off leader has, on its disk.
+        let mut at_old: Vec<Token> = (0..5).map(|_| cluster.propose(old)).collect();
+        cluster.run(ELECTED);
+        for _ in 0..3 {
+            cluster.restart(old);
+            at_old.extend([cluster.read(old), cluster.propose(old)]);
+            cluster.run(500);
+            let leader = cluster.leader_but(Some(old)).expect("the others have a leader");
+            let token = cluster.propose(leader);
+            cluster.run(500);
+            assert!(cluster.done.contains(&token), "{what}");
+            at_old.extend([cluster.read(old), cluster.propose(old)]);
+            cluster.restart(leader);
+            cluster.run(ELECTED);
+        }
+        cluster.heal();
+        cluster.agree();
+        cluster.none_done(&at_old, what);
+    });
+}
+
+/// Guards: a leader that stood still for nine seconds and finds the answers from
+/// before in its sockets, ahead of any look at the clock, confirms nothing and
+/// acknowledges nothing.
+#[test]
+fn a_leader_that_wakes_serves_nothing_old() {
+    for seed in 1..=20 {
+        for count in [3, 5] {
+            let mut cluster = Cluster::new(count, seed, Loss::Dropped);
+            let old = cluster.leader();
+            // A proposal's round is under way, so that answers to it will be queued.
+            cluster.propose(old);
+            cluster.run(TICK);
+            cluster.machines.get_mut(&old).expect("known").is_frozen = true;
+            cluster.run(9_000);
+            let leader = cluster.leader_but(Some(old)).expect("the others have a leader");
+            let token = cluster.propose(leader);
+            cluster.run(1_000);
+            assert!(cluster.done.contains(&token), "seed {seed}: the others go on");
+
+            let machine = cluster.machines.get_mut(&old).expect("known");
+            machine.is_frozen = false;
+            let inbox = std::mem::take(&mut machine.inbox);
+            assert!(!inbox.is_empty(), "seed {seed}: answers wait in its sockets");
+            let mut at_old = vec![cluster.read(old), cluster.propose(old)];
+            for message in inbox {
+                cluster.step(old, Input::Received(message));
+                at_old.extend([cluster.read(old), cluster.propose(old)]);
+            }
+            cluster.none_done(&at_old, "at once");
+            cluster.agree();
+            cluster.none_done(&at_old, "in the end");
+        }
+    }
+}
+
+/// Guards: a leader that has just been elected confirms nothing before it knows
+/// how far its predecessors came, whose last acknowledgements no follower had
+/// heard of.
+#[test]
+fn a_new_leader_confirms_nothing_before_it_knows_what_was_acknowledged() {
+    for seed in 1..=20 {
+        for count in [3, 5] {
+            let mut cluster = Cluster::new(count, seed, Loss::Dropped);
+            for _ in 0..5 {
+                let old = cluster.leader();
+                let token = cluster.propose(old);
+                while !cluster.done.contains(&token) {
+                    cluster.run(TICK);
+                }
+                // Before a follower learns that the entry counts.
+                cluster.queue.clear();
+                cluster.cut(old, CUTS[0]);
+                let before = cluster.done.len();
+                while cluster.done.len() < before + 10 {
+                    for identity in cluster.identities() {
+                        cluster.read(identity);
+                    }
+                    cluster.run(TICK);
+                }
+                cluster.heal();
+                cluster.agree();
+            }
+        }
+    }
+}
+
+/// Guards: answers to an earlier life of a leader, with rounds and indexes that are
+/// higher than its own now, count for nothing when it leads again.
+#[test]
+fn answers_of_an_earlier_term_count_for_nothing() {
+    for seed in 1..=5 {
+        let mut cluster = Cluster::new(3, seed, Loss::Late);
+        let old = cluster.leader();
+        // Many rounds, so that the counter of a new life is far below.
+        cluster.run(CUT);
+        cluster.cut(old, Cut { outward: false, inward: true });
+        cluster.propose(old);
+        cluster.run(2_000);
+        let late: Vec<Message> = std::mem::take(&mut cluster.held);
+        assert!(!late.is_empty(), "seed {seed}: answers are on their way");
+        cluster.cuts.clear();
+        cluster.restart(old);
+        cluster.agree();
+        for _ in 0..20 {
+            let leader = cluster.leader();
+            if leader == old {
+                break;
+            }
+            cluster.cut(leader, CUTS[0]);
+            cluster.run(2_000);
+            cluster.cuts.clear();
+            cluster.agree();
+        }
+        assert_eq!(cluster.leader(), old, "seed {seed}: it leads again");
+        cluster.cut(old, CUTS[0]);
+        let mut at_old = vec![cluster.read(old), cluster.propose(old)];
+        cluster.run(2 * TICK);
+        assert_eq!(cluster.node(old).role(), Role::Leader, "it believes so for a while");
+        for message in late {
+            cluster.step(old, Input::Received(message));
+            at_old.push(cluster.read(old));
+        }
+        cluster.run(CUT);
+        cluster.none_done(&at_old, &format!("seed {seed}"));
+    }
+}
