--- a/consensus/src/node/mod.rs
+++ b/consensus/src/node/mod.rs
@@ -19,24 +19,40 @@
 mod snapshot;
 mod types;
 
-pub use types::{Effect, Input, PersistedState, Refusal, Role, Timing, Token, Write};
+pub use types::{
+    Effect, Input, PersistedState, Refusal, Role, SnapshotPolicy, Timing, Token, Write,
+};
 
 /// How far another node is. Invariant: `matched` is only what that node said
 /// is synced, and only rises within a term.
+#[derive(Clone, Hash)]
 struct Peer {
     next: LogIndex,
     matched: LogIndex,
     round: u64,
     last_heard: u64,
-    /// When a whole snapshot was last sent; none is sent again for a while.
+    /// The round in which a snapshot was sent that is on its way still, however
+    /// long that takes. It is sent again when an answer of a later round shows that
+    /// it was lost.
     snapshot_sent: Option<u64>,
+    /// The last time that the peer's log did not match and `next` went back.
+    rewind: Option<Rewind>,
     /// When it last said that it is about to stop.
     leaving_at: Option<u64>,
 }
 
+/// A step back of a peer's `next`. Invariant: answers of `round` and before are
+/// to messages that were sent before what went out with this step, or to that.
+#[derive(Clone, Copy, Hash)]
+struct Rewind {
+    matched: LogIndex,
+    round: u64,
+}
+
 /// Invariants: `base < entry.index` for all in `log`, which has no gap;
 /// `applied <= commit <= last`; `synced <= last`; a message is let out only
 /// when the hard_state it rests on is synced; `term` never falls.
+#[derive(Clone, Hash)]
 pub struct Node {
     identity: NodeId,
     pace: Timing,
@@ -52,6 +68,8 @@
     membership_history: Vec<(LogIndex, Membership)>,
     commit: LogIndex,
     applied: LogIndex,
+    /// Bytes of the applied commands in `log`.
+    applied_bytes: usize,
     synced: LogIndex,
     ticket: u64,
     synced_ticket: u64,
@@ -93,6 +111,7 @@
             membership_history: vec![(snapshot.index, snapshot.members.clone())],
             commit: snapshot.index,
             applied: snapshot.index,
+            applied_bytes: 0,
             synced: snapshot.index,
             snapshot,
             log: VecDeque::new(),
@@ -184,10 +203,13 @@
     }
 
     fn random(&mut self, below: u64) -> u64 {
+        if below <= 1 {
+            return 0;
+        }
         self.seed ^= self.seed << 13;
         self.seed ^= self.seed >> 7;
         self.seed ^= self.seed << 17;
-        self.seed % below.max(1)
+        self.seed % below
     }
 
     /// The first wait after a start is a shorter one: a leader that is there beats
@@ -283,7 +305,11 @@
         }
         self.writing.push_back((self.ticket, self.last(), self.now));
         let writes = std::mem::take(&mut self.pending);
-        self.effects.push(Effect::Write(self.ticket, writes));
+        // After a failure what is written next would leave a gap before it. The
+        // ticket is never synced, so nothing is sent that rests on it.
+        if !self.is_broken {
+            self.effects.push(Effect::Write(self.ticket, writes));
+        }
     }
 
     /// The one way in. `now` never falls.
--- a/consensus/src/node/types.rs
+++ b/consensus/src/node/types.rs
@@ -5,7 +5,7 @@
 /// All times in milliseconds of the caller's monotonic clock. Invariant: a
 /// beat is well shorter than an election, an election well shorter than the
 /// routers' licence.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Hash)]
 pub struct Timing {
     pub beat: u64,
     /// A follower waits this long, and up to twice as long, for its leader.
@@ -39,6 +39,17 @@
     }
 }
 
+/// When the log is long enough for a snapshot. Invariant: what is on the disk is
+/// bounded by about twice `bytes`, or twice `entries`, whichever comes first, with
+/// two snapshots and what is not committed.
+#[derive(Clone, Copy, Debug)]
+pub struct SnapshotPolicy {
+    /// Entries applied since the last snapshot.
+    pub entries: u64,
+    /// Bytes of the commands among them.
+    pub bytes: usize,
+}
+
 pub type Token = u64;
 
 pub enum Input {
@@ -63,7 +74,7 @@
     SnapshotTaken(LogIndex, Vec<u8>),
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum Refusal {
     NotLeader,
     Busy,
@@ -73,7 +84,7 @@
     Lost,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub enum Write {
     HardState(HardState),
     /// Entries from here on are void.
@@ -85,7 +96,7 @@
     Snapshot(Snapshot),
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Effect {
     /// To be written and synced in order, then reported by this ticket.
     Write(u64, Vec<Write>),
@@ -100,7 +111,7 @@
     Refused(Token, Refusal),
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug, Hash)]
 pub enum Role {
     Follower,
     PreCandidate,
@@ -109,7 +120,7 @@
 }
 
 /// What a disk gave back at the start.
-#[derive(Default, Clone)]
+#[derive(Default, Clone, Hash)]
 pub struct PersistedState {
     pub hard_state: HardState,
     pub snapshot: Option<Snapshot>,
--- a/consensus/src/wal.rs
+++ b/consensus/src/wal.rs
@@ -11,9 +11,9 @@
 use std::fmt;
 use std::io;
 
-/// The disk as this package needs it. Invariants: the content that `sync` returned
-/// for is there after a crash; that a file was made, renamed or removed is so once
-/// `sync_folder` returned. Anything else may or may not be, each by itself.
+/// The disk as this package needs it. Invariant: contents that `sync` returned
+/// for are there after a loss of power, and so are the names that `sync_folder`
+/// returned for; of anything else, each piece may be there or not by itself.
 pub trait Files: Send {
     fn list(&self) -> io::Result<Vec<String>>;
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
@@ -23,6 +23,7 @@
     /// Gives a file a new name, in place of what had it.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
     fn remove(&mut self, name: &str) -> io::Result<()>;
+    /// Makes what was made, renamed and removed last.
     fn sync_folder(&mut self) -> io::Result<()>;
 }
 
@@ -177,6 +178,8 @@
             snapshots,
         };
         segments.turn(was_reset.then_some((base, base_term)))?;
+        // What a crash left there between a snapshot and the removals after it.
+        segments.clear(base)?;
         Ok((segments, kept))
     }
 
@@ -283,8 +286,9 @@
             self.files.remove(&picture_name(*old))?;
         }
         self.snapshots.retain(|old| *old == index);
-        // From the oldest on, each for good before the next, so that no segment is
-        // missing in between, whatever a crash brings back.
+        // From the oldest on, each removal synced before the next. If an older
+        // segment could come back without a later one, its entries might be of a
+        // branch that the later one made void.
         while self.spans.first().is_some_and(|(_, last)| *last <= index) {
             self.files.remove(&segment(self.spans[0].0))?;
             self.files.sync_folder()?;
@@ -314,7 +318,9 @@
 ) -> anyhow::Result<bool> {
     let name = segment(number);
     let bytes = files.read(&name)?;
-    if is_last && bytes.len() < HEAD {
+    // A crash may keep a new file's length and lose its bytes.
+    let is_blank = bytes.len() < HEAD || bytes.iter().all(|byte| *byte == 0);
+    if is_last && is_blank {
         // For good before another is begun: one that comes back would be damage then.
         files.remove(&name)?;
         files.sync_folder()?;
