An order is decided anew only while its caller can't have gone elsewhere

Now it is rebuilt only within the time for contact with a majority, 0.8 s; later it is answered 'send it again'. The test fails with the old bound.

--- a/directory/src/orders.rs
+++ b/directory/src/orders.rs
@@ -17,7 +17,7 @@
 impl Desk {
     /// Submits a change on top of what is in force until its outcome is known or
     /// patience ends; of that, `contact` for a majority's confirmation of what is in
-    /// force. A conflict is never its outcome. Dropping the future, as when the caller
+    /// force, also where the order is decided anew. A conflict is never its outcome. Dropping the future, as when the caller
     /// leaves, ends it; past its end nothing more is proposed for it.
     pub async fn order(
         &self,
@@ -26,7 +26,9 @@
         contact: Duration,
         patience: Duration,
     ) -> Reply {
-        let until = yard::now() + patience.as_millis() as u64;
+        let now = yard::now();
+        let (until, contact_until) =
+            (now + patience.as_millis() as u64, now + contact.as_millis() as u64);
         if !self.confirm_within(contact).await {
             return Reply::NotLeader;
         }
@@ -37,7 +39,9 @@
                 Reply::Submitted(Outcome::Conflict { .. }) => {}
                 reply => return reply,
             }
-            if !self.confirm_within(left(until)).await {
+            // A caller that has heard nothing for longer than that may have gone to
+            // another node, and on to an order to the contrary.
+            if !self.confirm_within(left(contact_until)).await {
                 return Reply::NotLeader;
             }
         }
--- a/directory/tests/orders.rs
+++ b/directory/tests/orders.rs
@@ -107,6 +107,35 @@
     assert!(!nodes.is_evacuated("n-a").await);
 }
 
+/// Guards: who has waited in vain for longer than the time for contact may have gone to
+/// another node, and on to an order to the contrary; its order is not decided anew.
+#[tokio::test]
+async fn an_order_that_waited_too_long_is_not_decided_anew() {
+    let mut nodes = Nodes::start(7).await;
+    let (leader, follower) = nodes.roles().await;
+    nodes.hold(true);
+    let contact = Duration::from_millis(500);
+    let asked = yard::now();
+    let order =
+        tokio::spawn(
+            async move { follower.order("held".into(), evacuate(), contact, PATIENCE).await },
+        );
+    let held = nodes.next_held().await;
+    let mut turn = 0;
+    while turn == 0 || yard::now() <= asked + contact.as_millis() as u64 {
+        nodes.must(&leader, &format!("evacuated {turn}"), evacuate()).await;
+        nodes.must(&leader, &format!("taken back {turn}"), reinstate()).await;
+        turn += 1;
+    }
+    nodes.hold(false);
+    held.release(Validity { deadline_ms: NEVER_MS, ..held.validity }).await;
+    let reply = nodes.reply_to(held.number).await;
+    assert!(matches!(reply, Reply::Submitted(Outcome::Conflict { .. })), "{reply:?}");
+    let reply = order.await.expect("nobody panics");
+    assert_eq!(reply, Reply::NotLeader, "it is asked to send the order again");
+    assert!(!nodes.is_evacuated("n-a").await);
+}
+
 /// Guards: once its caller's patience has ended, nothing more is submitted for an
 /// order, and what is still on its way is void by its deadline.
 #[tokio::test]
