Consensus driver split: handle, disk thread, driver thread, requests, status

Quota grants are keyed by the leader's term: a question handled in the same batch as an election was answered from the grants of the leadership before (found by review, no test brings that batch about).

--- /dev/null
+++ b/directory/src/driver/disk.rs
@@ -0,0 +1,51 @@
+//! The thread that owns the disk.
+
+use super::thread::RING;
+use super::DriverCommand;
+use consensus::node::Write;
+use consensus::wal::{Folder, WriteAheadLog};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::time::Duration;
+
+/// How often a disk that failed is tried again.
+const RETRY: Duration = Duration::from_millis(1_000);
+
+/// The disk's thread: what has piled up is written and synced as one. After a
+/// failure what is on disk is not known; nothing is built on it until all that
+/// was not synced before is cut off, and the rest read back.
+pub(super) fn keep(
+    mut segments: WriteAheadLog<Folder>,
+    mut writes: Receiver<(u64, Vec<Write>)>,
+    calls: &SyncSender<DriverCommand>,
+) {
+    while let Ok((mut ticket, mut batch)) = writes.recv() {
+        while let Ok((later, more)) = writes.try_recv() {
+            ticket = later;
+            batch.extend(more);
+        }
+        let call = match segments.write(&batch) {
+            Ok(()) => DriverCommand::Synced(ticket),
+            Err(error) => {
+                log::error!("the disk failed, nothing more is written: {error}");
+                if calls.send(DriverCommand::DiskFailed).is_err() {
+                    return;
+                }
+                let (kept, disk);
+                (segments, kept) = loop {
+                    std::thread::sleep(RETRY);
+                    // What the node has said since its disk failed is void.
+                    while writes.try_recv().is_ok() {}
+                    match segments.reopened() {
+                        Ok(reopened) => break reopened,
+                        Err(error) => log::debug!("the disk is not back yet: {error:#}"),
+                    }
+                };
+                (disk, writes) = sync_channel(RING);
+                DriverCommand::DiskBack(kept, disk)
+            }
+        };
+        if calls.send(call).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/directory/src/driver/mod.rs
@@ -0,0 +1,282 @@
+//! The handle of the consensus driver: what other parts of the node ask it for.
+//!
+//! One thread owns the consensus node and applies what was agreed on, another owns the
+//! disk. Everybody else talks to them through one bounded ring.
+
+mod disk;
+mod thread;
+
+pub use thread::start;
+
+use crate::subscriptions::SILENCE_MS;
+use consensus::node::{PersistedState, Write};
+use consensus::{Membership, Message, NodeId, Term};
+use parking_lot::RwLock;
+use residency::{Mapping, State, Submission, View};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use wire::{Frame, PeerRequest, PeerResponse, Validity, LEASE_MS};
+use yard::now;
+use yard::web::Refusal;
+
+const ASK_PATIENCE_MS: u64 = 1_500;
+/// Between two questions whether this node may stop.
+const LEAVE_RETRY_MS: u64 = 80;
+/// Without a leader for so long, a node that is to stop does not wait for its word.
+const LEADERLESS_MS: u64 = 1_000;
+
+/// What the ledger thread is asked.
+pub enum DriverCommand {
+    Heard(Message),
+    Synced(u64),
+    DiskFailed,
+    /// The disk takes writes again: what it holds, and the way to it.
+    DiskBack(PersistedState, SyncSender<(u64, Vec<Write>)>),
+    Ask(Asked, oneshot::Sender<PeerResponse>),
+    AskedBy(Forwarded),
+    Replied {
+        number: u64,
+        clock_ms: u64,
+        reply: PeerResponse,
+    },
+    Found(oneshot::Sender<Result<(), String>>),
+    Attach(mpsc::Sender<Frame>),
+    HandOver,
+    /// How the members stand, as their leader knows it.
+    Members(oneshot::Sender<MembershipReport>),
+}
+
+/// How the leader sees the members. Nothing but defaults where another node leads.
+#[derive(Clone, Default)]
+pub struct MembershipReport {
+    /// Milliseconds since each other member was heard of.
+    pub silent_ms: Vec<(NodeId, u64)>,
+    /// A change of membership is proposed and not yet committed.
+    pub is_changing: bool,
+    /// What repair does next, or why it does nothing.
+    pub repair: String,
+}
+
+/// A question from this process.
+pub struct Asked {
+    question: PeerRequest,
+    /// Nothing is proposed for it past this time.
+    until: u64,
+    /// Where it is of use only while this node leads in this term.
+    only_term: Option<Term>,
+}
+
+/// A question from another node, to be answered there.
+pub struct Forwarded {
+    pub from: NodeId,
+    pub number: u64,
+    pub validity: Validity,
+    pub question: PeerRequest,
+}
+
+/// How this node stands, for all to see.
+#[derive(Clone, Default)]
+pub struct ClusterStatus {
+    pub is_leader: bool,
+    pub leader: Option<NodeId>,
+    pub term: u64,
+    pub cluster: u64,
+    pub members: Membership,
+    pub commit: u64,
+    pub applied: u64,
+    pub last: u64,
+    pub is_stalled: bool,
+    pub progress: Vec<(NodeId, u64)>,
+}
+
+pub struct ConsensusDriver {
+    calls: SyncSender<DriverCommand>,
+    pub state: Arc<RwLock<State>>,
+    pub view: watch::Receiver<Arc<View>>,
+    pub cluster_status: watch::Receiver<ClusterStatus>,
+    /// When the question was asked that a majority confirmed last.
+    confirmed: Arc<AtomicU64>,
+    /// How many routers are known here.
+    pub routers: Arc<AtomicUsize>,
+    standstill: Arc<Standstill>,
+}
+
+/// Tells whether this process stood still lately (frozen, or without a processor), so
+/// that what it reads may have waited in its sockets. Invariant: the thread that
+/// watches comes by several times in each `SILENCE_MS`.
+struct Standstill {
+    watched_at: AtomicU64,
+    ended_at: AtomicU64,
+}
+
+impl Standstill {
+    fn new() -> Standstill {
+        Standstill { watched_at: AtomicU64::new(now()), ended_at: AtomicU64::new(0) }
+    }
+
+    fn watch(&self) {
+        let before = self.watched_at.swap(now(), Ordering::Relaxed);
+        if now() > before + SILENCE_MS {
+            self.ended_at.store(now(), Ordering::Relaxed);
+        }
+    }
+
+    fn is_recent(&self) -> bool {
+        let newest = self.ended_at.load(Ordering::Relaxed) + SILENCE_MS;
+        // Whoever asks may run before the thread that watches.
+        now() > self.watched_at.load(Ordering::Relaxed) + SILENCE_MS || now() < newest
+    }
+}
+
+impl ConsensusDriver {
+    pub fn send(&self, call: DriverCommand) -> bool {
+        self.calls.try_send(call).is_ok()
+    }
+
+    pub async fn ask(&self, question: PeerRequest) -> PeerResponse {
+        let until = now() + ASK_PATIENCE_MS;
+        self.ask_asked(Asked { question, until, only_term: None }).await
+    }
+
+    async fn ask_asked(&self, asked: Asked) -> PeerResponse {
+        let (sender, receiver) = oneshot::channel();
+        if !self.send(DriverCommand::Ask(asked, sender)) {
+            return PeerResponse::Busy;
+        }
+        receiver.await.unwrap_or(PeerResponse::Lost)
+    }
+
+    /// Founds a cluster with this node as its one voter.
+    pub async fn found(&self) -> Result<(), String> {
+        let (sender, receiver) = oneshot::channel();
+        if !self.send(DriverCommand::Found(sender)) {
+            return Err("the driver's ring is full".into());
+        }
+        receiver.await.unwrap_or(Err("the driver ended".into()))
+    }
+
+    /// Submits until the outcome is known or `until` has come; past that nothing is
+    /// proposed for it any more. The submission's id makes the repeats harmless.
+    pub async fn submit(&self, submission: Submission, until: u64) -> PeerResponse {
+        self.submit_in(submission, until, None).await
+    }
+
+    /// The same, only while this node leads in that term.
+    pub async fn submit_as_leader(
+        &self,
+        submission: Submission,
+        term: Term,
+        until: u64,
+    ) -> PeerResponse {
+        self.submit_in(submission, until, Some(term)).await
+    }
+
+    async fn submit_in(
+        &self,
+        submission: Submission,
+        until: u64,
+        only_term: Option<Term>,
+    ) -> PeerResponse {
+        let mut reply = PeerResponse::Lost;
+        while now() < until {
+            let question = PeerRequest::Submit(submission.clone());
+            let until_reply = until.min(now() + ASK_PATIENCE_MS);
+            let asked = Asked { question, until: until_reply, only_term };
+            let left = Duration::from_millis(until.saturating_sub(now()));
+            let answer = tokio::time::timeout(left, self.ask_asked(asked)).await;
+            reply = answer.unwrap_or(PeerResponse::Lost);
+            let is_deposed = only_term.is_some() && reply == PeerResponse::NotLeader;
+            if is_deposed || matches!(reply, PeerResponse::Submitted(_)) {
+                return reply;
+            }
+            tokio::time::sleep(yard::jitter(120)).await;
+        }
+        reply
+    }
+
+    /// Whether what this node holds is known to be recent.
+    pub fn is_recent(&self) -> bool {
+        now() < self.confirmed.load(Ordering::Relaxed) + LEASE_MS
+    }
+
+    /// Whether what is read from sockets may date from before a standstill.
+    pub fn stood_still(&self) -> bool {
+        self.standstill.is_recent()
+    }
+
+    /// Resolves a key from a state that is known to be recent; `None` where it is
+    /// not. The lease is looked at under the state's lock: when a node falls back to
+    /// what its disk holds, the lease ends before the state is replaced.
+    pub fn resolve(
+        &self,
+        tenant: &str,
+        service: &str,
+        region: &str,
+    ) -> Option<Result<Mapping, (&'static str, String)>> {
+        let state = self.state.read();
+        self.is_recent().then(|| state.resolve(tenant, service, region))
+    }
+
+    /// Leave to dispatch a forwarded job, in the last moment.
+    pub fn leave(&self, mapping: &Mapping) -> Result<(), Refusal> {
+        let asker = mapping.regions.first().map_or("", |region| region.0.as_str());
+        let Some(resolved) = self.resolve(&mapping.tenant, &mapping.service, asker) else {
+            return Err(cut_off());
+        };
+        match resolved {
+            Ok(now) if mapping.regions.iter().all(|region| now.regions.contains(region)) => Ok(()),
+            _ => Err(Refusal::not_run(503, "mapping-void", "homes changed meanwhile")),
+        }
+    }
+
+    /// How the members stand, by the leader's own account if it is here.
+    pub async fn membership(&self) -> MembershipReport {
+        let (sender, receiver) = oneshot::channel();
+        if !self.send(DriverCommand::Members(sender)) {
+            return MembershipReport::default();
+        }
+        receiver.await.unwrap_or_default()
+    }
+
+    /// Before this node stops: hands leadership over, and waits until the others hold
+    /// all that counts and, where a learner stands ready, one has taken its place.
+    pub async fn prepare_to_stop(&self, identity: NodeId, patience: Duration) {
+        let is_alone = self.cluster_status.borrow().members.all().all(|m| m.identity == identity);
+        if is_alone {
+            return;
+        }
+        self.transfer_leadership().await;
+        let until = tokio::time::Instant::now() + patience;
+        let mut led_at = now();
+        while tokio::time::Instant::now() < until && now() < led_at + LEADERLESS_MS {
+            if matches!(
+                self.ask(PeerRequest::Leave { identity }).await,
+                PeerResponse::Confirmed { .. }
+            ) {
+                return;
+            }
+            if self.cluster_status.borrow().leader.is_some() {
+                led_at = now();
+            }
+            tokio::time::sleep(yard::jitter(LEAVE_RETRY_MS)).await;
+        }
+        log::warn!("stops though the others may lack what counts: no leader says otherwise");
+    }
+
+    /// Hands leadership over, if it is here, and waits for a new leader.
+    async fn transfer_leadership(&self) {
+        if self.cluster_status.borrow().is_leader && self.send(DriverCommand::HandOver) {
+            let mut cluster_status = self.cluster_status.clone();
+            let gone = cluster_status.wait_for(|cluster_status| !cluster_status.is_leader);
+            drop(tokio::time::timeout(Duration::from_millis(1_500), gone).await);
+        }
+    }
+}
+
+/// The refusal of a node that no majority has confirmed lately.
+pub fn cut_off() -> Refusal {
+    Refusal::not_run(503, "no-lease", "this directory node is cut off from a majority")
+}
--- /dev/null
+++ b/directory/src/driver/thread/requests.rs
@@ -0,0 +1,152 @@
+//! Questions, from this process and from other nodes, and their answers.
+
+use super::{DriverThread, Grants, Sent, Waiter};
+use crate::driver::{Asked, Forwarded};
+use crate::forwarding::is_valid;
+use consensus::node::{Input, Role};
+use consensus::pack::packed;
+use residency::Outcome;
+use std::sync::atomic::Ordering;
+use tokio::sync::oneshot;
+use wire::{Frame, FrontDemand, FrontShares, PeerRequest, PeerResponse};
+use yard::now;
+
+impl DriverThread {
+    /// A question from this process: answered here by the leader, else there.
+    pub(super) fn ask(&mut self, asked: Asked, sender: oneshot::Sender<PeerResponse>) {
+        let Asked { question, until, only_term } = asked;
+        let is_leader = self.node.role() == Role::Leader;
+        let (term, asked_at) = (self.node.term(), now());
+        let waiter = Waiter::Here { sender, asked_at };
+        if only_term.is_some_and(|only| !is_leader || only != term) {
+            return self.deliver(waiter, PeerResponse::NotLeader);
+        }
+        // This process may have stood still meanwhile.
+        if asked_at >= until {
+            return self.deliver(waiter, PeerResponse::Lost);
+        }
+        if is_leader {
+            return self.lead(question, waiter);
+        }
+        let leader = self.node.leader().and_then(|id| self.node.members().get(id)).cloned();
+        let Some(leader) = leader else {
+            return self.deliver(waiter, PeerResponse::NotLeader);
+        };
+        let Waiter::Here { sender, .. } = waiter else { return };
+        let number = self.number();
+        let validity = self.leader_clock.validity(leader.identity, term, until);
+        let sent = Sent { leader: leader.identity, term, asked_at, until, reply: sender };
+        self.asked.insert(number, sent);
+        let frame = Frame::Ask { from: self.me.identity, number, validity, question };
+        self.peers.send(&leader.address, frame);
+    }
+
+    /// A question from another node. What is late is not acted on; whoever still
+    /// waits asks anew.
+    pub(super) fn asked_by(&mut self, forwarded: Forwarded) {
+        let Forwarded { from, number, validity, question } = forwarded;
+        let waiter = Waiter::There(from, number);
+        let is_leader = self.node.role() == Role::Leader;
+        match is_leader && is_valid(&question, validity, self.node.term(), now()) {
+            true => self.lead(question, waiter),
+            false => self.deliver(waiter, PeerResponse::NotLeader),
+        }
+    }
+
+    pub(super) fn lead(&mut self, question: PeerRequest, waiter: Waiter) {
+        let token = self.number();
+        let input = match question {
+            PeerRequest::Confirm { demands } => {
+                let shares = self.grant(&demands);
+                self.granted.insert(token, shares);
+                Input::ReadIndex(token)
+            }
+            PeerRequest::Submit(submission) => {
+                // That a submission was applied stays true and needs no entry. A
+                // conflict or a refusal may rest on old state, at a leader that has
+                // just been elected or is cut off: it is decided where it is applied.
+                let known = self.state.read().check(&submission);
+                if let Some(outcome @ Outcome::Repeated { .. }) = known {
+                    return self.deliver(waiter, PeerResponse::Submitted(outcome));
+                }
+                // What too few hold might go with the loss of one.
+                if self.node.members().voters.len() < self.is_confirmed_by {
+                    return self.deliver(waiter, PeerResponse::Busy);
+                }
+                Input::Propose(token, packed(&submission))
+            }
+            PeerRequest::Admit(member) => Input::AddLearner(token, member),
+            PeerRequest::Retire { identity } => Input::RemoveMember(token, identity),
+            PeerRequest::Leave { identity } => Input::Leave(token, identity),
+        };
+        self.tokens.insert(token, waiter);
+        self.step(input);
+    }
+
+    /// A leader that is new knows nothing of what the one before it lent.
+    pub(super) fn renew_grants(&mut self) {
+        if self.grants_term != self.node.term() {
+            self.grants = Grants::new(self.margin);
+            self.grants_term = self.node.term();
+        }
+    }
+
+    /// Shares of the tenants' paces, for all that a node speaks for.
+    pub(super) fn grant(&mut self, demands: &[FrontDemand]) -> Vec<FrontShares> {
+        self.renew_grants();
+        let state = self.state.read();
+        let terms =
+            |tenant: &str| state.view.tenants.get(tenant).map(|terms| (terms.pace, terms.burst));
+        let routers = self.routers.load(Ordering::Relaxed).max(state.view.fleet as usize);
+        let answer = |demand| match &mut self.grants {
+            Grants::Paces(paces) => paces.answer(now(), demand, terms),
+            Grants::Pools(pools) => pools.answer(now(), demand, routers, terms),
+        };
+        demands.iter().map(answer).collect()
+    }
+
+    pub(super) fn deliver(&self, waiter: Waiter, reply: PeerResponse) {
+        match waiter {
+            // Who asked may have left; then nobody needs the answer.
+            Waiter::Here { sender, .. } => drop(sender.send(reply)),
+            Waiter::There(to, number) => {
+                self.peers.send_to(to, Frame::PeerResponse { number, clock_ms: now(), reply });
+            }
+        }
+    }
+
+    /// Answers confirmed questions once what counted then is applied here.
+    pub(super) fn settle(&mut self) {
+        if self.confirms.is_empty() {
+            return;
+        }
+        let applied = self.node.applied();
+        let (done, open) = std::mem::take(&mut self.confirms)
+            .into_iter()
+            .partition(|(index, _, _)| *index <= applied);
+        self.confirms = open;
+        let epoch = self.state.read().epoch();
+        for (index, waiter, shares) in done {
+            // Here the epoch is of use, to another node the index.
+            let index = match &waiter {
+                Waiter::Here { asked_at, .. } => {
+                    self.confirmed.fetch_max(*asked_at, Ordering::Relaxed);
+                    epoch
+                }
+                Waiter::There(..) => index,
+            };
+            self.deliver(waiter, PeerResponse::Confirmed { index, shares });
+        }
+    }
+
+    pub(super) fn expire(&mut self) {
+        let now = now();
+        let late: Vec<u64> =
+            self.asked.iter().filter(|(_, sent)| sent.until <= now).map(|(n, _)| *n).collect();
+        for number in late {
+            if let Some(sent) = self.asked.remove(&number) {
+                drop(sent.reply.send(PeerResponse::Lost));
+            }
+        }
+    }
+}
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -62,7 +62,7 @@
     /// Bytes of forwarded bodies held at a time.
     pub bytes: usize,
     /// Entries between two pictures.
-    pub picture_every: u64,
+    pub snapshot_every: u64,
     /// This is the first start of all nodes on empty disks: the seeds found a
     /// cluster between them. Where it is false, only an operator founds one.
     pub first_start: bool,
@@ -257,7 +257,7 @@
     let driver = driver::start(
         member.clone(),
         settings.timing,
-        settings.picture_every,
+        settings.snapshot_every,
         settings.is_confirmed_by,
         settings.margin,
         segments,
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -22,7 +22,7 @@
         Some("64"),
     ),
     setting("bytes", "COUNT", "bytes of forwarded bodies held at a time", Some("16777216")),
-    setting("picture-every", "COUNT", "entries between two pictures", Some("1024")),
+    setting("snapshot-every", "COUNT", "entries between two snapshots", Some("1024")),
     setting("level", "LEVEL", "log level: error, warn, info, debug", Some("info")),
 ];
 
@@ -46,7 +46,7 @@
         timing: Timing { voters: boot.count("voters", 1, 9) as usize, ..Timing::default() },
         jobs: boot.count("jobs", 0, 100_000) as usize,
         bytes: boot.count("bytes", 1 << 20, 1 << 31) as usize,
-        picture_every: boot.count("picture-every", 16, 1 << 20),
+        snapshot_every: boot.count("snapshot-every", 16, 1 << 20),
         first_start: false,
         is_confirmed_by: 1,
         leave_patience: Duration::from_millis(2_000),
--- a/directory/tests/common/mod.rs
+++ b/directory/tests/common/mod.rs
@@ -150,7 +150,7 @@
                 timing: Timing { election_timeout_ms: ELECTION_MS, ..Timing::default() },
                 jobs: 0,
                 bytes: 0,
-                picture_every: 256,
+                snapshot_every: 256,
                 first_start: true,
                 is_confirmed_by: NODES,
                 leave_patience: Duration::ZERO,
