--- a/consensus/tests/model/cluster.rs
+++ b/consensus/tests/model/cluster.rs
@@ -172,7 +172,7 @@
         crate::properties::check_state(self, at)
     }
 
-    /// Terms never fall; a vote stands for its term.
+    /// TenantLimits never fall; a vote stands for its term.
     pub fn write(
         &mut self,
         server: &mut Server,
--- a/directory/src/driver/mod.rs
+++ b/directory/src/driver/mod.rs
@@ -12,7 +12,7 @@
 use consensus::node::{PersistedState, Write};
 use consensus::{Membership, Message, NodeId, Term};
 use parking_lot::RwLock;
-use residency::{Mapping, State, Submission, View};
+use residency::{Mapping, Proposal, State, View};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
@@ -159,30 +159,30 @@
     }
 
     /// Submits until the outcome is known or `until` has come; past that nothing is
-    /// proposed for it any more. The submission's id makes the repeats harmless.
-    pub async fn submit(&self, submission: Submission, until: u64) -> PeerResponse {
-        self.submit_in(submission, until, None).await
+    /// proposed for it any more. The proposal's id makes the repeats harmless.
+    pub async fn submit(&self, proposal: Proposal, until: u64) -> PeerResponse {
+        self.submit_in(proposal, until, None).await
     }
 
     /// The same, only while this node leads in that term.
     pub async fn submit_as_leader(
         &self,
-        submission: Submission,
+        proposal: Proposal,
         term: Term,
         until: u64,
     ) -> PeerResponse {
-        self.submit_in(submission, until, Some(term)).await
+        self.submit_in(proposal, until, Some(term)).await
     }
 
     async fn submit_in(
         &self,
-        submission: Submission,
+        proposal: Proposal,
         until: u64,
         only_term: Option<Term>,
     ) -> PeerResponse {
         let mut reply = PeerResponse::Lost;
         while now() < until {
-            let question = PeerRequest::Submit(submission.clone());
+            let question = PeerRequest::Submit(proposal.clone());
             let until_reply = until.min(now() + ASK_PATIENCE_MS);
             let asked = Asked { question, until: until_reply, only_term };
             let left = Duration::from_millis(until.saturating_sub(now()));
--- a/directory/src/driver/thread/mod.rs
+++ b/directory/src/driver/thread/mod.rs
@@ -15,7 +15,7 @@
 use consensus::{EntryPayload, Member, NodeId, Term};
 use parking_lot::RwLock;
 use placement::{Margin, Paces, Pools};
-use residency::{Event, State, Submission, View};
+use residency::{Event, Proposal, State, View};
 use status::describe;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -241,7 +241,8 @@
             }
             DriverCommand::Attach(session) => {
                 let state = self.state.read();
-                let picture = Frame::Picture { epoch: state.epoch(), events: state.view.picture() };
+                let picture =
+                    Frame::Picture { epoch: state.epoch(), events: state.view.snapshot() };
                 drop(state);
                 if session.try_send(picture).is_ok() {
                     self.sessions.push(session);
@@ -345,11 +346,11 @@
     }
 
     fn apply(&mut self, index: u64, bytes: &[u8]) -> PeerResponse {
-        let submission: Submission =
+        let proposal: Proposal =
             unpacked(bytes).expect("what was proposed here or by an equal can be read");
         let mut state = self.state.write();
         let prior = state.epoch();
-        let (outcome, events) = state.apply(index, &submission);
+        let (outcome, events) = state.apply(index, &proposal);
         let view = Arc::new(state.view.clone());
         drop(state);
         self.counters.one("applied");
@@ -369,7 +370,7 @@
     fn take_due_snapshot(&mut self) {
         let policy = SnapshotPolicy { entries: self.snapshot_every, bytes: LOG_BYTES };
         if self.node.is_snapshot_due(policy) {
-            let state = self.state.read().picture();
+            let state = self.state.read().snapshot();
             let index = self.node.applied();
             self.step(Input::SnapshotTaken(index, state));
         }
--- a/directory/src/driver/thread/requests.rs
+++ b/directory/src/driver/thread/requests.rs
@@ -61,11 +61,11 @@
                 self.granted.insert(token, shares);
                 Input::ReadIndex(token)
             }
-            PeerRequest::Submit(submission) => {
-                // That a submission was applied stays true and needs no entry. A
+            PeerRequest::Submit(proposal) => {
+                // That a proposal was applied stays true and needs no entry. A
                 // conflict or a refusal may rest on old state, at a leader that has
                 // just been elected or is cut off: it is decided where it is applied.
-                let known = self.state.read().check(&submission);
+                let known = self.state.read().check(&proposal);
                 if let Some(outcome @ Outcome::Repeated { .. }) = known {
                     return self.deliver(waiter, PeerResponse::Submitted(outcome));
                 }
@@ -73,7 +73,7 @@
                 if self.node.members().voters.len() < self.is_confirmed_by {
                     return self.deliver(waiter, PeerResponse::Busy);
                 }
-                Input::Propose(token, packed(&submission))
+                Input::Propose(token, packed(&proposal))
             }
             PeerRequest::Admit(member) => Input::AddLearner(token, member),
             PeerRequest::Retire { identity } => Input::RemoveMember(token, identity),
--- a/directory/src/engine_discovery.rs
+++ b/directory/src/engine_discovery.rs
@@ -3,7 +3,7 @@
 
 use crate::ControlPlane;
 use consensus::Term;
-use residency::{Command, Engine, Name, Submission, View};
+use residency::{Command, Engine, Name, Proposal, View};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -71,8 +71,8 @@
         let is_news = seen > known || seen < known && yard::now() > since + FEWER_MS;
         if let Some(term) = control.leads_in().filter(|_| is_news) {
             let id = format!("fleet-{:016x}", rand::random::<u64>());
-            let submission = Submission { id, base, command: Command::Fleet(seen) };
-            control.submit_as_leader(submission, term, SUBMIT).await;
+            let proposal = Proposal { id, base, command: Command::Fleet(seen) };
+            control.submit_as_leader(proposal, term, SUBMIT).await;
         }
     }
 }
@@ -109,8 +109,8 @@
     // Based on what was known when it was asked for: what has changed meanwhile is
     // not undone by an older list.
     let id = format!("list-{:016x}", rand::random::<u64>());
-    let submission = Submission { id, base, command };
-    let reply = control.submit_as_leader(submission, term, SUBMIT).await;
+    let proposal = Proposal { id, base, command };
+    let reply = control.submit_as_leader(proposal, term, SUBMIT).await;
     log::info!("the list of engines changed: {reply:?}");
     Ok(())
 }
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -22,7 +22,7 @@
 use consensus::wal::{Folder, WriteAheadLog};
 use consensus::Member;
 use parking_lot::{Mutex, RwLock};
-use residency::{Sheet, State, View};
+use residency::{ConfigDocument, State, View};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -146,8 +146,8 @@
     }
 
     /// The document that operators wrote, as it is in force here.
-    pub fn sheet(&self) -> Sheet {
-        self.look(|state| state.sheet().clone())
+    pub fn config_document(&self) -> ConfigDocument {
+        self.look(|state| state.config_document().clone())
     }
 
     /// The routers heard of lately, here or at another node, each with its age.
--- a/directory/src/operator_api.rs
+++ b/directory/src/operator_api.rs
@@ -2,7 +2,9 @@
 
 use crate::driver::{ClusterStatus, MembershipReport};
 use crate::ControlPlane;
-use residency::{Command, Emptied, Engine, EngineState, Name, Outcome, Place, Submission, Window};
+use residency::{
+    Command, DrainTarget, Engine, EngineState, Name, Outcome, Place, Proposal, Window,
+};
 use simd_json::prelude::*;
 use simd_json::{json, OwnedValue};
 use std::net::SocketAddr;
@@ -13,11 +15,11 @@
 
 type Server = dropshot::HttpServer<web::Handler>;
 
-/// The most that a submission may hold.
+/// The most that a proposal may hold.
 const SUBMISSION_CAP: usize = 8 << 20;
 /// How long a majority is waited for before the document is read.
 const CONFIRM_PATIENCE: Duration = Duration::from_millis(1_500);
-/// How long a submission is tried for, over changes of leader.
+/// How long a proposal is tried for, over changes of leader.
 const PATIENCE: Duration = Duration::from_millis(3_500);
 
 pub fn serve(control: Arc<ControlPlane>, address: SocketAddr) -> anyhow::Result<Server> {
@@ -132,8 +134,8 @@
         .windows()
         .map(|(window, has_begun)| {
             let (zone, engine) = match &window.what {
-                Emptied::Zone(zone) => (Some(zone.0.clone()), None),
-                Emptied::Engine(engine) => (None, Some(engine.0.clone())),
+                DrainTarget::Zone(zone) => (Some(zone.0.clone()), None),
+                DrainTarget::Engine(engine) => (None, Some(engine.0.clone())),
             };
             json!({
                 "id": window.id.0.clone(), "zone": zone, "engine": engine,
@@ -257,8 +259,8 @@
             found.ok_or(format!("windows[{at}].{name}: seconds since 1970 should stand here"))
         };
         let what = match (text("zone"), text("engine")) {
-            (Some(zone), None) => Emptied::Zone(zone),
-            (None, Some(engine)) => Emptied::Engine(engine),
+            (Some(zone), None) => DrainTarget::Zone(zone),
+            (None, Some(engine)) => DrainTarget::Engine(engine),
             _ => return Err(format!("windows[{at}]: a zone or an engine should stand here")),
         };
         let id = text("id").ok_or(format!("windows[{at}].id: a text should stand here"))?;
@@ -267,9 +269,9 @@
     list.iter().enumerate().map(read).collect()
 }
 
-/// Reads a submission; its base is 0 where none is stated. Complaints name the
+/// Reads a proposal; its base is 0 where none is stated. Complaints name the
 /// field.
-fn read_submission(value: &OwnedValue) -> Result<Submission, String> {
+fn read_submission(value: &OwnedValue) -> Result<Proposal, String> {
     let text = |name: &str| {
         value
             .get(name)
@@ -350,7 +352,7 @@
         None => 0,
         Some(base) => base.as_u64().ok_or("base: an epoch should stand here")?,
     };
-    Ok(Submission { id, base, command })
+    Ok(Proposal { id, base, command })
 }
 
 async fn submit(control: &ControlPlane, request: Request) -> Response {
@@ -358,17 +360,17 @@
         Ok(value) => value,
         Err(text) => return refused(400, "bad-json", text),
     };
-    let submission = match read_submission(&value) {
-        Ok(submission) => submission,
-        Err(text) => return refused(400, "bad-submission", text),
+    let proposal = match read_submission(&value) {
+        Ok(proposal) => proposal,
+        Err(text) => return refused(400, "bad-proposal", text),
     };
-    let id = submission.id.clone();
-    let reply = match submission.base {
-        0 => control.order(submission.id, submission.command, PATIENCE, PATIENCE).await,
-        _ => control.submit(submission, PATIENCE).await,
+    let id = proposal.id.clone();
+    let reply = match proposal.base {
+        0 => control.order(proposal.id, proposal.command, PATIENCE, PATIENCE).await,
+        _ => control.submit(proposal, PATIENCE).await,
     };
     if let PeerResponse::Submitted(outcome) = &reply {
-        log::info!(submission = id.as_str(); "{outcome:?}");
+        log::info!(proposal = id.as_str(); "{outcome:?}");
     }
     match reply {
         PeerResponse::Submitted(Outcome::Applied { epoch }) => {
--- a/directory/src/orders.rs
+++ b/directory/src/orders.rs
@@ -7,7 +7,7 @@
 
 use crate::ControlPlane;
 use consensus::Term;
-use residency::{Command, Outcome, Submission};
+use residency::{Command, Outcome, Proposal};
 use std::time::Duration;
 use wire::PeerResponse;
 
@@ -34,8 +34,8 @@
         }
         loop {
             let base = self.base();
-            let submission = Submission { id: id.clone(), base, command: command.clone() };
-            match self.driver.submit(submission, until).await {
+            let proposal = Proposal { id: id.clone(), base, command: command.clone() };
+            match self.driver.submit(proposal, until).await {
                 PeerResponse::Submitted(Outcome::Conflict { .. }) => {}
                 reply => return reply,
             }
@@ -49,20 +49,20 @@
 
     /// Submits a change that states what it was built on, until its outcome is known
     /// or patience ends.
-    pub async fn submit(&self, submission: Submission, patience: Duration) -> PeerResponse {
-        self.driver.submit(submission, yard::now() + patience.as_millis() as u64).await
+    pub async fn submit(&self, proposal: Proposal, patience: Duration) -> PeerResponse {
+        self.driver.submit(proposal, yard::now() + patience.as_millis() as u64).await
     }
 
     /// Submits what this node found due as the leader of a term, until the outcome is
     /// known or patience ends. No other term's leader proposes it.
     pub async fn submit_as_leader(
         &self,
-        submission: Submission,
+        proposal: Proposal,
         term: Term,
         patience: Duration,
     ) -> PeerResponse {
         let until = yard::now() + patience.as_millis() as u64;
-        self.driver.submit_as_leader(submission, term, until).await
+        self.driver.submit_as_leader(proposal, term, until).await
     }
 
     /// The term that this node leads in, if it does.
--- a/directory/src/peers.rs
+++ b/directory/src/peers.rs
@@ -6,7 +6,7 @@
 use consensus::pack::unpacked;
 use consensus::{Body, EntryPayload, Member, NodeId};
 use parking_lot::Mutex;
-use residency::{State, Submission};
+use residency::{Proposal, State};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -175,7 +175,7 @@
         Body::InstallSnapshot { snapshot, .. } => State::restore(&snapshot.state).map(drop),
         Body::AppendEntries { entries, .. } => {
             entries.iter().try_for_each(|entry| match &entry.payload {
-                EntryPayload::Command(bytes) => unpacked::<Submission>(bytes).map(drop),
+                EntryPayload::Command(bytes) => unpacked::<Proposal>(bytes).map(drop),
                 _ => Ok(()),
             })
         }
--- a/directory/src/windows.rs
+++ b/directory/src/windows.rs
@@ -2,7 +2,7 @@
 //! state makes each turn happen once.
 
 use crate::ControlPlane;
-use residency::{Outcome, Submission};
+use residency::{Outcome, Proposal};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use wire::PeerResponse;
@@ -25,8 +25,8 @@
             // Late where the windows were changed meanwhile, by operators or by
             // another leader: then it is a conflict.
             let id = format!("{:016x}", rand::random::<u64>());
-            let submission = Submission { id, base, command };
-            let reply = control.submit_as_leader(submission, term, PATIENCE).await;
+            let proposal = Proposal { id, base, command };
+            let reply = control.submit_as_leader(proposal, term, PATIENCE).await;
             if !matches!(reply, PeerResponse::Submitted(Outcome::Applied { .. })) {
                 break;
             }
--- a/directory/tests/common/mod.rs
+++ b/directory/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! Directory nodes within the test's process, each reached by a relay that can hold
-//! forwarded submissions back, as a cut does.
+//! forwarded proposals back, as a cut does.
 
 use consensus::node::Timing;
 use directory::{ControlPlane, Flavour, Ports, Settings};
@@ -30,7 +30,7 @@
   "cells": { "n-1": { "zone": "n-a" }, "s-1": { "zone": "s-a" } }
 }"#;
 
-/// A forwarded submission that a relay holds back.
+/// A forwarded proposal that a relay holds back.
 pub struct Held {
     from: u64,
     pub number: u64,
--- a/directory/tests/forwarding.rs
+++ b/directory/tests/forwarding.rs
@@ -1,7 +1,7 @@
 //! Deadlines by another machine's clock.
 
 use directory::forwarding::{is_valid, LeaderClock};
-use residency::{Command, Submission};
+use residency::{Command, Proposal};
 use wire::{PeerRequest, Validity};
 
 const LEADER: u64 = 7;
@@ -9,7 +9,7 @@
 
 fn submit() -> PeerRequest {
     let command = Command::Evacuate("n-a".into());
-    PeerRequest::Submit(Submission { id: "one".into(), base: 1, command })
+    PeerRequest::Submit(Proposal { id: "one".into(), base: 1, command })
 }
 
 /// Guards: however far the clocks are apart and however long replies travel, a
--- a/directory/tests/orders.rs
+++ b/directory/tests/orders.rs
@@ -5,7 +5,7 @@
 use common::{Nodes, PATIENCE};
 use consensus::{Body, Message};
 use directory::ControlPlane;
-use residency::{Command, Name, Outcome, Submission};
+use residency::{Command, Name, Outcome, Proposal};
 use std::sync::Arc;
 use std::time::Duration;
 use wire::{Frame, PeerRequest, PeerResponse, Validity};
@@ -167,10 +167,10 @@
         tokio::spawn(
             async move { next.order("next".into(), reinstate(), PATIENCE, PATIENCE).await },
         );
-    let PeerRequest::Submit(submission) = nodes.next_held().await.question else {
-        panic!("submissions alone are held")
+    let PeerRequest::Submit(proposal) = nodes.next_held().await.question else {
+        panic!("proposals alone are held")
     };
-    assert_eq!(submission.id, "next");
+    assert_eq!(proposal.id, "next");
     order.abort();
     nodes.hold(false);
     assert!(!nodes.is_evacuated("n-a").await);
@@ -224,14 +224,14 @@
         frame => vec![frame],
     }));
     let command = Command::Evacuate(Name::from("x-a"));
-    let submission = Submission { id: "at once".into(), base, command };
+    let proposal = Proposal { id: "at once".into(), base, command };
     let mut cluster_status = next.leads_in();
     while cluster_status.is_none() {
         tokio::task::yield_now().await;
         cluster_status = next.leads_in();
     }
     assert_eq!(next.look(|state| state.epoch()), known, "it knows nothing of the zone yet");
-    let reply = third.submit(submission, PATIENCE).await;
+    let reply = third.submit(proposal, PATIENCE).await;
     assert!(matches!(reply, PeerResponse::Submitted(Outcome::Applied { .. })), "{reply:?}");
 }
 
@@ -242,11 +242,11 @@
     let nodes = Nodes::start(5).await;
     let (leader, follower) = nodes.roles().await;
     let term = leader.leads_in().expect("it leads");
-    let submission = |id: &str| Submission { id: id.into(), base: 0, command: Command::Fleet(3) };
+    let proposal = |id: &str| Proposal { id: id.into(), base: 0, command: Command::Fleet(3) };
     for (desk, term) in [(&leader, term - 1), (&leader, term + 1), (&follower, term)] {
-        let reply = desk.submit_as_leader(submission("late"), term, PATIENCE).await;
+        let reply = desk.submit_as_leader(proposal("late"), term, PATIENCE).await;
         assert_eq!(reply, PeerResponse::NotLeader);
     }
-    let reply = leader.submit_as_leader(submission("due"), term, PATIENCE).await;
+    let reply = leader.submit_as_leader(proposal("due"), term, PATIENCE).await;
     assert!(matches!(reply, PeerResponse::Submitted(Outcome::Applied { .. })), "{reply:?}");
 }
--- a/operator/src/main.rs
+++ b/operator/src/main.rs
@@ -76,7 +76,7 @@
     options.optflag("h", "help", "say this, or what a command does, and end");
     options.optflag("V", "version", "say the version and end");
     options.optopt("", "desk", "desks of directory nodes, tried in turn", "IP:PORT,...");
-    options.optopt("", "id", "submission id; a repeat with the same id is applied once", "ID");
+    options.optopt("", "id", "proposal id; a repeat with the same id is applied once", "ID");
     options.optopt("", "base", "the epoch that the change is based on", "EPOCH");
     options.optopt(
         "",
@@ -122,7 +122,7 @@
 
 impl Way {
     /// Asks desk after desk until one can be reached and knows the answer. A
-    /// 503 is another desk's turn, since a submission's id makes that safe.
+    /// 503 is another desk's turn, since a proposal's id makes that safe.
     async fn ask(&self, method: &str, target: &str, body: &str) -> anyhow::Result<OwnedValue> {
         let mut last = anyhow!("no desk is named; use --desk");
         for desk in &self.desks {
@@ -177,7 +177,7 @@
     Ok(std::io::read_to_string(std::io::stdin())?.trim().to_string())
 }
 
-/// The body of a submission, without id and base. `None`: no such change.
+/// The body of a proposal, without id and base. `None`: no such change.
 fn change(name: &str, words: &[String], matches: &Matches) -> anyhow::Result<Option<OwnedValue>> {
     let word = |at: usize| words.get(at).cloned().unwrap_or_default();
     let state = |state: &str| json!({ "do": "engine-state", "name": word(0), "state": state });
@@ -236,7 +236,7 @@
     let answer = way
         .ask("POST", "/submit", &body.encode())
         .await
-        .with_context(|| format!("submission {id}"))?;
+        .with_context(|| format!("proposal {id}"))?;
     let epoch = answer.get("epoch").and_then(|v| v.as_u64()).unwrap_or(0);
     let is_repeat = answer.get("repeated").and_then(|v| v.as_bool()).unwrap_or(false);
     println!("acknowledged: epoch {epoch}{}", if is_repeat { ", a repeat" } else { "" });
--- a/residency/src/book.rs
+++ b/residency/src/book.rs
@@ -1,7 +1,7 @@
 //! The home book: where each tenant and service may live. Read from simd-json
 //! values and checked whole, with the place of everything that is wrong.
 
-use crate::{Limits, Name, Touch};
+use crate::{InvalidationScope, Limits, Name};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::collections::BTreeMap;
@@ -206,19 +206,19 @@
     }
 
     /// Which mappings another book in place of this one makes void.
-    pub fn touched_by(&self, next: &Book) -> Vec<Touch> {
+    pub fn touched_by(&self, next: &Book) -> Vec<InvalidationScope> {
         let is_same_ground = self.zones == next.zones
             && self.cells == next.cells
             && self.services == next.services
             && self.points == next.points
             && self.is_near_first == next.is_near_first;
         if !is_same_ground {
-            return vec![Touch::All];
+            return vec![InvalidationScope::All];
         }
         // A tenant that is new has no mapping yet.
         let has_changed =
             |(name, tenant): &(&String, &Tenant)| next.tenants.get(*name) != Some(*tenant);
-        let touch = |(name, _): (&String, &Tenant)| Touch::Tenant(Name(name.clone()));
+        let touch = |(name, _): (&String, &Tenant)| InvalidationScope::Tenant(Name(name.clone()));
         self.tenants.iter().filter(has_changed).map(touch).collect()
     }
 
--- a/residency/src/lib.rs
+++ b/residency/src/lib.rs
@@ -5,13 +5,17 @@
 //! No clock, no socket and no task lives here.
 
 mod book;
+mod command;
 mod fence;
 mod state;
 mod view;
 
 pub use book::{merge, parse_text, Book, Service, Tenant};
-pub use state::{Command, Emptied, Outcome, Sheet, State, Submission, Window, SUBMISSIONS_KEPT};
-pub use view::{Cell, Engine, EngineState, Event, Limits, Place, Terms, Touch, Traits, View};
+pub use command::{Command, ConfigDocument, DrainTarget, Outcome, Proposal, Window};
+pub use state::{State, RECENT_PROPOSALS};
+pub use view::{
+    Cell, Engine, EngineState, Event, InvalidationScope, Limits, Place, TenantLimits, Traits, View,
+};
 
 use binrw::binrw;
 use consensus::pack::{read_list, read_text, write_list, write_text};
--- a/residency/src/view.rs
+++ b/residency/src/view.rs
@@ -98,7 +98,7 @@
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
-pub enum Touch {
+pub enum InvalidationScope {
     #[brw(magic = 0u8)]
     All,
     #[brw(magic = 1u8)]
@@ -110,13 +110,13 @@
     Home(crate::Name),
 }
 
-impl Touch {
+impl InvalidationScope {
     pub fn covers(&self, mapping: &crate::Mapping) -> bool {
         match self {
-            Touch::All => true,
-            Touch::Tenant(name) => mapping.tenant == name.0,
-            Touch::Key(name) => mapping.key() == name.0,
-            Touch::Home(region) => mapping.regions.first() == Some(region),
+            InvalidationScope::All => true,
+            InvalidationScope::Tenant(name) => mapping.tenant == name.0,
+            InvalidationScope::Key(name) => mapping.key() == name.0,
+            InvalidationScope::Home(region) => mapping.regions.first() == Some(region),
         }
     }
 }
@@ -151,13 +151,13 @@
     #[brw(magic = 7u8)]
     GivenBack(crate::Name),
     #[brw(magic = 8u8)]
-    Touched(Touch),
+    Touched(InvalidationScope),
     /// The terms of all tenants, in place of what was.
     #[brw(magic = 9u8)]
     Tenants(
         #[br(parse_with = read_list)]
         #[bw(write_with = write_list)]
-        Vec<Terms>,
+        Vec<TenantLimits>,
     ),
     /// The traits of all services, in place of what was.
     #[brw(magic = 10u8)]
@@ -175,7 +175,7 @@
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {
+pub struct TenantLimits {
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub tenant: String,
@@ -207,7 +207,7 @@
     pub keys: BTreeMap<String, String>,
     pub engines: BTreeMap<String, Engine>,
     pub evacuated: BTreeSet<String>,
-    pub tenants: BTreeMap<String, Terms>,
+    pub tenants: BTreeMap<String, TenantLimits>,
     pub services: BTreeMap<String, Traits>,
     pub limits: Limits,
     /// How many routers there are, as the leader last wrote it down; 0 stands for
@@ -306,7 +306,7 @@
     }
 
     /// Events that make an empty view the same as this one.
-    pub fn picture(&self) -> Vec<Event> {
+    pub fn snapshot(&self) -> Vec<Event> {
         let name = |text: &String| crate::Name(text.clone());
         let mut events = vec![
             Event::Rules(name(&self.rules)),
--- a/residency/tests/fence.rs
+++ b/residency/tests/fence.rs
@@ -1,8 +1,8 @@
 //! Commands that come late, after what they were built on has changed.
 
 use residency::{
-    Command, Emptied, Engine, EngineState, Name, Outcome, Place, Sheet, State, Submission, Window,
-    SUBMISSIONS_KEPT,
+    Command, ConfigDocument, DrainTarget, Engine, EngineState, Name, Outcome, Place, Proposal,
+    State, Window, RECENT_PROPOSALS,
 };
 
 const TOPOLOGY: &str = r#"{
@@ -31,7 +31,7 @@
 
     fn submit(&mut self, id: &str, base: u64, command: Command) -> Outcome {
         self.index += 1;
-        self.state.apply(self.index, &Submission { id: id.into(), base, command }).0
+        self.state.apply(self.index, &Proposal { id: id.into(), base, command }).0
     }
 
     /// Applies a command that is built on what is in force.
@@ -47,18 +47,18 @@
     /// whether it was a conflict, which changes nothing.
     fn submit_late(mut self, between: Vec<Command>, late: Command) -> bool {
         let base = self.index;
-        let known = self.state.check(&submission("held", base, late.clone()));
+        let known = self.state.check(&proposal("held", base, late.clone()));
         assert_eq!(known, None, "in time it would be taken: {late:?}");
         for command in between {
             self.must(command);
         }
         // A node that comes back with a snapshot says the same.
-        self.state = State::restore(&self.state.picture()).expect("it reads back");
-        let before = self.state.picture();
+        self.state = State::restore(&self.state.snapshot()).expect("it reads back");
+        let before = self.state.snapshot();
         match self.submit("held", base, late) {
             Outcome::Conflict { epoch } => {
                 assert!(epoch > base);
-                assert_eq!(self.state.picture(), before);
+                assert_eq!(self.state.snapshot(), before);
                 true
             }
             Outcome::Applied { .. } => false,
@@ -76,8 +76,8 @@
     is_late: bool,
 }
 
-fn submission(id: &str, base: u64, command: Command) -> Submission {
-    Submission { id: id.into(), base, command }
+fn proposal(id: &str, base: u64, command: Command) -> Proposal {
+    Proposal { id: id.into(), base, command }
 }
 
 fn revise(text: &str) -> Command {
@@ -105,7 +105,7 @@
 }
 
 fn schedule(id: &str, from: u64, until: u64) -> Command {
-    let what = Emptied::Zone("n-a".into());
+    let what = DrainTarget::Zone("n-a".into());
     Command::Schedule(vec![Window { id: id.into(), what, from, until }])
 }
 
@@ -170,7 +170,7 @@
     assert!(log.state.view.evacuated.is_empty());
     // An order that finds its zone so already is taken and says nothing to routers.
     log.must(evacuate("n-a"));
-    let again = submission("again", log.index, evacuate("n-a"));
+    let again = proposal("again", log.index, evacuate("n-a"));
     let (outcome, events) = log.state.apply(log.index + 1, &again);
     assert!(matches!(outcome, Outcome::Applied { .. }) && events.is_empty(), "{outcome:?}");
 }
@@ -273,7 +273,7 @@
 #[test]
 fn a_late_first_revision_is_a_conflict() {
     let mut log = Log { state: State::default(), index: 1 };
-    let first = submission("first", log.index, revise(r#"{"zones":{}}"#));
+    let first = proposal("first", log.index, revise(r#"{"zones":{}}"#));
     assert_eq!(log.state.check(&first), None);
     log.must(revise(TOPOLOGY));
     assert!(matches!(log.state.check(&first), Some(Outcome::Conflict { .. })));
@@ -301,8 +301,9 @@
 }
 
 fn adopt(revision: u64, based: u64) -> Command {
-    let sheet = Sheet { revision, based, text: format!("document {revision} on {based}") };
-    Command::Adopt { sheet, text: TOPOLOGY.into() }
+    let config_document =
+        ConfigDocument { revision, based, text: format!("document {revision} on {based}") };
+    Command::Adopt { config_document, text: TOPOLOGY.into() }
 }
 
 /// Guards: a change of the configuration is known again, whatever the nodes submit by
@@ -323,15 +324,15 @@
             log.must(Command::Fleet(round));
         }
     }
-    log.state = State::restore(&log.state.picture()).expect("it reads back");
+    log.state = State::restore(&log.state.snapshot()).expect("it reads back");
     for change in 1..=CHANGES {
         assert!(log.state.has_taken(&format!("change-{change}")), "{change}");
     }
-    for _ in 0..SUBMISSIONS_KEPT {
+    for _ in 0..RECENT_PROPOSALS {
         log.must(evacuate("n-a"));
         log.must(reinstate("n-a"));
     }
-    log.state = State::restore(&log.state.picture()).expect("it reads back");
+    log.state = State::restore(&log.state.snapshot()).expect("it reads back");
     let newest = format!("change-{CHANGES}");
     assert!(log.state.has_taken(&newest), "it is the one in force");
     let outcome = log.submit(&newest, 0, adopt(CHANGES, CHANGES - 1));
--- a/residency/tests/snapshot_size.rs
+++ b/residency/tests/snapshot_size.rs
@@ -1,7 +1,7 @@
 //! How large a snapshot of the state is, at the most that the platform's documents
 //! make of it.
 
-use residency::{Command, Engine, EngineState, Outcome, Sheet, State, Submission};
+use residency::{Command, ConfigDocument, Engine, EngineState, Outcome, Proposal, State};
 
 const DOCUMENT_BYTES: usize = 60_000;
 /// More than the state remembers.
@@ -38,8 +38,9 @@
 }
 
 fn adopt(revision: u64) -> Command {
-    let sheet = Sheet { revision, based: revision - 1, text: "d".repeat(DOCUMENT_BYTES) };
-    Command::Adopt { sheet, text: topology() }
+    let config_document =
+        ConfigDocument { revision, based: revision - 1, text: "d".repeat(DOCUMENT_BYTES) };
+    Command::Adopt { config_document, text: topology() }
 }
 
 /// An id of the most characters that are taken.
@@ -56,28 +57,28 @@
     let mut index = 0;
     let mut must = |state: &mut State, command: Command| {
         index += 1;
-        let (outcome, _) = state.apply(index, &Submission { id: id(index), base: 0, command });
+        let (outcome, _) = state.apply(index, &Proposal { id: id(index), base: 0, command });
         assert!(matches!(outcome, Outcome::Applied { .. }), "{outcome:?}");
     };
     must(&mut state, adopt(1));
     for number in 0..CHANGES {
         must(&mut state, engine(number % ENGINES));
         if number % 500 == 0 {
-            largest = largest.max(state.picture().len());
+            largest = largest.max(state.snapshot().len());
         }
     }
     must(&mut state, adopt(2));
-    let snapshot = state.picture();
+    let snapshot = state.snapshot();
     largest = largest.max(snapshot.len());
     println!("topology file {} bytes, snapshot {largest} bytes", topology().len());
     assert!(largest < 1 << 20, "{largest} bytes");
 
     let restored = State::restore(&snapshot).expect("it is read back");
     // The keys of the topology file have no order.
-    assert_eq!(restored.picture().len(), snapshot.len());
-    assert!(restored.view.picture() == state.view.picture(), "the view is the same");
-    assert!(restored.sheet() == state.sheet(), "the document is the same");
-    let oldest_kept = index - residency::SUBMISSIONS_KEPT as u64 + 1;
+    assert_eq!(restored.snapshot().len(), snapshot.len());
+    assert!(restored.view.snapshot() == state.view.snapshot(), "the view is the same");
+    assert!(restored.config_document() == state.config_document(), "the document is the same");
+    let oldest_kept = index - residency::RECENT_PROPOSALS as u64 + 1;
     assert!(restored.has_taken(&id(index)) && restored.has_taken(&id(oldest_kept)));
     assert!(!restored.has_taken(&id(oldest_kept - 1)), "the ones before are forgotten");
 }
--- a/residency/tests/state.rs
+++ b/residency/tests/state.rs
@@ -1,8 +1,8 @@
 //! Tables of what each command does to the state, and what it refuses.
 
 use residency::{
-    Command, Emptied, Engine, EngineState, Event, Name, Outcome, Place, State, Submission, Touch,
-    Window,
+    Command, DrainTarget, Engine, EngineState, Event, InvalidationScope, Name, Outcome, Place,
+    Proposal, State, Window,
 };
 
 const BOOK: &str = r#"{
@@ -48,7 +48,7 @@
 
     fn submit(&mut self, id: &str, base: u64, command: Command) -> (Outcome, Vec<Event>) {
         self.epoch += 1;
-        self.state.apply(self.epoch, &Submission { id: id.into(), base, command })
+        self.state.apply(self.epoch, &Proposal { id: id.into(), base, command })
     }
 
     fn must(&mut self, command: Command) -> Vec<Event> {
@@ -60,11 +60,11 @@
     }
 
     fn refused(&mut self, command: Command) -> String {
-        let before = self.state.picture();
+        let before = self.state.snapshot();
         let id = format!("id-{}", self.epoch);
         let (outcome, events) = self.submit(&id, 0, command);
         assert!(events.is_empty());
-        let sizes = (before.len(), self.state.picture().len());
+        let sizes = (before.len(), self.state.snapshot().len());
         assert_eq!(sizes.0, sizes.1, "a refused change changes nothing");
         match outcome {
             Outcome::Refused(text) => text,
@@ -208,7 +208,7 @@
     });
     assert_eq!((bench.cells("ana", "north")[0].as_str(), fresh(&bench)), ("s-1", 0));
     let events = bench.must(Command::Settle { tenant: tenant.clone(), service: service.clone() });
-    assert_eq!(events, [Event::Touched(Touch::Key("ana/writer".into()))]);
+    assert_eq!(events, [Event::Touched(InvalidationScope::Key("ana/writer".into()))]);
     assert_eq!((bench.cells("ana", "north")[0].as_str(), fresh(&bench)), ("s-1", 10_000));
     bench.must(Command::Unpin { tenant, service });
     assert_eq!(bench.cells("ana", "north")[0], first);
@@ -216,24 +216,27 @@
 
 #[test]
 fn only_what_changed_is_touched() {
-    let touches = |events: Vec<Event>| -> Vec<Touch> {
+    let touches = |events: Vec<Event>| -> Vec<InvalidationScope> {
         let touch = |event| match event {
             Event::Touched(touch) => Some(touch),
             _ => None,
         };
         events.into_iter().filter_map(touch).collect()
     };
-    let cases: Vec<(Command, Vec<Touch>)> = vec![
+    let cases: Vec<(Command, Vec<InvalidationScope>)> = vec![
         (
             revise(false, r#"{"tenants":{"ben":{"homes":["south","north"]}}}"#),
-            vec![Touch::Tenant("ben".into())],
+            vec![InvalidationScope::Tenant("ben".into())],
         ),
         (revise(false, r#"{"tenants":{"new":{}}}"#), vec![]),
-        (revise(false, r#"{"tenants":{"ben":null}}"#), vec![Touch::Tenant("ben".into())]),
-        (revise(false, r#"{"cells":{"w-2":{"zone":"w-a"}}}"#), vec![Touch::All]),
+        (
+            revise(false, r#"{"tenants":{"ben":null}}"#),
+            vec![InvalidationScope::Tenant("ben".into())],
+        ),
+        (revise(false, r#"{"cells":{"w-2":{"zone":"w-a"}}}"#), vec![InvalidationScope::All]),
         (engine("e-n4", "n-1", EngineState::Serving), vec![]),
-        (engine("e-n1", "n-1", EngineState::Draining), vec![Touch::All]),
-        (Command::Evacuate("w-a".into()), vec![Touch::Home("west".into())]),
+        (engine("e-n1", "n-1", EngineState::Draining), vec![InvalidationScope::All]),
+        (Command::Evacuate("w-a".into()), vec![InvalidationScope::Home("west".into())]),
     ];
     for (command, wanted) in cases {
         let mut bench = Bench::new();
@@ -255,19 +258,19 @@
 /// was shut before it stays shut after it.
 #[test]
 fn windows_turn_once_each() {
-    let window = |id: &str, what: Emptied, from: u64, until: u64| Window {
+    let window = |id: &str, what: DrainTarget, from: u64, until: u64| Window {
         id: id.into(),
         what,
         from,
         until,
     };
-    let zone = |name: &str| Emptied::Zone(name.into());
+    let zone = |name: &str| DrainTarget::Zone(name.into());
     let mut bench = Bench::new();
     bench.must(Command::Evacuate("w-a".into()));
     let schedule = Command::Schedule(vec![
         window("south", zone("s-a"), 100, 200),
         window("west", zone("w-a"), 100, 200),
-        window("engine", Emptied::Engine("e-n1".into()), 150, 160),
+        window("engine", DrainTarget::Engine("e-n1".into()), 150, 160),
     ]);
     bench.must(schedule.clone());
     let step = |bench: &mut Bench, now: u64| -> Vec<String> {
@@ -296,7 +299,7 @@
         if now == 100 {
             bench.must(schedule.clone());
             assert!(bench.state.due(now).is_empty());
-            bench.state = State::restore(&bench.state.picture()).expect("it reads back");
+            bench.state = State::restore(&bench.state.snapshot()).expect("it reads back");
         }
     }
     assert!(bench.state.windows().next().is_none());
@@ -321,16 +324,16 @@
         service: "writer".into(),
         cell: "w-1".into(),
     });
-    let mut copy = State::restore(&bench.state.picture()).expect("a picture reads back");
+    let mut copy = State::restore(&bench.state.snapshot()).expect("a picture reads back");
     assert_eq!(copy.epoch(), bench.state.epoch());
-    assert_eq!(copy.view.picture(), bench.state.view.picture());
-    let again = Submission { id: "id-0".into(), base: 0, command: revise(true, BOOK) };
+    assert_eq!(copy.view.snapshot(), bench.state.view.snapshot());
+    let again = Proposal { id: "id-0".into(), base: 0, command: revise(true, BOOK) };
     assert_eq!(copy.apply(99, &again).0, Outcome::Repeated { epoch: 1 });
     for tenant in ["ana", "ben", "any"] {
         let ask = |state: &State| state.resolve(tenant, "writer", "west").ok();
         assert_eq!(ask(&copy), ask(&bench.state));
     }
-    let damaged = &bench.state.picture()[..40];
+    let damaged = &bench.state.snapshot()[..40];
     assert!(State::restore(damaged).is_err());
 }
 
@@ -338,11 +341,11 @@
 /// document is not revised past it.
 #[test]
 fn an_adopted_book_is_revised_by_documents_alone() {
-    use residency::Sheet;
+    use residency::ConfigDocument;
     let mut state = State::default();
-    let submission = |id: &str, command: Command| Submission { id: id.into(), base: 0, command };
+    let proposal = |id: &str, command: Command| Proposal { id: id.into(), base: 0, command };
     let adopt = |revision: u64, based: u64| Command::Adopt {
-        sheet: Sheet { revision, based, text: format!("document {revision}") },
+        config_document: ConfigDocument { revision, based, text: format!("document {revision}") },
         text: "{}".into(),
     };
     let revise = Command::Revise { whole: true, text: "{}".into() };
@@ -355,12 +358,15 @@
         ("f", adopt(9, 5), true),
     ];
     for (epoch, (id, command, is_taken)) in cases.into_iter().enumerate() {
-        let (outcome, _) = state.apply(epoch as u64 + 1, &submission(id, command));
+        let (outcome, _) = state.apply(epoch as u64 + 1, &proposal(id, command));
         let was_taken = matches!(outcome, residency::Outcome::Applied { .. });
         assert_eq!(was_taken, is_taken, "{id}: {outcome:?}");
     }
-    assert_eq!((state.sheet().revision, &*state.sheet().text), (9, "document 9"));
-    let back = State::restore(&state.picture()).expect("its picture reads");
-    assert_eq!(back.sheet(), state.sheet());
+    assert_eq!(
+        (state.config_document().revision, &*state.config_document().text),
+        (9, "document 9")
+    );
+    let back = State::restore(&state.snapshot()).expect("its picture reads");
+    assert_eq!(back.config_document(), state.config_document());
     assert!(back.has_taken("f") && !back.has_taken("c"));
 }
--- a/router/src/layers.rs
+++ b/router/src/layers.rs
@@ -2,7 +2,7 @@
 
 use parking_lot::Mutex;
 use placement::{Cache, Hit};
-use residency::{Event, Mapping, Touch};
+use residency::{Event, InvalidationScope, Mapping};
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -12,7 +12,7 @@
 /// was resolved before is not to be used or kept, whichever way it came.
 /// Invariant: no touch stands twice.
 #[derive(Default)]
-struct Touches(Vec<(Touch, u64)>);
+struct Touches(Vec<(InvalidationScope, u64)>);
 
 /// Invariants: neither layer holds a mapping that an applied event has made
 /// void; at most one asker per key is in `asking`.
@@ -60,7 +60,7 @@
         for event in events {
             let Event::Touched(touch) = event else { continue };
             let mut touches = self.touches.lock();
-            touches.0.retain(|(known, _)| *touch != Touch::All && known != touch);
+            touches.0.retain(|(known, _)| *touch != InvalidationScope::All && known != touch);
             touches.0.push((touch.clone(), epoch));
             drop(touches);
             self.own.lock().drop_where(|mapping| touch.covers(mapping));
@@ -70,7 +70,7 @@
 
     /// A whole new picture: which mappings it makes void is not known.
     pub fn touch_all(&self, epoch: u64) {
-        self.touch(epoch, &[Event::Touched(Touch::All)]);
+        self.touch(epoch, &[Event::Touched(InvalidationScope::All)]);
     }
 
     pub fn own(&self, key: &str) -> Hit<Mapping> {
--- a/stand/src/day.rs
+++ b/stand/src/day.rs
@@ -49,7 +49,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum What {
     Job(Job),
-    /// A submission, as the operators' API takes it.
+    /// A proposal, as the operators' API takes it.
     Operator(OwnedValue),
     /// Something done to a machine; only in a fleet of the replay's own.
     Machine {
--- a/stand/src/fleet/process.rs
+++ b/stand/src/fleet/process.rs
@@ -48,7 +48,7 @@
         SocketAddr::new(self.ip, DOOR)
     }
 
-    /// The submission that lists this engine.
+    /// The proposal that lists this engine.
     pub fn listing(&self, state: &str) -> OwnedValue {
         let services: Vec<String> = self.args[1].split(',').map(String::from).collect();
         json!({
--- a/stand/src/hollow.rs
+++ b/stand/src/hollow.rs
@@ -160,7 +160,7 @@
     }
     let routers = hollow.company.fronts().count().max(view.fleet as usize);
     let jobs = if hollow.asked == 0 { spoken } else { JOBS.min(spoken) };
-    let terms: Vec<&residency::Terms> = view.tenants.values().collect();
+    let terms: Vec<&residency::TenantLimits> = view.tenants.values().collect();
     for _ in 0..jobs {
         let at = (hollow.number * 37 + hollow.asked % spoken) % all;
         hollow.asked += 1;
--- a/stand/src/replay.rs
+++ b/stand/src/replay.rs
@@ -246,7 +246,7 @@
 
     async fn remembered(&self, body: &str, id: &str) -> Option<u64> {
         let mut body = residency::parse_text(body).expect("it was submitted before");
-        body.insert("id", id).expect("a submission is an object");
+        body.insert("id", id).expect("a proposal is an object");
         let until = std::time::Instant::now() + Duration::from_secs(15);
         while std::time::Instant::now() < until {
             for desk in &self.ends.desks {
--- a/stand/src/simulator/clients.rs
+++ b/stand/src/simulator/clients.rs
@@ -3,7 +3,7 @@
 use super::Simulation;
 use consensus::node::Input;
 use consensus::pack::packed;
-use residency::{Command, Name, Submission};
+use residency::{Command, Name, Proposal};
 
 impl Simulation {
     /// A blank node, or one that knows no leader, asks whoever leads to be let in.
@@ -58,7 +58,7 @@
             false if token.is_multiple_of(2) => Command::Evacuate(zone),
             false => Command::GiveBack(zone),
         };
-        let submission = Submission { id, base: 0, command };
-        self.step(at, Input::Propose(token, packed(&submission)))
+        let proposal = Proposal { id, base: 0, command };
+        self.step(at, Input::Propose(token, packed(&proposal)))
     }
 }
--- a/stand/src/simulator/machine.rs
+++ b/stand/src/simulator/machine.rs
@@ -7,7 +7,7 @@
 use consensus::pack::{packed, unpacked};
 use consensus::wal::WriteAheadLog;
 use consensus::{Entry, EntryPayload, LogIndex, NodeId};
-use residency::{Outcome, State, Submission};
+use residency::{Outcome, Proposal, State};
 use std::collections::VecDeque;
 
 const LARGEST_CLOCK_OFFSET_MS: u64 = 100_000_000;
@@ -205,19 +205,19 @@
         let live = self.machines[at].live.as_mut().expect("it just stepped");
         let mut given = None;
         if let EntryPayload::Command(bytes) = &entry.payload {
-            let submission: Submission = unpacked(bytes)?;
+            let proposal: Proposal = unpacked(bytes)?;
             let before = live.state.epoch();
-            let (outcome, _) = live.state.apply(entry.index, &submission);
+            let (outcome, _) = live.state.apply(entry.index, &proposal);
             if live.state.epoch() < before {
                 return self.fail(format!("node-{at}'s epoch fell"));
             }
             given = Some(outcome.clone());
             if let Outcome::Applied { epoch } = outcome {
-                let known = *self.ids.entry(submission.id.clone()).or_insert(epoch);
+                let known = *self.ids.entry(proposal.id.clone()).or_insert(epoch);
                 if known != epoch {
                     return self.fail(format!(
-                        "submission {} was applied at {known} and at {epoch}",
-                        submission.id
+                        "proposal {} was applied at {known} and at {epoch}",
+                        proposal.id
                     ));
                 }
             }
@@ -247,7 +247,7 @@
             return Ok(());
         }
         live.snapshot_at = index;
-        let state = live.state.picture();
+        let state = live.state.snapshot();
         for effect in live.node.step(now, Input::SnapshotTaken(index, state)) {
             self.carry(at, effect)?;
         }
--- a/stand/src/simulator/orders.rs
+++ b/stand/src/simulator/orders.rs
@@ -8,7 +8,7 @@
 use consensus::node::{Input, Role};
 use consensus::pack::packed;
 use consensus::LogIndex;
-use residency::{Command, Name, Outcome, Sheet, State, Submission};
+use residency::{Command, ConfigDocument, Name, Outcome, Proposal, State};
 
 /// How long a node waits for contact with a majority.
 const CONTACT_MS: u64 = 800;
@@ -38,7 +38,7 @@
     Contact,
     /// The state is not there yet.
     CatchUp(LogIndex),
-    Submit(Submission),
+    Submit(Proposal),
 }
 
 /// What a node puts to a leader. It may arrive when nobody waits for its answer.
@@ -46,7 +46,7 @@
     request: u64,
     step: u64,
     /// `None`: a read index is asked for.
-    proposal: Option<Submission>,
+    proposal: Option<Proposal>,
 }
 
 /// What a leader says to a node.
@@ -142,7 +142,7 @@
         request.step += 1;
         let at = request.at;
         let proposal = match &request.phase {
-            Phase::Submit(submission) => Some(submission.clone()),
+            Phase::Submit(proposal) => Some(proposal.clone()),
             _ => None,
         };
         let question = PeerRequest { request: id, step: request.step, proposal };
@@ -171,7 +171,7 @@
         let token = self.tokens;
         let input = match &question.proposal {
             None => Input::ReadIndex(token),
-            Some(submission) => Input::Propose(token, packed(submission)),
+            Some(proposal) => Input::Propose(token, packed(proposal)),
         };
         let is_proposal = matches!(input, Input::Propose(..));
         if !is_proposal {
@@ -232,7 +232,7 @@
         let live = self.machines[request.at].live.as_ref().expect("looked at by the caller");
         let state = &live.state;
         let response = match &request.intent {
-            Intent::ReadConfiguration => Some(Response::Revision(state.sheet().revision)),
+            Intent::ReadConfiguration => Some(Response::Revision(state.config_document().revision)),
             Intent::ReadZone { zone } => {
                 let zone = format!("zone-{zone}");
                 Some(Response::IsEvacuated(state.view.evacuated.contains(zone.as_str())))
@@ -244,15 +244,15 @@
             self.answer(id, response);
             return Ok(());
         }
-        let submission = self.submission(id);
+        let proposal = self.proposal(id);
         let until = self.now + SUBMIT_MS;
         let request = self.operators.requests.get_mut(&id).expect("just looked at");
-        request.phase = Phase::Submit(submission);
+        request.phase = Phase::Submit(proposal);
         request.until = until;
         self.continue_request(id)
     }
 
-    fn submission(&self, id: u64) -> Submission {
+    fn proposal(&self, id: u64) -> Proposal {
         let request = &self.operators.requests[&id];
         let live = self.machines[request.at].live.as_ref().expect("looked at by the caller");
         match &request.intent {
@@ -260,10 +260,13 @@
                 let is_new = self.has_fault(PlantedFault::NewIdentifierPerTry);
                 let submission_id =
                     if is_new { format!("{change}-try-{id}") } else { change.clone() };
-                let sheet =
-                    Sheet { revision: *revision, based: *based, text: format!("# {change}") };
-                let command = Command::Adopt { sheet, text: TOPOLOGY.into() };
-                Submission { id: submission_id, base: 0, command }
+                let config_document = ConfigDocument {
+                    revision: *revision,
+                    based: *based,
+                    text: format!("# {change}"),
+                };
+                let command = Command::Adopt { config_document, text: TOPOLOGY.into() };
+                Proposal { id: submission_id, base: 0, command }
             }
             Intent::SetZone { zone, is_evacuated } => {
                 let zone = Name(format!("zone-{zone}"));
@@ -273,7 +276,7 @@
                 };
                 let is_fenced = !self.has_fault(PlantedFault::UnfencedEvacuation);
                 let base = if is_fenced { live.state.epoch().max(1) } else { 0 };
-                Submission { id: format!("order-{id}"), base, command }
+                Proposal { id: format!("order-{id}"), base, command }
             }
             Intent::ReadConfiguration | Intent::ReadZone { .. } => {
                 unreachable!("reads are answered, never submitted")
@@ -315,7 +318,7 @@
 }
 
 fn decide_change(state: &State, id: &str, based: u64, revision: u64) -> Option<Response> {
-    let current = state.sheet().revision;
+    let current = state.config_document().revision;
     match () {
         () if state.has_taken(id) => Some(Response::Taken),
         () if based != current => Some(Response::Conflict),
--- a/stand/tests/failures.rs
+++ b/stand/tests/failures.rs
@@ -38,7 +38,7 @@
     let evacuate = json!({ "do": "evacuate", "zone": "south-a", "id": "evacuation" });
     let epoch = fleet.submit(evacuate.clone()).await.expect("it is acknowledged");
     fleet.kill(&leader);
-    // The same submission again, to whoever leads now, is known.
+    // The same proposal again, to whoever leads now, is known.
     assert_eq!(fleet.submit(evacuate.clone()).await.expect("known"), epoch);
     served(door, ANA, "led-anew").await;
 
--- a/stand/tests/handed.rs
+++ b/stand/tests/handed.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use residency::{Command, Place, State, Submission};
+use residency::{Command, Place, Proposal, State};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -106,7 +106,7 @@
 
     async fn session(&self, mut stream: TcpStream) -> anyhow::Result<()> {
         let epoch = self.state.epoch();
-        let events = self.state.view.picture();
+        let events = self.state.view.snapshot();
         link::send(&mut stream, &Frame::Picture { epoch, events }).await?;
         let address = stream.local_addr()?.to_string();
         let member = consensus::Member {
@@ -228,8 +228,8 @@
     let commands =
         [Command::Revise { whole: true, text: BOOK.into() }, Command::Key(key)].into_iter();
     for (command, epoch) in commands.zip(1..) {
-        let submission = Submission { id: format!("s-{epoch}"), base: 0, command };
-        let (outcome, _) = state.apply(epoch, &submission);
+        let proposal = Proposal { id: format!("s-{epoch}"), base: 0, command };
+        let (outcome, _) = state.apply(epoch, &proposal);
         assert_eq!(outcome, residency::Outcome::Applied { epoch });
     }
     state
--- a/stand/tests/simulator.rs
+++ b/stand/tests/simulator.rs
@@ -14,7 +14,7 @@
 }
 
 /// Guards: an acknowledged revision or evacuation is never lost; no node takes
-/// a lower epoch; a submission is applied once; one leader a term; a
+/// a lower epoch; a proposal is applied once; one leader a term; a
 /// confirmation never misses what was acknowledged before it was asked.
 #[test]
 fn storms_break_no_rule() {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -7,7 +7,7 @@
     packed, read_bytes, read_list, read_text, unpacked, write_bytes, write_list, write_text,
 };
 use consensus::{Member, Message};
-use residency::{Event, Mapping, Name, Outcome, Submission};
+use residency::{Event, Mapping, Name, Outcome, Proposal};
 
 /// The epoch of these frames. Changed whenever one of them changes.
 pub const EPOCH: u16 = 9;
@@ -446,7 +446,7 @@
         demands: Vec<FrontDemand>,
     },
     #[brw(magic = 1u8)]
-    Submit(Submission),
+    Submit(Proposal),
     #[brw(magic = 2u8)]
     Admit(Member),
     #[brw(magic = 3u8)]
--- a/wire/tests/formats/frames.rs
+++ b/wire/tests/formats/frames.rs
@@ -6,8 +6,8 @@
 use proptest::prelude::*;
 use proptest::sample::Index;
 use residency::{
-    Command, Emptied, Engine, EngineState, Event, Limits, Mapping, Name, Outcome, Place, Sheet,
-    Submission, Terms, Touch, Traits, Window,
+    Command, ConfigDocument, DrainTarget, Engine, EngineState, Event, InvalidationScope, Limits,
+    Mapping, Name, Outcome, Place, Proposal, TenantLimits, Traits, Window,
 };
 use wire::*;
 
@@ -65,9 +65,10 @@
 pub fn commands() -> Vec<Command> {
     let key = || (name("ana"), name("writer"));
     let window =
-        Window { id: name("w-1"), what: Emptied::Zone(name("north-a")), from: 5, until: 9 };
-    let other = Window { id: name("w-2"), what: Emptied::Engine(name("i-1")), ..window.clone() };
-    let sheet = Sheet { revision: 3, based: 2, text: "{}".into() };
+        Window { id: name("w-1"), what: DrainTarget::Zone(name("north-a")), from: 5, until: 9 };
+    let other =
+        Window { id: name("w-2"), what: DrainTarget::Engine(name("i-1")), ..window.clone() };
+    let config_document = ConfigDocument { revision: 3, based: 2, text: "{}".into() };
     vec![
         Command::Revise { whole: false, text: "{\"services\":{\"writer\":{}}}".into() },
         Command::Key(place(&"a".repeat(64), "ana")),
@@ -83,15 +84,20 @@
         Command::Schedule(vec![window, other]),
         Command::Begin(name("w-1")),
         Command::End(name("w-1")),
-        Command::Adopt { sheet, text: "{}".into() },
+        Command::Adopt { config_document, text: "{}".into() },
         Command::Listed { engines: vec![engine(), engine()], gone: vec![name("i-0")] },
         Command::Fleet(9),
     ]
 }
 
 pub fn events() -> Vec<Event> {
-    let terms =
-        Terms { tenant: "ana".into(), pace: 5, burst: 9, homes: vec![name("north")], urgency: 1 };
+    let terms = TenantLimits {
+        tenant: "ana".into(),
+        pace: 5,
+        burst: 9,
+        homes: vec![name("north")],
+        urgency: 1,
+    };
     let traits = Traits { service: "writer".into(), connections: 9, warm_pace: 3, warm_ms: 50 };
     let rules = "door app at \"/app/\" tenant header \"x-tenant-key\" model header \"x-model\"\n\
                  route write on app POST \"/app/write\" to model once deadline 30s";
@@ -104,10 +110,10 @@
         Event::EngineGone(name("i-1")),
         Event::Evacuated(name("z")),
         Event::GivenBack(name("z")),
-        Event::Touched(Touch::All),
-        Event::Touched(Touch::Tenant(name("ana"))),
-        Event::Touched(Touch::Key(name("ana/writer"))),
-        Event::Touched(Touch::Home(name("north"))),
+        Event::Touched(InvalidationScope::All),
+        Event::Touched(InvalidationScope::Tenant(name("ana"))),
+        Event::Touched(InvalidationScope::Key(name("ana/writer"))),
+        Event::Touched(InvalidationScope::Home(name("north"))),
         Event::Tenants(vec![terms]),
         Event::Services(vec![traits]),
         Event::Limits(Limits::default()),
@@ -234,7 +240,7 @@
             .into_iter()
             .map(|body| Frame::Ledger(Message { from: 1, to: 2, cluster: 77, term: 3, body })),
     );
-    let submit = |command| PeerRequest::Submit(Submission { id: "s-1".into(), base: 4, command });
+    let submit = |command| PeerRequest::Submit(Proposal { id: "s-1".into(), base: 4, command });
     let questions = commands().into_iter().map(submit).chain([
         PeerRequest::Confirm { demands: vec![demand()] },
         PeerRequest::Admit(member(9)),
--- a/wire/tests/formats/state.rs
+++ b/wire/tests/formats/state.rs
@@ -1,4 +1,4 @@
-//! Snapshots of the state, submissions, and events as a router takes them.
+//! Snapshots of the state, proposals, and events as a router takes them.
 
 use crate::bytes::{allowance, config, edited, edits};
 use crate::frames::{commands, events};
@@ -6,7 +6,7 @@
 use consensus::pack::{packed, unpacked};
 use proptest::prelude::*;
 use proptest::sample::Index;
-use residency::{Book, State, Submission, View};
+use residency::{Book, Proposal, State, View};
 
 const BOOK: &str = r#"{
     "zones": { "north-a": { "region": "north" }, "south-a": { "region": "south" } },
@@ -23,7 +23,7 @@
     let mut state = State::default();
     let revise = residency::Command::Revise { whole: true, text: BOOK.into() };
     for (command, epoch) in std::iter::once(revise).chain(commands()).zip(1..) {
-        state.apply(epoch, &Submission { id: format!("s-{epoch}"), base: 0, command });
+        state.apply(epoch, &Proposal { id: format!("s-{epoch}"), base: 0, command });
     }
     assert!(!state.view.engines.is_empty());
     state
@@ -31,9 +31,9 @@
 
 #[test]
 fn a_snapshot_reads_back_and_no_part_of_it_does() {
-    let bytes = state().picture();
+    let bytes = state().snapshot();
     let again = State::restore(&bytes).expect("its own snapshot");
-    assert_eq!(again.picture(), bytes);
+    assert_eq!(again.snapshot(), bytes);
     for cut in 1..bytes.len() {
         assert!(State::restore(&bytes[..cut]).is_err(), "{cut} of {} bytes", bytes.len());
     }
@@ -45,35 +45,35 @@
     /// A changed snapshot is refused in words, or is a state that works.
     #[test]
     fn changed_snapshots_are_read_or_refused(edits in edits()) {
-        let bytes = edited(&state().picture(), &edits);
+        let bytes = edited(&state().snapshot(), &edits);
         match State::restore(&bytes) {
             Ok(mut state) => {
                 for (command, epoch) in commands().into_iter().zip(1_000..) {
-                    let submission = Submission { id: format!("t-{epoch}"), base: 0, command };
-                    state.apply(epoch, &submission);
+                    let proposal = Proposal { id: format!("t-{epoch}"), base: 0, command };
+                    state.apply(epoch, &proposal);
                 }
                 drop(state.resolve("ana", "writer", "north"));
-                assert!(State::restore(&state.picture()).is_ok());
+                assert!(State::restore(&state.snapshot()).is_ok());
             }
             Err(text) => assert!(!text.is_empty()),
         }
     }
 
-    /// A changed submission is refused, or does to a state what it says.
+    /// A changed proposal is refused, or does to a state what it says.
     #[test]
     fn changed_submissions_are_read_or_refused(which in any::<Index>(), edits in edits()) {
         let all = commands();
         let command = all[which.index(all.len())].clone();
-        let submission = Submission { id: "s".into(), base: 0, command };
-        let bytes = edited(&packed(&submission), &edits);
-        let (read, most) = peak(|| unpacked::<Submission>(&bytes));
+        let proposal = Proposal { id: "s".into(), base: 0, command };
+        let bytes = edited(&packed(&proposal), &edits);
+        let (read, most) = peak(|| unpacked::<Proposal>(&bytes));
         prop_assert!(most <= allowance(bytes.len()), "{} bytes of memory", most);
         if let Ok(read) = read {
-            prop_assert_eq!(unpacked::<Submission>(&packed(&read)), Ok(read.clone()));
+            prop_assert_eq!(unpacked::<Proposal>(&packed(&read)), Ok(read.clone()));
             let mut state = state();
             state.check(&read);
             state.apply(1_000, &read);
-            assert!(State::restore(&state.picture()).is_ok());
+            assert!(State::restore(&state.snapshot()).is_ok());
         }
     }
 
@@ -85,7 +85,7 @@
         if let Ok(event) = unpacked::<residency::Event>(&bytes) {
             let mut view = View::default();
             view.take(&event);
-            view.picture();
+            view.snapshot();
         }
     }
 
