--- a/directory/src/driver/mod.rs
+++ b/directory/src/driver/mod.rs
@@ -28,7 +28,7 @@
 /// Without a leader for so long, a node that is to stop does not wait for its word.
 const LEADERLESS_MS: u64 = 1_000;
 
-/// What the ledger thread is asked.
+/// What the driver's thread is asked.
 pub enum DriverCommand {
     Heard(Message),
     Synced(u64),
--- a/directory/src/driver/thread/mod.rs
+++ b/directory/src/driver/thread/mod.rs
@@ -69,7 +69,7 @@
 }
 
 /// Invariants: only this thread steps the node and changes the state; events
-/// go to the sessions in the order of the ledger, before anything that rests
+/// go to the sessions in the order of the log, before anything that rests
 /// on them.
 struct DriverThread {
     node: Node,
@@ -295,8 +295,8 @@
                 Effect::Send(message) => {
                     let to = message.to;
                     match self.node.members().get(to) {
-                        Some(member) => self.peers.send(&member.address, Frame::Ledger(message)),
-                        None => self.peers.send_to(to, Frame::Ledger(message)),
+                        Some(member) => self.peers.send(&member.address, Frame::Consensus(message)),
+                        None => self.peers.send_to(to, Frame::Consensus(message)),
                     }
                 }
                 Effect::Apply(entry, token) => {
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -1,4 +1,4 @@
-//! A directory node: a member of the ledger, which holds residency, resolves
+//! A directory node: a member of the consensus group that holds residency, resolves
 //! and forwards misses, streams events to routers, and answers operators.
 //!
 //! The node is a library: `run` carries one out by its settings, and `Ports`
--- a/directory/src/orders.rs
+++ b/directory/src/orders.rs
@@ -41,7 +41,8 @@
             }
             // A caller that has heard nothing for longer than that may have gone to
             // another node, and on to an order to the contrary.
-            if !self.confirm_within(left(contact_until)).await {
+            let is_late = yard::now() >= contact_until;
+            if is_late || !self.confirm_within(left(contact_until)).await {
                 return PeerResponse::NotLeader;
             }
         }
--- a/directory/src/peers.rs
+++ b/directory/src/peers.rs
@@ -28,7 +28,7 @@
 pub struct PeerConnections {
     me: Member,
     source: SocketAddr,
-    /// The ledger's thread sends, too, and is not the runtime's own.
+    /// The driver's thread sends, too, and is not the runtime's own.
     runtime: tokio::runtime::Handle,
     out: Mutex<HashMap<String, mpsc::Sender<Frame>>>,
     /// Where those who introduced themselves are to be found.
@@ -83,7 +83,7 @@
                 *peer = Some(member.clone());
                 return Ok(Some(frame));
             }
-            Frame::Ledger(message) => Some(message.from),
+            Frame::Consensus(message) => Some(message.from),
             Frame::Ask { from, .. } => Some(*from),
             Frame::PeerResponse { .. } => None,
             _ => return Ok(Some(frame)),
@@ -91,7 +91,7 @@
         let Some(peer) = peer else { anyhow::bail!("it did not say who it is") };
         let is_itself = speaker.is_none_or(|speaker| speaker == peer.identity);
         anyhow::ensure!(is_itself, "{peer} speaks for another node");
-        if let Frame::Ledger(message) = &frame {
+        if let Frame::Consensus(message) = &frame {
             check_content(&message.body).map_err(|text| anyhow::anyhow!("{peer}: {text}"))?;
         }
         if let Frame::PeerResponse { number, .. } = &frame {
@@ -212,7 +212,7 @@
             Frame::Introduce(member) => {
                 control.peers.known.lock().insert(member.identity, member.address);
             }
-            Frame::Ledger(message) => {
+            Frame::Consensus(message) => {
                 control.driver.send(DriverCommand::Heard(message));
             }
             Frame::Ask { from, number, validity, question } => {
--- a/directory/src/subscriptions.rs
+++ b/directory/src/subscriptions.rs
@@ -97,11 +97,11 @@
         let text = "this node belongs to no cluster yet".into();
         return link::send(&mut writer, &Frame::Refused { text }).await;
     }
-    // The ledger's thread holds the one lasting way out: when it lets go of the
+    // The driver's thread holds the one lasting way out: when it lets go of the
     // session, the session ends.
     let way = out.downgrade();
     if !control.driver.send(DriverCommand::Attach(out)) {
-        anyhow::bail!("the ledger's ring is full");
+        anyhow::bail!("the driver's queue is full");
     }
     log::info!(router = name.as_str(); "router session begins");
     let company = way.clone();
--- a/directory/tests/orders.rs
+++ b/directory/tests/orders.rs
@@ -115,14 +115,15 @@
     let (leader, follower) = nodes.roles().await;
     nodes.hold(true);
     let contact = Duration::from_millis(500);
-    let asked = yard::now();
     let order =
         tokio::spawn(
             async move { follower.order("held".into(), evacuate(), contact, PATIENCE).await },
         );
     let held = nodes.next_held().await;
+    // By now the time for contact has begun, and is over so much later.
+    let begun = yard::now();
     let mut turn = 0;
-    while turn == 0 || yard::now() <= asked + contact.as_millis() as u64 {
+    while turn == 0 || yard::now() <= begun + contact.as_millis() as u64 {
         nodes.must(&leader, &format!("evacuated {turn}"), evacuate()).await;
         nodes.must(&leader, &format!("taken back {turn}"), reinstate()).await;
         turn += 1;
@@ -190,7 +191,7 @@
     // The next leader gets the entry, and does not hear that it is committed.
     let known = next.look(|state| state.epoch());
     nodes.set_filter(Box::new(move |mut frame| {
-        if let Frame::Ledger(Message { to, body: Body::AppendEntries { commit, .. }, .. }) =
+        if let Frame::Consensus(Message { to, body: Body::AppendEntries { commit, .. }, .. }) =
             &mut frame
         {
             *commit = if *to == next_id { known.min(*commit) } else { *commit };
@@ -206,17 +207,15 @@
     // It takes over, and no response tells it of a majority before the order is there.
     let mut is_asked = false;
     nodes.set_filter(Box::new(move |frame| match frame {
-        Frame::Ledger(Message { from, to, cluster, term, body: Body::AppendEntries { .. } })
+        Frame::Consensus(Message { from, to, cluster, term, body: Body::AppendEntries { .. } })
             if from == leader_id && to == next_id =>
         {
             let body = Body::TimeoutNow;
-            vec![Frame::Ledger(Message { from, to, cluster, term, body })]
-        }
-        Frame::Ledger(Message { from, to, body: Body::AppendEntriesResponse { .. }, .. })
-            if to == next_id && (from == leader_id || !is_asked) =>
-        {
-            Vec::new()
+            vec![Frame::Consensus(Message { from, to, cluster, term, body })]
         }
+        Frame::Consensus(Message {
+            from, to, body: Body::AppendEntriesResponse { .. }, ..
+        }) if to == next_id && (from == leader_id || !is_asked) => Vec::new(),
         Frame::Ask { validity, question: PeerRequest::Submit(_), .. } => {
             is_asked |= validity.deadline_ms > 0;
             vec![frame]
--- a/residency/src/lib.rs
+++ b/residency/src/lib.rs
@@ -1,5 +1,5 @@
 //! The replicated state: home book, routes, tenant keys, engines, evacuations
-//! and moves. It applies one ledger entry at a time and yields events; the
+//! and moves. It applies one log entry at a time and yields events; the
 //! routers' view is built from the same events.
 //!
 //! No clock, no socket and no task lives here.
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -149,7 +149,7 @@
         self.plan(&proposal.command).err().map(Outcome::Refused)
     }
 
-    /// Applies a proposal that was agreed on as the ledger's entry `epoch`.
+    /// Applies a proposal that was agreed on as the log's entry `epoch`.
     /// Nothing changes unless the outcome is `Applied`.
     pub fn apply(&mut self, epoch: u64, proposal: &Proposal) -> (Outcome, Vec<Event>) {
         if let Some(outcome) = self.repeat(proposal) {
--- a/stand/tests/year.rs
+++ b/stand/tests/year.rs
@@ -1,4 +1,4 @@
-//! The way back with a ledger of a year's size. Run by hand, in a release build:
+//! The way back with a log of a year's size. Run by hand, in a release build:
 //! `cargo test --release -p stand --test year -- --ignored --nocapture`.
 
 mod common;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -217,7 +217,7 @@
 
     // Directory node to directory node.
     #[brw(magic = 10u8)]
-    Ledger(Message),
+    Consensus(Message),
     /// A question to the leader; answered to `from` with the same number.
     #[brw(magic = 11u8)]
     Ask {
@@ -501,7 +501,7 @@
     match first {
         1 => "hello",
         2 => "refused",
-        10 => "ledger",
+        10 => "log",
         11 => "ask",
         12 => "reply",
         13 => "fronts",
--- a/wire/tests/formats/frames.rs
+++ b/wire/tests/formats/frames.rs
@@ -238,7 +238,7 @@
     frames.extend(
         bodies()
             .into_iter()
-            .map(|body| Frame::Ledger(Message { from: 1, to: 2, cluster: 77, term: 3, body })),
+            .map(|body| Frame::Consensus(Message { from: 1, to: 2, cluster: 77, term: 3, body })),
     );
     let submit = |command| PeerRequest::Submit(Proposal { id: "s-1".into(), base: 4, command });
     let questions = commands().into_iter().map(submit).chain([
