Consensus: a doc comment on every public item, and missing_docs turned on

Cause: public items, fields and variants of the package lacked doc comments, and some comments used withdrawn words for pre-vote, heartbeat, hard state and committed.

Two comments were wrong and are corrected: a vote may be set within a term, once; the log's module is `wal`. No public name, string literal, layout or constant changed.

Before: rustc -W missing_docs warned.

--- a/consensus/src/lib.rs
+++ b/consensus/src/lib.rs
@@ -1,10 +1,12 @@
 //! Agreement among directory nodes, and the disk beneath it.
 //!
-//! `node` decides: terms, votes, replication, membership, snapshots. `segments`
-//! keeps: checksummed segments with snapshots beside them, over the small
+//! `node` decides: terms, votes, replication, membership, snapshots. `wal`
+//! persists: checksummed segments with snapshots beside them, over the small
 //! `Files` trait. Neither has a clock, a socket or a task; time, input and
 //! randomness are arguments, effects are returned values.
 
+#![warn(missing_docs)]
+
 pub mod node;
 pub mod pack;
 pub mod repair;
@@ -14,8 +16,11 @@
 use pack::{read_bytes, read_list, read_text, write_bytes, write_list, write_text};
 use std::fmt;
 
+/// Identity of a node, unique in its cluster; 0 is no node.
 pub type NodeId = u64;
+/// Position of an entry in the log; the first entry has index 1.
 pub type LogIndex = u64;
+/// Election term; each term has at most one leader.
 pub type Term = u64;
 
 /// One directory node as the others know it. Invariant: an identity belongs
@@ -24,34 +29,41 @@
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Member {
+    /// Unique for the life of the cluster.
     pub identity: NodeId,
+    /// Name given by the operator, for people and for finding a replaced node.
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub name: String,
+    /// Region the node runs in; voters are spread over regions.
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub region: String,
+    /// Availability zone within the region.
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub zone: String,
-    /// Where its own kind and the routers reach it.
+    /// Address at which other directory nodes and the routers reach it.
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub address: String,
-    /// Where operators reach it.
+    /// Address at which operators reach it.
     #[br(parse_with = read_text)]
     #[bw(write_with = write_text)]
     pub desk: String,
 }
 
-/// Invariant: no identity stands twice, in one list or over all three.
+/// The members of the cluster. Invariant: no identity occurs twice, in one list
+/// or over all three.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq, Default, Hash)]
 pub struct Membership {
+    /// Members that vote and that a quorum is made of.
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
     pub voters: Vec<Member>,
+    /// Members that receive the log and do not vote.
     #[br(parse_with = read_list)]
     #[bw(write_with = write_list)]
     pub learners: Vec<Member>,
@@ -62,23 +74,27 @@
 }
 
 impl Membership {
+    /// All voters, then all learners.
     pub fn all(&self) -> impl Iterator<Item = &Member> {
         self.voters.iter().chain(&self.learners)
     }
 
+    /// The voter or learner with this identity.
     pub fn get(&self, identity: NodeId) -> Option<&Member> {
         self.all().find(|member| member.identity == identity)
     }
 
+    /// Whether this identity is one of the voters.
     pub fn is_voter(&self, identity: NodeId) -> bool {
         self.voters.iter().any(|member| member.identity == identity)
     }
 
+    /// Size of the smallest quorum of the voters.
     pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
 
-    /// Makes one change. Who it names and does not find is left as it is.
+    /// Makes one change. A member that it names and that is not found is ignored.
     pub fn apply(&mut self, change: repair::Change) {
         use repair::Change;
         match change {
@@ -100,29 +116,37 @@
     Some(members.remove(at))
 }
 
+/// What a log entry carries.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub enum EntryPayload {
-    /// A new leader's first entry; it says nothing.
+    /// A new leader's first entry, without content: once it is committed, so are all
+    /// entries of earlier terms before it.
     #[brw(magic = 0u8)]
     Blank,
+    /// A command of the state machine, opaque to this package.
     #[brw(magic = 1u8)]
     Command(
         #[br(parse_with = read_bytes)]
         #[bw(write_with = write_bytes)]
         Vec<u8>,
     ),
+    /// A membership, in force from this entry on.
     #[brw(magic = 2u8)]
     Membership(Membership),
 }
 
+/// One entry of the replicated log.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Entry {
+    /// Its position in the log.
     pub index: LogIndex,
+    /// Term of the leader that appended it.
     pub term: Term,
+    /// Its content.
     pub payload: EntryPayload,
 }
 
@@ -132,91 +156,131 @@
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Snapshot {
+    /// Index of the last entry it includes.
     pub index: LogIndex,
+    /// Term of that entry.
     pub term: Term,
-    /// The cluster this snapshot belongs to; drawn when it was founded.
+    /// The cluster this snapshot belongs to; drawn when the cluster was bootstrapped.
     pub cluster: u64,
+    /// The membership in force at `index`.
     pub members: Membership,
+    /// The encoded state machine.
     #[br(parse_with = read_bytes)]
     #[bw(write_with = write_bytes)]
     pub state: Vec<u8>,
 }
 
-/// What must be on disk before a vote or a new term counts. Invariant: `term`
-/// never falls; `vote` changes only along with `term`.
+/// What must be synced before a vote or a message of a new term is sent. Invariant:
+/// `term` never falls; a vote given in a term is not changed within it.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Copy, Debug, PartialEq, Default, Hash)]
 pub struct HardState {
+    /// The latest term this node has seen.
     pub term: Term,
-    /// 0 stands for no vote.
+    /// The candidate voted for in `term`; 0 for no vote.
     pub vote: NodeId,
-    /// 0 stands for a node that belongs to no cluster yet.
+    /// The cluster this node belongs to; 0 for none yet.
     pub cluster: u64,
 }
 
+/// A message from one node to another.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Message {
+    /// The sender.
     pub from: NodeId,
+    /// The receiver.
     pub to: NodeId,
+    /// The sender's cluster; messages of another cluster are dropped.
     pub cluster: u64,
+    /// The sender's term.
     pub term: Term,
+    /// What is asked or answered.
     pub body: Body,
 }
 
+/// Requests and responses of the protocol.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Body {
-    /// Asks whether a vote would be given; changes nothing at the asked.
+    /// Asks whether a vote would be granted; changes no state at the receiver.
     #[brw(magic = 0u8)]
-    PreVote { last_index: LogIndex, last_term: Term },
+    PreVote {
+        /// Index of the last entry in the sender's log.
+        last_index: LogIndex,
+        /// Term of that entry.
+        last_term: Term,
+    },
+    /// Answers a pre-vote.
     #[brw(magic = 1u8)]
     PreVoteResponse {
+        /// Whether the receiver would vote for the sender of the request.
         #[br(map = |n: u8| n != 0)]
         #[bw(map = |b: &bool| u8::from(*b))]
         granted: bool,
     },
+    /// Asks for a vote in the sender's term.
     #[brw(magic = 2u8)]
     Vote {
+        /// Index of the last entry in the candidate's log.
         last_index: LogIndex,
+        /// Term of that entry.
         last_term: Term,
-        /// The leader itself asked for this election.
+        /// The election needs no wait for the leader's silence: the leader itself asked
+        /// for it, or the cluster is being bootstrapped.
         #[br(map = |n: u8| n != 0)]
         #[bw(map = |b: &bool| u8::from(*b))]
         is_transfer: bool,
     },
+    /// Answers a request for a vote.
     #[brw(magic = 3u8)]
     VoteResponse {
+        /// Whether the vote was given to the candidate.
         #[br(map = |n: u8| n != 0)]
         #[bw(map = |b: &bool| u8::from(*b))]
         granted: bool,
     },
+    /// Replicates entries; without entries it is a heartbeat.
     #[brw(magic = 4u8)]
     AppendEntries {
+        /// Index of the entry just before `entries`.
         prior_index: LogIndex,
+        /// Term of that entry; the follower's log must match it.
         prior_term: Term,
+        /// The leader's commit index.
         commit: LogIndex,
+        /// The leader's heartbeat round, returned in the response.
         round: u64,
+        /// Consecutive entries from `prior_index + 1` on.
         #[br(parse_with = read_list)]
         #[bw(write_with = write_list)]
         entries: Vec<Entry>,
     },
+    /// Answers `AppendEntries` and `InstallSnapshot`; also reports a later sync.
     #[brw(magic = 5u8)]
     AppendEntriesResponse {
+        /// Whether the log matched at `prior_index`.
         #[br(map = |n: u8| n != 0)]
         #[bw(map = |b: &bool| u8::from(*b))]
         is_match: bool,
         /// Synced on the sender's disk and the same as the leader's up to
         /// here; where `is_match` is false, where to try next.
         matched: LogIndex,
+        /// The round of the request; 0 where it answers none of this leader's rounds.
         round: u64,
     },
+    /// Brings up a follower that needs entries the leader has compacted.
     #[brw(magic = 6u8)]
-    InstallSnapshot { round: u64, snapshot: Snapshot },
-    /// The leader asks the receiver to take over at once.
+    InstallSnapshot {
+        /// The leader's heartbeat round, returned in the response.
+        round: u64,
+        /// The leader's latest snapshot.
+        snapshot: Snapshot,
+    },
+    /// The leader asks the receiver to campaign at once, without a pre-vote.
     #[brw(magic = 7u8)]
     TimeoutNow,
 }
--- a/consensus/src/node/election.rs
+++ b/consensus/src/node/election.rs
@@ -20,8 +20,8 @@
                 self.broadcast();
             }
         } else if self.now >= self.election_due {
-            // A sounding whose messages were lost is made again before long: it
-            // disturbs nobody.
+            // A pre-vote whose messages were lost is repeated before long: it changes
+            // no terms.
             self.election_due = self.now
                 + self.timing.election_timeout_ms / 2
                 + self.random(self.timing.election_timeout_ms / 2);
@@ -63,8 +63,8 @@
         }
         match self.role {
             Role::PreCandidate => self.campaign(false),
-            // Its own vote counts only when synced; a majority of others may
-            // have been quicker, but leading rests on the hard_state all the same.
+            // Its own vote is valid only once it is synced; a majority of others may
+            // have been quicker, but leading rests on the hard state all the same.
             Role::Candidate
                 if self.hard_state_ticket <= self.synced_ticket
                     && !self.has_unsynced_hard_state() =>
--- a/consensus/src/node/membership.rs
+++ b/consensus/src/node/membership.rs
@@ -19,7 +19,7 @@
         self.campaign(true);
     }
 
-    /// A membership may change only when the one before it counts and the
+    /// A membership may change only when the one before it is committed and the
     /// leader has committed in its own term.
     pub fn is_settled(&self) -> bool {
         let newest = self.membership_history.last().map_or(0, |(index, _)| *index);
@@ -155,7 +155,7 @@
     }
 
     /// A member is about to stop: it is replaced where a learner is ready, and may stop
-    /// once the others hold all that counts.
+    /// once the others hold all that is committed.
     pub(super) fn leave(&mut self, token: Token, identity: NodeId) {
         if self.role != Role::Leader {
             return self.effects.push(Effect::Refused(token, Refusal::NotLeader));
@@ -191,7 +191,7 @@
         self.members.voters.len() > self.timing.voters || learners.iter().any(is_coming)
     }
 
-    /// Whether a majority of the voters without this one has synced all that counts.
+    /// Whether a majority of the voters without this one has synced all that is committed.
     fn is_held_without(&self, identity: NodeId) -> bool {
         let voters = self.members.voters.iter().filter(|voter| voter.identity != identity);
         let holds = |voter: &&Member| match voter.identity == self.identity {
--- a/consensus/src/node/mod.rs
+++ b/consensus/src/node/mod.rs
@@ -1,9 +1,8 @@
 //! One node of the agreement, as a state machine.
 //!
-//! A leader is elected by a majority of voters after a sounding that disturbs
-//! nobody; entries count once a majority has them synced; a question whether
-//! the leader still leads is answered after a round with a majority that began
-//! after the question.
+//! A leader is elected by a majority of voters after a pre-vote, which changes no
+//! terms; an entry is committed once a majority has it synced; a read index is
+//! confirmed by a heartbeat round with a majority that began after the read.
 
 use crate::{
     Body, Entry, EntryPayload, HardState, LogIndex, Member, Membership, Message, NodeId, Snapshot,
@@ -49,9 +48,9 @@
     round: u64,
 }
 
-/// Invariants: `base < entry.index` for all in `log`, which has no gap;
-/// `applied <= commit <= last`; `synced <= last`; a message is let out only
-/// when the hard_state it rests on is synced; `term` never falls.
+/// A node's state. Invariants: `snapshot.index < entry.index` for all in `log`, which
+/// has no gap; `applied <= commit <= last`; `synced <= last`; a message is sent only
+/// when the hard state it rests on is synced; `term` never falls.
 #[derive(Clone, Hash)]
 pub struct Node {
     identity: NodeId,
@@ -91,6 +90,8 @@
 }
 
 impl Node {
+    /// A follower with the state read back from disk. `now` is in milliseconds of the
+    /// caller's monotonic clock; `seed` determines the random election timeouts.
     pub fn new(
         identity: NodeId,
         timing: Timing,
@@ -146,36 +147,47 @@
         node
     }
 
+    /// This node's identity.
     pub fn identity(&self) -> NodeId {
         self.identity
     }
+    /// Its role in the current term.
     pub fn role(&self) -> Role {
         self.role
     }
+    /// The leader of the current term, where it is known.
     pub fn leader(&self) -> Option<NodeId> {
         self.leader
     }
+    /// The current term.
     pub fn term(&self) -> Term {
         self.hard_state.term
     }
+    /// The cluster it belongs to; 0 for none yet.
     pub fn cluster(&self) -> u64 {
         self.hard_state.cluster
     }
+    /// The membership in force: the newest in the log, committed or not.
     pub fn members(&self) -> &Membership {
         &self.members
     }
+    /// The latest snapshot.
     pub fn snapshot(&self) -> &Snapshot {
         &self.snapshot
     }
+    /// The commit index.
     pub fn commit(&self) -> LogIndex {
         self.commit
     }
+    /// Index of the last applied entry.
     pub fn applied(&self) -> LogIndex {
         self.applied
     }
+    /// Number of log entries held after the snapshot.
     pub fn kept(&self) -> usize {
         self.log.len()
     }
+    /// Index of the last entry in the log, synced or not.
     pub fn last(&self) -> LogIndex {
         self.log.back().map_or(self.snapshot.index, |entry| entry.index)
     }
@@ -192,7 +204,7 @@
         self.peers.iter().map(|(identity, peer)| (*identity, peer.matched))
     }
 
-    /// When time alone next changes something here: a beat before then finds
+    /// When time alone next changes something here: a tick before then finds
     /// nothing to do.
     pub fn due(&self) -> u64 {
         let stall = self.timing.write_stall_ms;
@@ -200,7 +212,7 @@
         if self.role != Role::Leader {
             return self.election_due;
         }
-        // The moment at which fewer than a majority were last_heard lately.
+        // The moment at which fewer than a majority were heard from lately.
         let last_heard = |voter: &Member| match voter.identity == self.identity {
             true => u64::MAX,
             false => self.peers.get(&voter.identity).map_or(0, |peer| peer.last_heard),
@@ -221,8 +233,8 @@
         self.seed % below
     }
 
-    /// The first wait after a start is a shorter one: a leader that is there beats
-    /// well within it, and a sounding disturbs nobody.
+    /// The first election timeout after a start is a shorter one: a live leader sends a
+    /// heartbeat well within it, and a pre-vote changes no terms.
     fn reset_first_election_timer(&mut self) {
         self.election_due = self.now
             + self.timing.election_timeout_ms / 3
@@ -298,8 +310,9 @@
             term: self.hard_state.term,
             body,
         };
-        let rests_on_pledge = self.pending.iter().any(|write| matches!(write, Write::HardState(_)));
-        let ticket = if rests_on_pledge { self.ticket + 1 } else { self.hard_state_ticket };
+        let rests_on_hard_state =
+            self.pending.iter().any(|write| matches!(write, Write::HardState(_)));
+        let ticket = if rests_on_hard_state { self.ticket + 1 } else { self.hard_state_ticket };
         if ticket > self.synced_ticket {
             self.held.push_back((ticket, message));
         } else {
@@ -361,7 +374,7 @@
         let entry = Entry { index: self.last() + 1, term: self.hard_state.term, payload };
         self.waiting.insert(entry.index, (entry.term, token));
         self.append(entry);
-        // Entries go out with the next beat, which is now: those proposed in
+        // Entries go out with the next heartbeat, which is now: those proposed in
         // one turn of the edge's loop travel together.
         self.heartbeat_due = self.now;
     }
--- a/consensus/src/node/reads.rs
+++ b/consensus/src/node/reads.rs
@@ -16,8 +16,8 @@
     }
 
     pub(super) fn settle_reads(&mut self) {
-        // Before its first own entry counts, a leader does not know how far
-        // its predecessors had come.
+        // Until the first entry of its own term is committed, a leader does not know
+        // the commit index of its predecessors.
         if self.role != Role::Leader || self.term_at(self.commit) != Some(self.hard_state.term) {
             return;
         }
--- a/consensus/src/node/receive.rs
+++ b/consensus/src/node/receive.rs
@@ -1,4 +1,4 @@
-//! Messages from other nodes: which count, and what they teach of terms.
+//! Messages from other nodes: which are accepted, and how terms advance by them.
 
 use super::{Node, Role};
 use crate::{Body, HardState, Message};
@@ -26,9 +26,9 @@
             _ => {}
         }
         if term > self.hard_state.term || is_joining {
-            // A sounding's refusal from a later term teaches the term, too.
-            let was_sounding = matches!(body, Body::PreVoteResponse { granted: true });
-            if !was_sounding {
+            // A refused pre-vote from a later term advances the term, too.
+            let is_pre_vote_grant = matches!(body, Body::PreVoteResponse { granted: true });
+            if !is_pre_vote_grant {
                 if self.role != Role::Follower {
                     self.step_down();
                 }
@@ -38,8 +38,8 @@
             }
         }
         if term < self.hard_state.term {
-            // Who sounds may be ahead of those it asks, by a vote that was lost: a
-            // grant counts all the same.
+            // A pre-candidate's term may be ahead of its voters', by an election whose
+            // messages were lost: a grant is valid all the same.
             if matches!(body, Body::PreVoteResponse { granted: true })
                 && self.role == Role::PreCandidate
             {
--- a/consensus/src/node/replication.rs
+++ b/consensus/src/node/replication.rs
@@ -16,7 +16,7 @@
 }
 
 impl Node {
-    /// Brings every other member up, by entries, a snapshot or an empty beat.
+    /// Brings every other member up, by entries, a snapshot or an empty heartbeat.
     pub(super) fn broadcast(&mut self) {
         self.round += 1;
         self.heartbeat_due = self.now + self.timing.heartbeat_ms;
@@ -47,8 +47,8 @@
                 peer.snapshot_sent = Some(round);
                 self.send(to, Body::InstallSnapshot { round, snapshot });
             } else {
-                // The snapshot is on its way; the beat keeps the peer from
-                // standing for election meanwhile.
+                // The snapshot is on its way; the heartbeat keeps the peer
+                // from campaigning meanwhile.
                 let (prior_index, prior_term) = (last, self.last_term());
                 let entries = Vec::new();
                 let commit = 0;
@@ -94,7 +94,7 @@
         if !is_whole {
             return;
         }
-        // What the snapshot covers is known to count; skip over it.
+        // What the snapshot covers is known to be committed; skip over it.
         let floor = self.snapshot.index;
         let is_known = prior_index < floor || self.term_at(prior_index) == Some(prior_term);
         if !is_known {
@@ -142,11 +142,11 @@
         peer.last_heard = now;
         let is_newest = round >= peer.round;
         peer.round = peer.round.max(round);
-        let has_matter = match is_match {
+        let must_send = match is_match {
             true => self.on_match(from, matched.min(last)),
             false => self.on_mismatch(from, matched.min(last), round, is_newest),
         };
-        if has_matter {
+        if must_send {
             self.replicate_to(from);
         }
         self.settle_reads();
@@ -220,7 +220,8 @@
             (Role::Candidate, _) => self.tally(),
             (Role::Follower, Some(leader)) => {
                 // Nothing past the commit is claimed without the leader's own
-                // word for it, which `take` has checked up to the last append.
+                // word for it, which `handle_append_entries` has checked up to the
+                // last append.
                 let matched = self.synced;
                 let claim = self.claim(matched);
                 self.send(
@@ -241,7 +242,7 @@
         }
     }
 
-    /// Counts what a majority has synced, and applies what counts.
+    /// Commits what a majority has synced, and applies what is committed.
     pub(super) fn advance_commit(&mut self) {
         if self.role == Role::Leader {
             let mut marks: Vec<LogIndex> = self
@@ -275,7 +276,7 @@
             };
             self.applied = index;
             self.applied_bytes += command_bytes(&entry);
-            // A node that comes back applies membership_history again that were before it.
+            // A node that comes back applies memberships again that were before it.
             let was_removed = matches!(&entry.payload, EntryPayload::Membership(_))
                 && self.membership_history.last().is_some_and(|(newest, _)| *newest == index)
                 && self.members.get(self.identity).is_none();
--- a/consensus/src/node/types.rs
+++ b/consensus/src/node/types.rs
@@ -3,16 +3,17 @@
 use crate::{Entry, HardState, LogIndex, Member, Message, NodeId, Snapshot};
 
 /// All times in milliseconds of the caller's monotonic clock. Invariant: a
-/// beat is well shorter than an election, an election well shorter than the
-/// routers' lease.
+/// heartbeat interval is well shorter than an election timeout, and that well
+/// shorter than the routers' lease.
 #[derive(Clone, Copy, Hash)]
 pub struct Timing {
+    /// Interval of a leader's heartbeats.
     pub heartbeat_ms: u64,
     /// A follower waits this long, and up to twice as long, for its leader.
     pub election_timeout_ms: u64,
     /// A write not synced for this long makes a leader step down.
     pub write_stall_ms: u64,
-    /// How many voters the leader strives for.
+    /// The number of voters that repair aims for.
     pub voters: usize,
     /// Most entries proposed and not yet committed.
     pub max_uncommitted: usize,
@@ -50,79 +51,107 @@
     pub bytes: usize,
 }
 
+/// Identifies a request of the caller; returned with its result.
 pub type Token = u64;
 
+/// What a node is told by its driver.
 pub enum Input {
     /// Time went by.
     Tick,
+    /// A message from another node arrived.
     Received(Message),
     /// The write with this ticket, and all before it, are on disk.
     Synced(u64),
     /// The disk failed; nothing more will be synced.
     DiskFailed,
+    /// Founds a cluster with this identity, of which the member is the only voter.
     Bootstrap(Member, u64),
+    /// Proposes a command. Answered by `Apply` with the token once it is committed.
     Propose(Token, Vec<u8>),
+    /// Adds a learner, or updates the description of a known member.
     AddLearner(Token, Member),
+    /// Removes a member and retires its identity.
     RemoveMember(Token, NodeId),
     /// This member is about to stop. Answered by `ReadReady` once nothing is lost
     /// with it, by `Refusal::Unfit` while it is to wait and ask again.
     Leave(Token, NodeId),
+    /// Asks for a read index. Answered by `ReadReady`.
     ReadIndex(Token),
-    /// Hand leadership over, if led from here.
+    /// Transfers leadership to another voter, if this node is the leader.
     TransferLeadership,
     /// The state machine's snapshot as of an applied index.
     SnapshotTaken(LogIndex, Vec<u8>),
 }
 
+/// Why a request was refused.
 #[derive(Debug, Clone, PartialEq, Hash)]
 pub enum Refusal {
+    /// This node is not the leader.
     NotLeader,
+    /// Too many requests are open, or the disk is stalled; try again later.
     Busy,
-    /// A change of membership is under way, or this one makes no sense.
+    /// A change of membership is under way, or this one is not possible; the text says
+    /// why.
     Unfit(String),
-    /// Leadership was lost with the payload open; it may or may not hold.
+    /// Leadership was lost before the entry was known to be committed; it may or may
+    /// not be.
     Lost,
 }
 
+/// One change of what is on disk.
 #[derive(Debug, Clone, PartialEq, Hash)]
 pub enum Write {
+    /// Replaces the hard state.
     HardState(HardState),
-    /// Entries from here on are void.
+    /// Removes all entries from this index on.
     Truncate(LogIndex),
+    /// Appends an entry to the log.
     Entry(Entry),
-    /// A whole new beginning: what was before it is void.
+    /// A snapshot from the leader; it replaces the whole log.
     InstallSnapshot(Snapshot),
-    /// A snapshot of what is in the log already.
+    /// A snapshot of entries that are in the log; those after it stay.
     Snapshot(Snapshot),
 }
 
+/// What the driver is to do for a node.
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Effect {
     /// To be written and synced in order, then reported by this ticket.
     Write(u64, Vec<Write>),
+    /// A message to be sent; it may be lost.
     Send(Message),
-    /// Entries that count, in order, with the token of a local proposal.
+    /// A committed entry to be applied, in log order, with the token of a local
+    /// proposal.
     Apply(Entry, Option<Token>),
-    /// The state machine is replaced by this.
+    /// The state machine is replaced by this snapshot.
     Restore(Snapshot),
-    /// The leader led throughout since the question; state up to this index
-    /// must be applied before the question is answered.
+    /// Leadership was confirmed after the read began: once the state machine has
+    /// applied this read index, the read is linearizable.
     ReadReady(Token, LogIndex),
+    /// The request with this token was refused.
     Refused(Token, Refusal),
 }
 
+/// A node's role in the current term.
 #[derive(Clone, Copy, PartialEq, Debug, Hash)]
 pub enum Role {
+    /// Follows a leader or waits for one.
     Follower,
+    /// Asks for pre-votes; its term is unchanged.
     PreCandidate,
+    /// Campaigns for votes in a new term.
     Candidate,
+    /// Leads the current term.
     Leader,
 }
 
-/// What a disk gave back at the start.
+/// What was read back from disk at the start.
 #[derive(Default, Clone, Hash)]
 pub struct PersistedState {
+    /// The latest hard state.
     pub hard_state: HardState,
+    /// The latest snapshot, if there is one.
     pub snapshot: Option<Snapshot>,
+    /// The log after the snapshot, without gaps.
     pub entries: Vec<Entry>,
 }
--- a/consensus/src/pack.rs
+++ b/consensus/src/pack.rs
@@ -4,6 +4,7 @@
 use binrw::{BinRead, BinResult, BinWrite, Endian};
 use std::io::{Cursor, Read, Seek, Write};
 
+/// Reads a byte string: its length, then its bytes.
 #[binrw::parser(reader, endian)]
 pub fn read_bytes() -> BinResult<Vec<u8>> {
     let place = reader.stream_position()?;
@@ -19,6 +20,7 @@
     Ok(bytes)
 }
 
+/// Writes a byte string as `read_bytes` reads it.
 // binrw hands the field itself over, which is a `Vec`.
 #[allow(clippy::ptr_arg)]
 #[binrw::writer(writer, endian)]
@@ -28,6 +30,7 @@
     Ok(())
 }
 
+/// Reads a UTF-8 string: its length in bytes, then its bytes.
 #[binrw::parser(reader, endian)]
 pub fn read_text() -> BinResult<String> {
     let place = reader.stream_position()?;
@@ -38,6 +41,7 @@
     })
 }
 
+/// Writes a string as `read_text` reads it.
 #[binrw::writer(writer, endian)]
 pub fn write_text(text: &String) -> BinResult<()> {
     (text.len() as u32).write_options(writer, endian, ())?;
@@ -45,6 +49,7 @@
     Ok(())
 }
 
+/// Reads a list: the number of items, then each item.
 pub fn read_list<T, R>(reader: &mut R, endian: Endian, _: ()) -> BinResult<Vec<T>>
 where
     T: for<'a> BinRead<Args<'a> = ()>,
@@ -58,6 +63,7 @@
     Ok(list)
 }
 
+/// Writes a list as `read_list` reads it.
 pub fn write_list<T, W>(list: &Vec<T>, writer: &mut W, endian: Endian, _: ()) -> BinResult<()>
 where
     T: for<'a> BinWrite<Args<'a> = ()>,
@@ -70,7 +76,8 @@
     Ok(())
 }
 
-/// Invariant: writing to memory cannot fail, so this never does.
+/// Encodes one item, big-endian. Invariant: writing to memory cannot fail, so this
+/// never does.
 pub fn packed<T>(item: &T) -> Vec<u8>
 where
     T: for<'a> BinWrite<Args<'a> = ()>,
@@ -80,7 +87,7 @@
     cursor.into_inner()
 }
 
-/// Reads one item that fills `bytes` to the last.
+/// Decodes one item that fills `bytes` to the last.
 pub fn unpacked<T>(bytes: &[u8]) -> Result<T, String>
 where
     T: for<'a> BinRead<Args<'a> = ()>,
--- a/consensus/src/repair.rs
+++ b/consensus/src/repair.rs
@@ -12,6 +12,7 @@
 /// How a member stands, as its leader knows it.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberHealth<'a> {
+    /// The member in question.
     pub member: &'a Member,
     /// Milliseconds since the leader heard of it last; 0 for the leader itself.
     pub silent_ms: u64,
--- a/consensus/src/wal.rs
+++ b/consensus/src/wal.rs
@@ -15,23 +15,32 @@
 /// for are there after a loss of power, and so are the names that `sync_folder`
 /// returned for; of anything else, each piece may be there or not by itself.
 pub trait Files: Send {
+    /// Names of all files in the folder.
     fn list(&self) -> io::Result<Vec<String>>;
+    /// The whole content of a file.
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// Appends to a file, which is created if it is missing.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Makes a file's content durable.
     fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// Truncates a file to this length.
     fn cut(&mut self, name: &str, length: u64) -> io::Result<()>;
-    /// Gives a file a new name, in place of what had it.
+    /// Renames a file, replacing any file that has the new name.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
     fn remove(&mut self, name: &str) -> io::Result<()>;
-    /// Makes what was made, renamed and removed last.
+    /// Makes the creation, renaming and removal of files durable.
     fn sync_folder(&mut self) -> io::Result<()>;
 }
 
 /// Why a folder can't be used as it is.
 #[derive(Debug)]
 pub struct Damage {
+    /// Name of the damaged file.
     pub file: String,
+    /// Byte offset of the damage in the file.
     pub offset: u64,
+    /// What is wrong there.
     pub text: String,
 }
 
@@ -66,10 +75,10 @@
 const TURN: u64 = 4 << 20;
 const RECORD_CAP: usize = 64 << 20;
 
-/// Invariants: `number` is the highest of all segments; only that one is
-/// written; each begins with the hard_state in force; `spans` holds the older ones
-/// with the last index that each may contain; what lies before `size` in the
-/// highest one was synced without an error.
+/// The write-ahead log in one folder. Invariants: `number` is the highest of all
+/// segments; only that one is written; each begins with the hard state in force;
+/// `spans` holds the older ones with the last index that each may contain; what
+/// lies before `size` in the highest one was synced without an error.
 pub struct WriteAheadLog<F: Files> {
     files: F,
     number: u64,
@@ -280,7 +289,7 @@
         Ok(())
     }
 
-    /// Removes what the snapshot at `index` stands for.
+    /// Removes the snapshots and segments that the snapshot at `index` replaces.
     fn clear(&mut self, index: LogIndex) -> io::Result<()> {
         for old in self.snapshots.iter().filter(|old| **old != index) {
             self.files.remove(&picture_name(*old))?;
@@ -373,6 +382,7 @@
 }
 
 impl Folder {
+    /// Opens the folder at `path`, which is created if it is missing.
     pub fn open(path: &std::path::Path) -> io::Result<Folder> {
         std::fs::create_dir_all(path)?;
         Ok(Folder { path: path.into() })
