--- a/telemetry/src/lib.rs
+++ b/telemetry/src/lib.rs
@@ -1,5 +1,7 @@
-//! What a process tells of itself: logs, counters, and the traffic of its framed links.
+//! What a process tells of itself: logs, counters, violated invariants, and the traffic of
+//! its framed links.
 
+pub mod invariants;
 pub mod logging;
 pub mod metrics;
 pub mod traffic;
--- a/telemetry/src/metrics.rs
+++ b/telemetry/src/metrics.rs
@@ -24,12 +24,15 @@
         self.0.lock().get(name).copied().unwrap_or(0)
     }
 
-    /// All counters, by name.
+    /// All counters by name, those of violated invariants among them.
     pub fn to_json(&self) -> OwnedValue {
         let mut object = simd_json::owned::Object::default();
         for (name, count) in self.0.lock().iter() {
             object.insert((*name).to_string(), OwnedValue::from(*count));
         }
+        for (name, count) in crate::invariants::counters() {
+            object.insert(name.to_string(), OwnedValue::from(count));
+        }
         OwnedValue::from(object)
     }
 }
