--- a/directory/src/control_plane.rs
+++ b/directory/src/control_plane.rs
@@ -10,6 +10,7 @@
 use dispatch::quota::QuotaLimiter;
 use dispatch::Dispatcher;
 use parking_lot::RwLock;
+use placement::ObservedRouter;
 use protocol::{PeerRequest, PeerResponse, RouterStatus};
 use residency::{ConfigDocument, State, View};
 use std::net::SocketAddr;
@@ -85,6 +86,11 @@
         self.routers.list()
     }
 
+    /// The same, with how long each has been draining.
+    pub fn observed_routers(&self) -> Vec<ObservedRouter> {
+        self.routers.list_observed()
+    }
+
     /// Whether a majority confirmed this node's state within the length of a lease.
     pub fn lease_valid(&self) -> bool {
         self.driver.lease_valid()
--- a/directory/src/router_registry.rs
+++ b/directory/src/router_registry.rs
@@ -2,7 +2,7 @@
 //! other nodes report of theirs.
 
 use parking_lot::Mutex;
-use placement::is_same_to_peers;
+use placement::{is_same_to_peers, ObservedRouter};
 use protocol::{Frame, RouterDemand, RouterStatus};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -24,10 +24,26 @@
     report: RouterStatus,
     /// When the report was made, by this process's clock.
     reported_at_ms: u64,
+    /// When it first reported that it is draining, by this process's clock.
+    draining_since_ms: Option<u64>,
     /// Its session is with this node.
     is_local: bool,
 }
 
+impl KnownRouter {
+    fn observed(&self, now_ms: u64) -> ObservedRouter {
+        ObservedRouter {
+            status: RouterStatus {
+                age_ms: now_ms.saturating_sub(self.reported_at_ms),
+                ..self.report.clone()
+            },
+            draining_for_ms: self
+                .draining_since_ms
+                .map(|since_ms| now_ms.saturating_sub(since_ms)),
+        }
+    }
+}
+
 #[derive(Default)]
 struct Routers {
     by_name: HashMap<String, KnownRouter>,
@@ -100,12 +116,17 @@
 
     /// The routers heard of lately, here or at another node, by name.
     pub(crate) fn list(&self) -> Vec<RouterStatus> {
+        statuses(self.list_observed())
+    }
+
+    /// The same, with how long each has been draining.
+    pub(crate) fn list_observed(&self) -> Vec<ObservedRouter> {
         self.routers.lock().list(|_| true)
     }
 
     /// Those whose session is with this node.
     pub(crate) fn list_local(&self) -> Vec<RouterStatus> {
-        self.routers.lock().list(|router| router.is_local)
+        statuses(self.routers.lock().list(|router| router.is_local))
     }
 
     pub(crate) fn take_heartbeats(&self) -> Vec<WaitingHeartbeat> {
@@ -133,7 +154,11 @@
                 continue;
             }
             is_changed |= known.is_none_or(|known| !is_same_to_peers(&known.report, &report));
+            let draining_before_ms = known.and_then(|known| known.draining_since_ms);
             let router = KnownRouter {
+                draining_since_ms: report
+                    .is_draining
+                    .then_some(draining_before_ms.unwrap_or(reported_at_ms)),
                 report,
                 reported_at_ms,
                 is_local,
@@ -145,19 +170,20 @@
         is_changed || self.by_name.len() != count
     }
 
-    fn list(&self, is_wanted: impl Fn(&KnownRouter) -> bool) -> Vec<RouterStatus> {
+    fn list(&self, is_wanted: impl Fn(&KnownRouter) -> bool) -> Vec<ObservedRouter> {
         let now_ms = now();
-        let age_ms = |router: &KnownRouter| now_ms.saturating_sub(router.reported_at_ms);
-        let is_alive = |router: &&KnownRouter| age_ms(router) < MAX_ROUTER_AGE_MS;
-        let routers = self.by_name.values().filter(is_alive);
-        let mut list: Vec<RouterStatus> = routers
+        let mut list: Vec<ObservedRouter> = self
+            .by_name
+            .values()
             .filter(|router| is_wanted(router))
-            .map(|router| RouterStatus {
-                age_ms: age_ms(router),
-                ..router.report.clone()
-            })
+            .map(|router| router.observed(now_ms))
+            .filter(|router| router.status.age_ms < MAX_ROUTER_AGE_MS)
             .collect();
-        list.sort_by(|one, other| one.name.cmp(&other.name));
+        list.sort_by(|one, other| one.status.name.cmp(&other.status.name));
         list
     }
 }
+
+fn statuses(routers: Vec<ObservedRouter>) -> Vec<RouterStatus> {
+    routers.into_iter().map(|router| router.status).collect()
+}
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -14,6 +14,7 @@
 //! | whether a cached mapping may be used | `cache` |
 //! | what a router knows, and until when it may act on it | `replica_view` |
 //! | which routers and directory nodes there are | `router_membership` |
+//! | which routers a client is sent to | `router_selection` |
 //! | which process owns what, without communication | `rendezvous` |
 
 mod cache;
@@ -25,6 +26,7 @@
 mod request_state;
 mod retry;
 mod router_membership;
+mod router_selection;
 
 pub use cache::{Cache, CacheEntry, CacheLookup};
 pub use engine::{
@@ -44,3 +46,7 @@
 };
 pub use retry::{RetryBudget, RetryLimit, RetryTokenBucket, RETRY_TOKEN_LIFETIME_MS};
 pub use router_membership::{is_same_to_peers, RouterMembership};
+pub use router_selection::{
+    select_routers, LookupClient, ObservedRouter, RouterSelection, SelectionScope,
+    MAX_HEARTBEAT_AGE_MS, MAX_NAMED_DRAINING_MS, MAX_NAMED_ROUTERS,
+};
--- /dev/null
+++ b/placement/src/router_selection.rs
@@ -0,0 +1,138 @@
+//! Which routers a client that looks a host up is sent to.
+//!
+//! Home regions bind a look-up as they bind a request: outside of the client's own region
+//! only regions are named that are home to all of the host's routes that have homes. Where
+//! none of these has a router to name, no router is named, and the client keeps what it has
+//! or asks again.
+
+use protocol::RouterStatus;
+use std::collections::BTreeSet;
+
+/// A router whose last heartbeat is older than this is not named.
+pub const MAX_HEARTBEAT_AGE_MS: u64 = 1_300;
+/// A draining router may be named for this long, where no other router is left: it still
+/// accepts requests, and the look-up's result has a short time to live.
+pub const MAX_NAMED_DRAINING_MS: u64 = 1_500;
+
+/// Most routers that one look-up names.
+pub const MAX_NAMED_ROUTERS: usize = 64;
+
+/// A router as a directory node knows it.
+#[derive(Clone, Debug)]
+pub struct ObservedRouter {
+    /// Its last report.
+    pub status: RouterStatus,
+    /// How long ago it first reported that it is draining; `None` while it is not.
+    pub draining_for_ms: Option<u64>,
+}
+
+/// Who looks a host up.
+#[derive(Clone, Copy, Debug)]
+pub struct LookupClient<'a> {
+    /// The client's zone.
+    pub zone: &'a str,
+    /// The client's region.
+    pub region: &'a str,
+    /// The regions that are home to all of the host's routes that have homes; `None` if none
+    /// of its routes has.
+    pub home_regions: Option<&'a BTreeSet<String>>,
+}
+
+/// Where the routers were found that a look-up names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SelectionScope {
+    /// In the client's zone.
+    Zone,
+    /// In another zone of the client's region.
+    Region,
+    /// In a home region of the host, other than the client's.
+    HomeRegions,
+    /// In any region, since the host has no homes.
+    AnyRegion,
+}
+
+/// The routers that a look-up names.
+#[derive(Debug)]
+pub struct RouterSelection<'a> {
+    /// Where they were found; `None` if there are none.
+    pub scope: Option<SelectionScope>,
+    /// They are draining: no router that the client may use is ready.
+    pub is_draining: bool,
+    /// The routers, in the order of the argument.
+    pub routers: Vec<&'a RouterStatus>,
+}
+
+/// The routers for a client: those that are ready, else those that have just begun to drain;
+/// of these the ones of its zone, else of its region, else of the host's home regions, or of
+/// any region if the host has no homes.
+pub fn select_routers<'a>(
+    routers: &'a [ObservedRouter],
+    client: &LookupClient,
+) -> RouterSelection<'a> {
+    let scopes = [
+        SelectionScope::Zone,
+        SelectionScope::Region,
+        client.widest_scope(),
+    ];
+    for is_draining in [false, true] {
+        for scope in scopes {
+            let selected: Vec<&RouterStatus> = routers
+                .iter()
+                .filter(|router| router.may_be_named(is_draining))
+                .map(|router| &router.status)
+                .filter(|status| client.is_in_scope(status, scope))
+                .take(MAX_NAMED_ROUTERS)
+                .collect();
+            if !selected.is_empty() {
+                return RouterSelection {
+                    scope: Some(scope),
+                    is_draining,
+                    routers: selected,
+                };
+            }
+        }
+    }
+    RouterSelection {
+        scope: None,
+        is_draining: false,
+        routers: Vec::new(),
+    }
+}
+
+impl ObservedRouter {
+    /// Whether the router serves, and is ready or (`as_draining`) has just begun to drain.
+    fn may_be_named(&self, as_draining: bool) -> bool {
+        let serves = self.status.epoch > 0 && self.status.age_ms < MAX_HEARTBEAT_AGE_MS;
+        let is_in_state = match self.draining_for_ms {
+            None => !as_draining,
+            Some(draining_for_ms) => as_draining && draining_for_ms < MAX_NAMED_DRAINING_MS,
+        };
+        serves && is_in_state
+    }
+}
+
+impl LookupClient<'_> {
+    /// Whether a router in this region may get the client's requests: it is the client's
+    /// own, a home region, or the host has no homes.
+    pub fn may_use_region(&self, region: &str) -> bool {
+        let is_home = |homes: &BTreeSet<String>| homes.contains(region);
+        region == self.region || self.home_regions.is_none_or(is_home)
+    }
+
+    fn widest_scope(&self) -> SelectionScope {
+        match self.home_regions {
+            Some(_) => SelectionScope::HomeRegions,
+            None => SelectionScope::AnyRegion,
+        }
+    }
+
+    fn is_in_scope(&self, router: &RouterStatus, scope: SelectionScope) -> bool {
+        match scope {
+            SelectionScope::Zone => router.zone == self.zone,
+            SelectionScope::Region => router.region == self.region,
+            SelectionScope::HomeRegions | SelectionScope::AnyRegion => {
+                self.may_use_region(&router.region)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/placement/tests/router_selection.rs
@@ -0,0 +1,200 @@
+//! Which routers a client that looks a host up is sent to.
+
+use placement::{
+    LookupClient, ObservedRouter, SelectionScope, MAX_NAMED_DRAINING_MS, MAX_NAMED_ROUTERS,
+};
+use protocol::RouterStatus;
+use std::collections::BTreeSet;
+
+fn select(routers: &[ObservedRouter], client: &LookupClient) -> Vec<String> {
+    let selection = placement::select_routers(routers, client);
+    let addresses = selection.routers.iter();
+    addresses
+        .map(|router| router.client_address.clone())
+        .collect()
+}
+
+fn select_routers(routers: &[ObservedRouter], zone: &str, region: &str) -> Vec<String> {
+    let client = LookupClient {
+        zone,
+        region,
+        home_regions: None,
+    };
+    select(routers, &client)
+}
+
+/// For a client in the zone w-1 of this region, of a host with these homes.
+fn select_with_homes(routers: &[ObservedRouter], region: &str, homes: &[&str]) -> Vec<String> {
+    let homes: BTreeSet<String> = homes.iter().map(|home| home.to_string()).collect();
+    let client = LookupClient {
+        zone: "w-1",
+        region,
+        home_regions: Some(&homes),
+    };
+    select(routers, &client)
+}
+
+fn front(name: &str, zone: &str, region: &str) -> ObservedRouter {
+    let status = RouterStatus {
+        name: name.into(),
+        region: region.into(),
+        zone: zone.into(),
+        client_address: format!("{name}:80"),
+        peer_address: format!("{name}:81"),
+        epoch: 3,
+        age_ms: 200,
+        is_draining: false,
+    };
+    ObservedRouter {
+        status,
+        draining_for_ms: None,
+    }
+}
+
+fn drain(router: &mut ObservedRouter, for_ms: u64) {
+    router.status.is_draining = true;
+    router.draining_for_ms = Some(for_ms);
+}
+
+fn one_in_each_of_three_regions() -> [ObservedRouter; 3] {
+    [
+        front("a", "n-1", "north"),
+        front("b", "s-1", "south"),
+        front("c", "e-1", "east"),
+    ]
+}
+
+#[test]
+fn the_near_ones_that_are_ready() {
+    let all = || {
+        vec![
+            front("a", "n-1", "north"),
+            front("b", "n-2", "north"),
+            front("c", "s-1", "south"),
+        ]
+    };
+    let spoilt = |spoil: fn(&mut ObservedRouter)| {
+        let mut list = all();
+        spoil(&mut list[0]);
+        select_routers(&list, "n-1", "north")
+    };
+    assert_eq!(
+        select_routers(&all(), "n-1", "north"),
+        ["a:80"],
+        "of the zone"
+    );
+    assert_eq!(
+        select_routers(&all(), "n-9", "north"),
+        ["a:80", "b:80"],
+        "else of the region"
+    );
+    assert_eq!(
+        select_routers(&all(), "w-1", "west"),
+        ["a:80", "b:80", "c:80"],
+        "else all"
+    );
+    assert_eq!(spoilt(|front| drain(front, 0)), ["b:80"]);
+    assert_eq!(
+        spoilt(|front| front.status.epoch = 0),
+        ["b:80"],
+        "it has no configuration yet"
+    );
+    assert_eq!(
+        spoilt(|front| front.status.age_ms = 2_000),
+        ["b:80"],
+        "it is not heard"
+    );
+    assert!(select_routers(&[], "n-1", "north").is_empty());
+    let many: Vec<ObservedRouter> = (0..100)
+        .map(|at| front(&format!("f{at}"), "n-1", "north"))
+        .collect();
+    assert_eq!(select_routers(&many, "n-1", "north").len(), 64);
+    assert_eq!(MAX_NAMED_ROUTERS, 64);
+}
+
+/// Guards: a client whose region has no ready router, as while its only one restarts, is
+/// sent to a home region of the host's routes rather than to any region.
+#[test]
+fn a_client_without_a_router_of_its_region_gets_those_of_home_regions() {
+    let routers = one_in_each_of_three_regions();
+    let select = |region: &str, homes: &[&str]| select_with_homes(&routers, region, homes);
+    assert_eq!(select("west", &["west", "south"]), ["b:80"]);
+    assert_eq!(select("west", &["north", "south"]), ["a:80", "b:80"]);
+    assert_eq!(select("east", &["south"]), ["c:80"], "the own region first");
+}
+
+/// Guards: home regions never widen. Where neither the client's region nor a home region has
+/// a ready router, none is named, however many are ready elsewhere.
+#[test]
+fn a_host_with_home_regions_is_never_led_elsewhere() {
+    let routers = one_in_each_of_three_regions();
+    let select = |region: &str, homes: &[&str]| select_with_homes(&routers, region, homes);
+    let none: [&str; 0] = [];
+    assert_eq!(select("west", &["west"]), none, "no home has a router");
+    assert_eq!(
+        select("west", &[]),
+        none,
+        "its routes have no home in common"
+    );
+    assert_eq!(select("east", &[]), ["c:80"], "the own region is allowed");
+}
+
+/// Guards: while every router that a client may use is draining, those that have just begun
+/// are named, and only within the home regions; a ready one anywhere there goes first.
+#[test]
+fn routers_that_have_just_begun_to_drain_are_the_last_resort() {
+    let mut routers = one_in_each_of_three_regions();
+    drain(&mut routers[0], MAX_NAMED_DRAINING_MS - 1);
+    let select = |routers: &[ObservedRouter], region: &str, homes: &[&str]| {
+        select_with_homes(routers, region, homes)
+    };
+    assert_eq!(select(&routers, "north", &["north"]), ["a:80"]);
+    assert_eq!(select(&routers, "north", &["north", "south"]), ["b:80"]);
+    assert_eq!(select(&routers, "west", &["north"]), ["a:80"]);
+    assert_eq!(select_routers(&routers, "n-1", "north"), ["b:80", "c:80"]);
+    drain(&mut routers[0], MAX_NAMED_DRAINING_MS);
+    let none: [&str; 0] = [];
+    assert_eq!(select(&routers, "north", &["north"]), none, "it soon ends");
+    drain(&mut routers[1], 0);
+    drain(&mut routers[2], 0);
+    assert_eq!(select_routers(&routers, "n-1", "north"), ["b:80", "c:80"]);
+}
+
+/// A selection states where its routers were found.
+#[test]
+fn the_scope_of_a_selection_is_stated() {
+    let mut routers = one_in_each_of_three_regions();
+    let homes = BTreeSet::from(["north".to_string()]);
+    let scope = |routers: &[ObservedRouter], zone: &str, region: &str, has_homes: bool| {
+        let client = LookupClient {
+            zone,
+            region,
+            home_regions: has_homes.then_some(&homes),
+        };
+        let selection = placement::select_routers(routers, &client);
+        (selection.scope, selection.is_draining)
+    };
+    let ready = |scope: SelectionScope| (Some(scope), false);
+    assert_eq!(
+        scope(&routers, "n-1", "north", true),
+        ready(SelectionScope::Zone)
+    );
+    assert_eq!(
+        scope(&routers, "n-2", "north", true),
+        ready(SelectionScope::Region)
+    );
+    assert_eq!(
+        scope(&routers, "w-1", "west", true),
+        ready(SelectionScope::HomeRegions)
+    );
+    assert_eq!(
+        scope(&routers, "w-1", "west", false),
+        ready(SelectionScope::AnyRegion)
+    );
+    drain(&mut routers[0], 0);
+    assert_eq!(
+        scope(&routers, "w-1", "west", true),
+        (Some(SelectionScope::HomeRegions), true)
+    );
+    assert_eq!(scope(&[], "w-1", "west", true), (None, false));
+}
--- a/policy/src/program.rs
+++ b/policy/src/program.rs
@@ -1,7 +1,7 @@
 //! Compiled rules: the tables by which requests are routed.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Compiled rules. Invariants: every [`Route::ingress`] is an index into `ingresses`; the
 /// names of ingresses and of routes are each unique; `routes` keeps the order of the text,
@@ -17,6 +17,17 @@
     routes_by_host: HashMap<String, Vec<usize>>,
 }
 
+/// Where the requests for a host may be sent, over all of its routes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostHomes {
+    /// The program has no route of this host.
+    UnknownHost,
+    /// None of its routes has home regions.
+    AnyRegion,
+    /// The regions that are home to all of its routes that have homes; there may be none.
+    Regions(BTreeSet<String>),
+}
+
 /// How the requests of one path prefix carry tenant key and model; a `door` of the
 /// language. Invariant: `path_prefix` begins and ends with a slash.
 pub struct Ingress {
@@ -216,6 +227,20 @@
         })
     }
 
+    /// Where the requests for this host may be sent. The host is in lower case, without a
+    /// port.
+    pub fn host_homes(&self, host: &str) -> HostHomes {
+        let Some(indexes) = self.routes_by_host.get(host) else {
+            return HostHomes::UnknownHost;
+        };
+        let homes = indexes.iter().map(|index| &self.routes[*index].homes);
+        let common = homes
+            .filter(|homes| !homes.is_empty())
+            .map(|homes| homes.iter().cloned().collect::<BTreeSet<String>>())
+            .reduce(|one, other| &one & &other);
+        common.map_or(HostHomes::AnyRegion, HostHomes::Regions)
+    }
+
     fn match_host_route(&self, head: &RequestHead) -> Option<usize> {
         if self.routes_by_host.is_empty() {
             return None;
--- /dev/null
+++ b/policy/tests/policy/host_homes.rs
@@ -0,0 +1,28 @@
+//! Where the requests for a host may be sent, over all of its routes.
+
+use policy::{compile, HostHomes};
+use std::collections::BTreeSet;
+
+const RULES: &str = r#"
+door front at "/" tenant bearer
+route one   on front any "/one/*"   to service web once host "a.example" homes "north,south"
+route two   on front any "/two/*"   to service web once host "a.example" homes "south,east"
+route three on front any "/three/*" to service web once host "a.example"
+route four  on front any "/four/*"  to service web once host "b.example"
+route five  on front any "/five/*"  to service web once host "c.example" homes "north"
+route six   on front any "/six/*"   to service web once host "c.example" homes "east"
+"#;
+
+#[test]
+fn a_hosts_home_regions_are_those_of_all_its_routes_that_have_homes() {
+    let program = compile(RULES).expect("the rules compile");
+    let regions =
+        |names: &[&str]| HostHomes::Regions(names.iter().map(|name| name.to_string()).collect());
+    assert_eq!(program.host_homes("a.example"), regions(&["south"]));
+    assert_eq!(program.host_homes("b.example"), HostHomes::AnyRegion);
+    assert_eq!(
+        program.host_homes("c.example"),
+        HostHomes::Regions(BTreeSet::new())
+    );
+    assert_eq!(program.host_homes("d.example"), HostHomes::UnknownHost);
+}
--- a/policy/tests/policy/main.rs
+++ b/policy/tests/policy/main.rs
@@ -2,5 +2,6 @@
 
 mod compile;
 mod extract;
+mod host_homes;
 mod json_field;
 mod rules;
