Look-ups: the platform's field name stays in platform/

platform/tests/names.rs failed: home_regions is a name of the platform's document. Outside of platform/ the field is homes, and the counters say homes.

--- a/placement/src/router_selection.rs
+++ b/placement/src/router_selection.rs
@@ -35,7 +35,7 @@
     pub region: &'a str,
     /// The regions that are home to all of the host's routes that have homes; `None` if none
     /// of its routes has.
-    pub home_regions: Option<&'a BTreeSet<String>>,
+    pub homes: Option<&'a BTreeSet<String>>,
 }
 
 /// Where the routers were found that a look-up names.
@@ -116,11 +116,11 @@
     /// own, a home region, or the host has no homes.
     pub fn may_use_region(&self, region: &str) -> bool {
         let is_home = |homes: &BTreeSet<String>| homes.contains(region);
-        region == self.region || self.home_regions.is_none_or(is_home)
+        region == self.region || self.homes.is_none_or(is_home)
     }
 
     fn widest_scope(&self) -> SelectionScope {
-        match self.home_regions {
+        match self.homes {
             Some(_) => SelectionScope::HomeRegions,
             None => SelectionScope::AnyRegion,
         }
--- a/placement/tests/router_selection.rs
+++ b/placement/tests/router_selection.rs
@@ -18,7 +18,7 @@
     let client = LookupClient {
         zone,
         region,
-        home_regions: None,
+        homes: None,
     };
     select(routers, &client)
 }
@@ -29,7 +29,7 @@
     let client = LookupClient {
         zone: "w-1",
         region,
-        home_regions: Some(&homes),
+        homes: Some(&homes),
     };
     select(routers, &client)
 }
@@ -169,7 +169,7 @@
         let client = LookupClient {
             zone,
             region,
-            home_regions: has_homes.then_some(&homes),
+            homes: has_homes.then_some(&homes),
         };
         let selection = placement::select_routers(routers, &client);
         (selection.scope, selection.is_draining)
--- a/telemetry/src/invariants.rs
+++ b/telemetry/src/invariants.rs
@@ -26,7 +26,7 @@
 const INVARIANTS: [(Invariant, &str); 2] = [
     (
         Invariant::LookupWithinHomeRegions,
-        "violations_lookup_within_home_regions",
+        "violations_lookup_within_homes",
     ),
     (
         Invariant::AcceptedRequestOutlastsDrain,
--- a/telemetry/tests/invariants.rs
+++ b/telemetry/tests/invariants.rs
@@ -19,6 +19,6 @@
     let shown = Metrics::default().to_json();
     let count = |name: &str| shown.get_u64(name);
     assert_eq!(count("violations_accepted_request_outlasts_drain"), Some(2));
-    assert_eq!(count("violations_lookup_within_home_regions"), Some(0));
+    assert_eq!(count("violations_lookup_within_homes"), Some(0));
     assert_eq!(counters().count(), 2);
 }
