Router: each request accepted late in a drain is held to end before the exit

The invariant AcceptedRequestOutlastsDrain (main) had no place that checked it.

Router::is_draining becomes a question to the drain.

--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -13,10 +13,12 @@
 //! | whether there is budget for a retry | `retry` |
 //! | whether a cached mapping may be used | `cache` |
 //! | what a router knows, and until when it may act on it | `replica_view` |
+//! | which requests a router that leaves still accepts | `drain` |
 //! | which routers and directory nodes there are | `router_membership` |
 //! | which process owns what, without communication | `rendezvous` |
 
 mod cache;
+mod drain;
 mod engine;
 mod load;
 mod quota;
@@ -27,6 +29,7 @@
 mod router_membership;
 
 pub use cache::{Cache, CacheEntry, CacheLookup};
+pub use drain::{Drain, DrainPlan};
 pub use engine::{
     may_serve, select_engine, Candidate, EngineHealthStatus, EngineHealthTracker, EngineListChange,
     EngineSelection, HealthReport, SelectedEngine, SelectionRequest, SlowStart,
--- a/router/src/ingress/admit.rs
+++ b/router/src/ingress/admit.rs
@@ -3,11 +3,13 @@
 
 use super::body::IncomingBody;
 use super::Ingress;
+use crate::in_flight::{LateRequest, LateRequestGuard};
 use crate::rejection::RouterRejection;
 use placement::RateLimit;
 use residency::View;
 use std::sync::atomic::Ordering;
 use tokio::time::Instant;
+use transport::now;
 use transport::rejection::Rejection;
 
 impl Ingress {
@@ -59,6 +61,20 @@
         Ok(())
     }
 
+    /// Notes a request that is accepted after the first part of the draining.
+    pub(super) fn note_if_late(&self, id: &str, deadline_ms: u64) -> Option<LateRequestGuard> {
+        let now = now();
+        let drain = self.router.drain.get()?;
+        let is_late = !drain.accepts_all(now);
+        is_late.then(|| {
+            self.router.in_flight.note_late(LateRequest {
+                id: id.into(),
+                accepted_after_ms: drain.elapsed_ms(now),
+                remaining_ms: deadline_ms.saturating_sub(now),
+            })
+        })
+    }
+
     /// Takes the request if its tenant is within its quota, or will be in time.
     ///
     /// # Errors
--- a/router/src/ingress/identify.rs
+++ b/router/src/ingress/identify.rs
@@ -166,6 +166,11 @@
         self.client.as_ref().filter(|_| !self.route.is_public)
     }
 
+    /// The earlier of the client's deadline and the route's, on this process's clock.
+    pub fn deadline_ms(&self) -> u64 {
+        self.deadline_ms
+    }
+
     /// The tenant, where it is known.
     pub fn tenant(&self) -> Option<&str> {
         self.client.as_ref().map(|client| client.tenant.as_str())
--- a/router/src/ingress/mod.rs
+++ b/router/src/ingress/mod.rs
@@ -22,7 +22,7 @@
 mod respond;
 
 use crate::extensions::{ClientAdapter, RetryPolicy};
-use crate::in_flight::InFlightGuard;
+use crate::in_flight::{InFlightGuard, LateRequestGuard};
 use crate::router::Router;
 use body::IncomingBody;
 use claims::{RequestClaim, RequestClaims};
@@ -56,6 +56,8 @@
 /// What a request holds until the last byte of its response is out.
 struct RequestGuard {
     _in_flight: InFlightGuard,
+    /// Set when the request is accepted late in a drain.
+    _late: Option<LateRequestGuard>,
     /// Set when the request is authorized.
     claim: Option<RequestClaim>,
 }
@@ -98,6 +100,7 @@
         self.router.metrics.increment("jobs");
         let mut guard = RequestGuard {
             _in_flight: self.router.in_flight.begin(),
+            _late: None,
             claim: None,
         };
         match self.process(request, &id, &mut guard).await {
@@ -121,6 +124,7 @@
         let mut identified = self
             .identify(&view, &head, &mut body, id, arrived_ms)
             .await?;
+        guard._late = self.note_if_late(id, identified.deadline_ms());
         guard.claim = self.authorize(identified.authenticated_client(), id)?;
         let is_past_key_cap = body.is_past_key_cap();
         let mut body = body.into_outgoing();
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,6 +1,7 @@
 //! The project's own router program: settings by flags and a JSON file; clients and
 //! engines by the project's own HTTP interface.
 
+use placement::DrainPlan;
 use router::{Extensions, Settings, ENGINE_SLOT_WAIT_MS};
 use settings::{setting, Setting, SettingsReader};
 use std::time::Duration;
@@ -118,6 +119,10 @@
         SETTINGS,
     );
     let address = reader.address("address");
+    let (leave_ms, stop_ms) = (
+        reader.count("leave-ms", 0, 600_000),
+        reader.count("stop-ms", 0, 600_000),
+    );
     let settings = Settings {
         name: reader.name("name"),
         region: reader.name("region"),
@@ -133,8 +138,12 @@
         operator_address: reader.address("desk"),
         local_cache_entries: reader.count("own-cache", 1, 1 << 20) as usize,
         regional_cache_entries: reader.count("share", 1, 1 << 24) as usize,
-        drain_period: Duration::from_millis(reader.count("leave-ms", 0, 600_000)),
-        shutdown_grace: Duration::from_millis(reader.count("stop-ms", 0, 600_000)),
+        drain_plan: DrainPlan {
+            accept_all_ms: leave_ms,
+            end_by_ms: leave_ms + stop_ms,
+        },
+        drain_period: Duration::from_millis(leave_ms),
+        shutdown_grace: Duration::from_millis(stop_ms),
         slot_wait_ms: ENGINE_SLOT_WAIT_MS,
         buffered_body_bytes: 0,
         resolves_by_key_only: false,
--- a/router/src/operator_api.rs
+++ b/router/src/operator_api.rs
@@ -2,7 +2,6 @@
 
 use crate::router::Router;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use transport::{http_server, now};
 
@@ -49,7 +48,7 @@
         "well": is_well,
         "lease_ms": router.lease.until_ms().saturating_sub(now()),
         "epoch": view.epoch,
-        "leaving": router.is_draining.load(Ordering::Relaxed),
+        "leaving": router.is_draining(),
         "under_way": router.in_flight.count(),
         "session": router.pending_lookups.node().map(|node| node.to_string()),
         "neighbours": router.membership.read().cache_peers().count(),
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -10,9 +10,10 @@
 use dispatch::quota::QuotaLimiter;
 use dispatch::Dispatcher;
 use parking_lot::RwLock;
+use placement::Drain;
 use residency::View;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 use telemetry::metrics::Metrics;
 use tokio::sync::watch;
 
@@ -22,8 +23,8 @@
     /// The replicated state as this router holds it; set by the session alone.
     pub(crate) view: watch::Sender<Arc<View>>,
     pub(crate) lease: Lease,
-    /// It drains: it still accepts requests, and tells others that it leaves.
-    pub(crate) is_draining: AtomicBool,
+    /// Set when it drains: it still accepts requests, and tells others that it leaves.
+    pub(crate) drain: OnceLock<Drain>,
     /// It accepts no new requests.
     pub(crate) is_stopped: AtomicBool,
     pub(crate) membership: Arc<RwLock<Membership>>,
@@ -37,10 +38,13 @@
 }
 
 impl Router {
+    /// Whether it was told to leave.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.drain.get().is_some()
+    }
+
     /// Whether clients are to be sent here.
     pub fn is_ready(&self) -> bool {
-        self.view.borrow().epoch > 0
-            && !self.is_draining.load(Ordering::Relaxed)
-            && self.lease.check().is_ok()
+        self.view.borrow().epoch > 0 && !self.is_draining() && self.lease.check().is_ok()
     }
 }
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -9,7 +9,6 @@
 use placement::{ReplicaUpdate, ReplicaView};
 use protocol::{ConnectionKind, Frame, RouterStatus};
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -181,7 +180,7 @@
         peer_address: settings.peer_address.to_string(),
         epoch: router.view.borrow().epoch,
         age_ms: 0,
-        is_draining: router.is_draining.load(Ordering::Relaxed),
+        is_draining: router.is_draining(),
     };
     let demand = router.quota.lease_demands(&settings.name, number);
     Frame::Heartbeat {
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -1,5 +1,6 @@
 //! A router's settings, checked by the program that reads them.
 
+use placement::DrainPlan;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
     pub local_cache_entries: usize,
     /// Mappings in this router's part of the region's cache.
     pub regional_cache_entries: usize,
+    /// Which requests it accepts while it drains.
+    pub drain_plan: DrainPlan,
     /// How long it still accepts requests after the signal to stop: clients may use a
     /// list of routers that was fetched before.
     pub drain_period: Duration,
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -18,10 +18,12 @@
 use dispatch::quota::QuotaLimiter;
 use dispatch::Dispatcher;
 use parking_lot::RwLock;
+use placement::Drain;
 use residency::View;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, OnceLock, Weak};
 use std::time::Duration;
+use telemetry::invariants::{self, Invariant};
 use telemetry::metrics::Metrics;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -96,7 +98,7 @@
         Router {
             view,
             lease: Lease::new(settings.lease_grace_ms),
-            is_draining: AtomicBool::new(false),
+            drain: OnceLock::new(),
             is_stopped: AtomicBool::new(false),
             membership,
             peer_links: PeerLinks::new(&settings.name, settings.peer_listen_address),
@@ -176,7 +178,8 @@
 /// it accepts no more, and streams may finish.
 async fn stop(router: &Router, ingress: &HttpListener) {
     log::info!("draining: requests are still accepted, new clients are sent elsewhere");
-    router.is_draining.store(true, Ordering::Relaxed);
+    let drain = Drain::start(router.settings.drain_plan, now());
+    router.drain.get_or_init(|| drain);
     router.quota.urgent.notify_one();
     ingress.start_draining();
     tokio::time::sleep(router.settings.drain_period).await;
@@ -187,6 +190,15 @@
         tokio::time::sleep(STOP_POLL).await;
     }
     log::info!(in_flight = router.in_flight.count() as u64; "stopped");
+    check_late_requests(router);
     // Streams past the bound are broken off, visibly.
     ingress.shut_down();
 }
+
+/// What was accepted after the first part of the draining has ended when the router does.
+fn check_late_requests(router: &Router) {
+    let late = router.in_flight.late_requests();
+    for request in late {
+        invariants::check(Invariant::AcceptedRequestOutlastsDrain, false, || request);
+    }
+}
--- a/testbed/tests/forwarding.rs
+++ b/testbed/tests/forwarding.rs
@@ -329,6 +329,10 @@
             body_limit_bytes: 1 << 20,
             local_cache_entries: 16,
             regional_cache_entries: 16,
+            drain_plan: placement::DrainPlan {
+                accept_all_ms: 0,
+                end_by_ms: 0,
+            },
             drain_period: Duration::ZERO,
             shutdown_grace: Duration::ZERO,
             slot_wait_ms: 0,
