Router: a draining router accepts late only what is certain to end before it does

Cause: until 3.2 s after SIGTERM a router accepted every request, also one that may take 12 s, and broke it off when the process ended, 7.3 s after SIGTERM. The decision is placement::Drain::admits.

--- a/router/src/ingress/admit.rs
+++ b/router/src/ingress/admit.rs
@@ -61,18 +61,32 @@
         Ok(())
     }
 
-    /// Notes a request that is accepted after the first part of the draining.
-    pub(super) fn note_if_late(&self, id: &str, deadline_ms: u64) -> Option<LateRequestGuard> {
+    /// Takes the request if this router doesn't drain, or the request is certain to end
+    /// before the process does. What is accepted after the first part of the draining is
+    /// noted for as long as the guard lives.
+    ///
+    /// # Errors
+    /// [`RouterRejection::ShuttingDown`].
+    pub(super) fn admit_by_drain(
+        &self,
+        id: &str,
+        deadline_ms: u64,
+    ) -> Result<Option<LateRequestGuard>, RouterRejection> {
         let now = now();
-        let drain = self.router.drain.get()?;
+        let Some(drain) = self.router.drain.get() else {
+            return Ok(None);
+        };
+        if !drain.admits(now, deadline_ms) {
+            return Err(RouterRejection::ShuttingDown);
+        }
         let is_late = !drain.accepts_all(now);
-        is_late.then(|| {
+        Ok(is_late.then(|| {
             self.router.in_flight.note_late(LateRequest {
                 id: id.into(),
                 accepted_after_ms: drain.elapsed_ms(now),
                 remaining_ms: deadline_ms.saturating_sub(now),
             })
-        })
+        }))
     }
 
     /// Takes the request if its tenant is within its quota, or will be in time.
--- a/router/src/ingress/mod.rs
+++ b/router/src/ingress/mod.rs
@@ -6,6 +6,7 @@
 //! |---|---|---|
 //! | admit (capacity) | `admit.rs` | no lease, shutting down, too many requests, body too long |
 //! | identify | `identify.rs` | no route, no tenant key, no model, body too slow |
+//! | admit (drain) | `admit.rs` | leaving, and may not end in time |
 //! | authorize | `authorize.rs`, `claims.rs` | unknown tenant key, request id in use |
 //! | admit (quota) | `admit.rs` | tenant past its quota: 429 `quota` |
 //! | look up | `lookup.rs` | no mapping, no directory node |
@@ -124,7 +125,7 @@
         let mut identified = self
             .identify(&view, &head, &mut body, id, arrived_ms)
             .await?;
-        guard._late = self.note_if_late(id, identified.deadline_ms());
+        guard._late = self.admit_by_drain(id, identified.deadline_ms())?;
         guard.claim = self.authorize(identified.authenticated_client(), id)?;
         let is_past_key_cap = body.is_past_key_cap();
         let mut body = body.into_outgoing();
