Listener: a request that crosses the end of its idle connection is answered

When an idle connection is ended (idle time-out, a lowered idle_ms, shut-down), its task may find the end and a new request together.

Now what has come in is read first, and a connection on which a request is being answered is not dropped; it closes after the answer, as hyper's graceful shutdown does.

Test: transport/tests/http_listener.rs, virtual time: 24 idle connections get a request and their end at once.

--- a/transport/src/http_listener/mod.rs
+++ b/transport/src/http_listener/mod.rs
@@ -152,12 +152,21 @@
             .serve_connection(stream, service);
         let mut connection = pin!(connection);
         tokio::select! {
+            // A request that is already here is read before the connection is to end.
+            biased;
             ended = connection.as_mut() => return ended,
             () = state.end.notified() => {}
         }
         connection.as_mut().graceful_shutdown();
-        let closed = tokio::time::timeout(CLOSE_TIMEOUT, connection).await;
-        closed.unwrap_or(Ok(()))
+        loop {
+            let closing = tokio::time::timeout(CLOSE_TIMEOUT, connection.as_mut());
+            match closing.await {
+                Ok(ended) => return ended,
+                // A request came in as the connection was to end: it is answered first.
+                Err(_) if state.is_in(Phase::Handling) => {}
+                Err(_) => return Ok(()),
+            }
+        }
     }
 
     /// While the listener is draining, a response says that its connection closes.
