--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -13,11 +13,13 @@
 //! | whether there is budget for a retry | `retry` |
 //! | whether a cached mapping may be used | `cache` |
 //! | what a router knows, and until when it may act on it | `replica_view` |
+//! | which requests a router that leaves still accepts | `drain` |
 //! | which routers and directory nodes there are | `router_membership` |
 //! | which routers a client is sent to | `router_selection` |
 //! | which process owns what, without communication | `rendezvous` |
 
 mod cache;
+mod drain;
 mod engine;
 mod load;
 mod quota;
@@ -29,6 +31,7 @@
 mod router_selection;
 
 pub use cache::{Cache, CacheEntry, CacheLookup};
+pub use drain::{Drain, DrainPlan};
 pub use engine::{
     may_serve, select_engine, Candidate, EngineHealthStatus, EngineHealthTracker, EngineListChange,
     EngineSelection, HealthReport, SelectedEngine, SelectionRequest, SlowStart,
