--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -24,7 +24,7 @@
 pub use json_field::{find_field, FieldSearch};
 pub use parser::parse_duration_ms;
 pub use program::{
-    HostHomes, Ingress, Program, PromptPrefix, RequestHead, Route, SetPoints, Source, Target,
-    WeightedService,
+    normalized_host, HostHomes, Ingress, Program, PromptPrefix, RequestHead, Route, SetPoints,
+    Source, Target, WeightedService,
 };
 pub use prompt::{Prompt, PromptPart};
--- a/policy/src/program.rs
+++ b/policy/src/program.rs
@@ -20,8 +20,6 @@
 /// Where the requests for a host may be sent, over all of its routes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostHomes {
-    /// The program has no route of this host.
-    UnknownHost,
     /// None of its routes has home regions.
     AnyRegion,
     /// The regions that are home to all of its routes that have homes; there may be none.
@@ -195,6 +193,28 @@
     }
 }
 
+/// The host of an authority.
+fn without_port(authority: &str) -> &str {
+    authority
+        .rsplit_once(':')
+        .map_or(authority, |(host, _)| host)
+}
+
+/// A host as routes name it: in lower case, without a port and without the root's dot.
+pub fn normalized_host(authority: &str) -> String {
+    let host = without_port(authority);
+    host.strip_suffix('.').unwrap_or(host).to_lowercase()
+}
+
+/// Where requests may be sent that may be for any of these routes.
+fn common_homes<'a>(routes: impl Iterator<Item = &'a Route>) -> HostHomes {
+    let common = routes
+        .filter(|route| !route.homes.is_empty())
+        .map(|route| route.homes.iter().cloned().collect::<BTreeSet<String>>())
+        .reduce(|one, other| &one & &other);
+    common.map_or(HostHomes::AnyRegion, HostHomes::Regions)
+}
+
 impl Program {
     pub(crate) fn new(
         ingresses: Vec<Ingress>,
@@ -227,18 +247,19 @@
         })
     }
 
-    /// Where the requests for this host may be sent. The host is in lower case, without a
-    /// port.
+    /// Whether the program has routes of this [normalized](normalized_host) host.
+    pub fn knows_host(&self, host: &str) -> bool {
+        self.routes_by_host.contains_key(host)
+    }
+
+    /// Where the requests for this [normalized](normalized_host) host may be sent. What is
+    /// sent to a host without routes is held to the homes of all routes: it may be a name for
+    /// one of their hosts.
     pub fn host_homes(&self, host: &str) -> HostHomes {
-        let Some(indexes) = self.routes_by_host.get(host) else {
-            return HostHomes::UnknownHost;
-        };
-        let homes = indexes.iter().map(|index| &self.routes[*index].homes);
-        let common = homes
-            .filter(|homes| !homes.is_empty())
-            .map(|homes| homes.iter().cloned().collect::<BTreeSet<String>>())
-            .reduce(|one, other| &one & &other);
-        common.map_or(HostHomes::AnyRegion, HostHomes::Regions)
+        match self.routes_by_host.get(host) {
+            Some(indexes) => common_homes(indexes.iter().map(|index| &self.routes[*index])),
+            None => common_homes(self.routes.iter()),
+        }
     }
 
     fn match_host_route(&self, head: &RequestHead) -> Option<usize> {
@@ -246,9 +267,7 @@
             return None;
         }
         let authority = (head.header)("host").unwrap_or_default();
-        let host = authority
-            .rsplit_once(':')
-            .map_or(&*authority, |(host, _)| host);
+        let host = without_port(&authority);
         let indexes = self
             .routes_by_host
             .get(host)
--- a/policy/tests/policy/host_homes.rs
+++ b/policy/tests/policy/host_homes.rs
@@ -1,6 +1,6 @@
 //! Where the requests for a host may be sent, over all of its routes.
 
-use policy::{compile, HostHomes};
+use policy::{compile, normalized_host, HostHomes};
 use std::collections::BTreeSet;
 
 const RULES: &str = r#"
@@ -24,5 +24,28 @@
         program.host_homes("c.example"),
         HostHomes::Regions(BTreeSet::new())
     );
-    assert_eq!(program.host_homes("d.example"), HostHomes::UnknownHost);
+}
+
+#[test]
+fn a_host_is_found_by_each_of_its_spellings() {
+    let program = compile(RULES).expect("the rules compile");
+    for spelling in ["a.example", "A.Example", "a.example:8080", "a.example."] {
+        let host = normalized_host(spelling);
+        assert!(program.knows_host(&host), "{spelling}");
+        let south = BTreeSet::from(["south".to_string()]);
+        assert_eq!(program.host_homes(&host), HostHomes::Regions(south));
+    }
+}
+
+/// Guards: a name that no route has does not lift the homes.
+#[test]
+fn a_host_without_routes_is_held_to_the_homes_of_all() {
+    let program = compile(RULES).expect("the rules compile");
+    assert!(!program.knows_host("d.example"));
+    assert_eq!(
+        program.host_homes("d.example"),
+        HostHomes::Regions(BTreeSet::new())
+    );
+    let without_homes = compile("").expect("an empty text compiles");
+    assert_eq!(without_homes.host_homes("d.example"), HostHomes::AnyRegion);
 }
--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -140,12 +140,9 @@
     residency::parse_json(&text).map_err(|error| error.to_string())
 }
 
-/// A parameter of a query. Percent-encoding is not decoded: the names that are looked for
-/// have none.
+/// A parameter of a query, with its percent-encoding decoded.
 pub fn query_parameter(uri: &hyper::Uri, name: &str) -> Option<String> {
-    let pairs = uri.query()?.split('&');
-    pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(found, _)| *found == name)
-        .map(|(_, value)| value.to_string())
+    form_urlencoded::parse(uri.query()?.as_bytes())
+        .find(|(found, _)| found == name)
+        .map(|(_, value)| value.into_owned())
 }
