Quotas: a router that shuts down gives its leases back

Cause: what a router was lent stayed reserved for 60 s and a window after it had left, since nothing told the leader. After several had left, the others refused requests that their tenants' quotas allow.

A stopping router now closes its limiter last, when nothing is in flight: it admits nothing any more, and its next heartbeat returns limit and window part and states a grant floor at that heartbeat, so that it can apply no answer. The leader then neither records an answer nor reserves half a window for it; what was used leaves the window by itself. The router waits 0.5 s at most for the answer, within its grace. Nothing changes on the wire; without the heartbeat the lease lapses as before. If requests are still in flight at the end of the grace, the process doesn't wait, and the lease may lapse as before.

Ruled out: calling router_left at the directory by the draining flag (a draining router still admits); a new frame (older nodes would not know it).

--- a/dispatch/src/quota.rs
+++ b/dispatch/src/quota.rs
@@ -78,6 +78,27 @@
         self.grants_changed.notify_waiters();
     }
 
+    /// Admits nothing any more, and gives back what was leased. Returns once the leader knows
+    /// of it; the caller bounds the wait. With a queue grants lapse by themselves, and nothing
+    /// changes.
+    pub async fn close(&self) {
+        let Limiter::Leased(limiter) = &self.limiter else {
+            return;
+        };
+        limiter.lock().close();
+        self.urgent.notify_one();
+        loop {
+            // Registered before the look, so that no answer is missed between.
+            let grants_changed = self.grants_changed.notified();
+            tokio::pin!(grants_changed);
+            grants_changed.as_mut().enable();
+            if limiter.lock().is_return_acknowledged() {
+                return;
+            }
+            grants_changed.await;
+        }
+    }
+
     /// Whether requests wait for a grant.
     pub fn has_waiters(&self) -> bool {
         match &self.limiter {
--- a/placement/src/quota/lease_account.rs
+++ b/placement/src/quota/lease_account.rs
@@ -30,6 +30,8 @@
     /// window.
     former: u64,
     former_until_ms: u64,
+    /// The router gave its lease back for good.
+    is_returned: bool,
 }
 
 impl LeaseAccount {
@@ -66,9 +68,16 @@
         (self.window_part, self.limit, self.wanted) = (demand.queued, demand.limit, demand.wanted);
         self.unconfirmed
             .retain(|grant| grant.heartbeat > demand.grant_floor);
+        // Only a router that has closed rejects the answer to the report itself.
+        self.is_returned = demand.grant_floor >= from.heartbeat;
         charged
     }
 
+    /// Whether the router gave its lease back for good: it uses neither floor nor answer.
+    pub(super) fn is_returned(&self) -> bool {
+        self.is_returned
+    }
+
     /// The router admits nothing any more; what it has used stays in the window.
     pub(super) fn close(&mut self, now: u64, window_ms: u64) {
         (self.window_part, self.limit, self.wanted) = (0, self.admitted, 0);
--- a/placement/src/quota/lease_limiter.rs
+++ b/placement/src/quota/lease_limiter.rs
@@ -72,6 +72,11 @@
     /// The number of the last heartbeat.
     heartbeat: u64,
     routers: RouterCountPeak,
+    is_closed: bool,
+    /// The first heartbeat that gave all leases back, and whether an answer to it, or to a
+    /// later one, was received.
+    returned_in: Option<u64>,
+    is_return_acknowledged: bool,
 }
 
 impl LeaseRateLimiter {
@@ -84,9 +89,23 @@
             tenants: BTreeMap::new(),
             heartbeat: 0,
             routers: RouterCountPeak::new(now),
+            is_closed: false,
+            returned_in: None,
+            is_return_acknowledged: false,
         }
     }
 
+    /// Admits nothing any more. From the next heartbeat on all leases are given back, so that
+    /// the leader need not reserve them for `QUOTA_LEASE_MS` after the process has ended.
+    pub fn close(&mut self) {
+        self.is_closed = true;
+    }
+
+    /// Whether the leader knows that all leases were given back.
+    pub fn is_return_acknowledged(&self) -> bool {
+        self.is_return_acknowledged
+    }
+
     fn context(&self, now: u64) -> RouterContext {
         RouterContext {
             now,
@@ -101,7 +120,7 @@
     /// no floor yet.
     pub fn admit(&mut self, now: u64, tenant: &str, limit: RateLimit, routers: usize) -> bool {
         let routers = self.routers.record(now, routers);
-        if routers == 0 {
+        if routers == 0 || self.is_closed {
             return false;
         }
         let context = self.context(now);
@@ -116,18 +135,24 @@
     /// requests lately, and those of which the leader may not know that they have none.
     pub fn demand(&mut self, now: u64, router: &str, heartbeat: u64) -> RouterDemand {
         self.heartbeat = self.heartbeat.max(heartbeat);
+        let is_closed = self.is_closed;
+        if is_closed {
+            self.returned_in.get_or_insert(heartbeat);
+        }
         let reported = self
             .tenants
             .iter_mut()
             .filter(|(_, lease)| lease.is_reported());
+        let report = |(tenant, lease): (&String, &mut TenantLease)| match is_closed {
+            true => lease.close(now, tenant, heartbeat),
+            false => lease.demand(now, tenant, heartbeat),
+        };
         RouterDemand {
             router: router.into(),
             incarnation: self.incarnation,
             heartbeat,
             incarnation_age_ms: now.saturating_sub(self.started_at_ms),
-            demands: reported
-                .map(|(tenant, lease)| lease.demand(now, tenant, heartbeat))
-                .collect(),
+            demands: reported.map(report).collect(),
         }
     }
 
@@ -135,6 +160,7 @@
     /// `until_ms`, `LEASE_MS` after the heartbeat was sent. Invariant: it answers a heartbeat
     /// of this process, since the connection ends with the process.
     pub fn apply_grants(&mut self, now: u64, heartbeat: u64, until_ms: u64, grants: &[QuotaGrant]) {
+        self.is_return_acknowledged |= self.returned_in.is_some_and(|first| first <= heartbeat);
         if now >= until_ms {
             return;
         }
--- a/placement/src/quota/lease_pool.rs
+++ b/placement/src/quota/lease_pool.rs
@@ -144,7 +144,7 @@
         self.refill(now);
         let account = self.accounts.entry(from.router.clone()).or_default();
         self.level -= account.record_demand(now, from, demand, window_ms) as f64;
-        if readiness == Readiness::Unknown {
+        if readiness == Readiness::Unknown || account.is_returned() {
             return None;
         }
         let parts = self.parts(readiness, from.incarnation_age_ms < window_ms);
@@ -230,7 +230,11 @@
         };
         for (_, other) in self.accounts.iter().filter(|(name, _)| *name != router) {
             let reserved = other.reserved(now, window_ms, parts.floor);
-            let in_half = half_window_limit(parts.floor + reserved);
+            let in_half = if other.is_returned() {
+                0
+            } else {
+                half_window_limit(parts.floor + reserved)
+            };
             let floor = if other.wanted() > 0 { parts.floor } else { 0 };
             claims.reserved += reserved;
             claims.half_window_left = claims
--- a/placement/src/quota/tenant_lease.rs
+++ b/placement/src/quota/tenant_lease.rs
@@ -194,6 +194,18 @@
         !self.is_idle_acknowledged
     }
 
+    /// Gives the lease back for good: the router admits nothing any more, and applies no
+    /// answer to the heartbeat of this number or to an earlier one.
+    pub(super) fn close(&mut self, now: u64, tenant: &str, heartbeat: u64) -> QuotaDemand {
+        self.return_lease();
+        self.grant_floor = self.grant_floor.max(heartbeat);
+        let demand = self.demand(now, tenant, heartbeat);
+        QuotaDemand {
+            wanted: 0,
+            ..demand
+        }
+    }
+
     /// What to report with the heartbeat of this number. A tenant that is idle, or whose lease
     /// has lapsed, gives its lease back.
     pub(super) fn demand(&mut self, now: u64, tenant: &str, heartbeat: u64) -> QuotaDemand {
--- a/placement/tests/quota_departures.rs
+++ b/placement/tests/quota_departures.rs
@@ -71,6 +71,7 @@
 
     /// The last thing that a router does.
     fn leave(&mut self, now: u64, at: usize) {
+        self.routers[at].close();
         self.send_heartbeat(now, at);
     }
 }
@@ -157,3 +158,24 @@
         );
     }
 }
+
+#[test]
+fn a_closed_router_admits_nothing_and_waits_for_the_answer_to_its_return() {
+    let mut fleet = Fleet::new();
+    let admit = |fleet: &mut Fleet, now| fleet.routers[0].admit(now, TENANT, LIMIT, ROUTERS);
+    assert!(admit(&mut fleet, TRAFFIC_FROM_MS));
+    let number = 1;
+    fleet.routers[0].demand(TRAFFIC_FROM_MS, "router-0", number);
+    fleet.routers[0].close();
+    assert!(!admit(&mut fleet, TRAFFIC_FROM_MS));
+    // The answer to a heartbeat from before it closed says nothing of the return.
+    fleet.routers[0].apply_grants(TRAFFIC_FROM_MS, number, TRAFFIC_FROM_MS + LEASE_MS, &[]);
+    assert!(!fleet.routers[0].is_return_acknowledged());
+    let demand = fleet.routers[0].demand(TRAFFIC_FROM_MS, "router-0", number + 1);
+    let returned = &demand.demands[0];
+    assert!(returned.limit <= returned.admitted);
+    assert_eq!((returned.queued, returned.wanted), (0, 0));
+    fleet.routers[0].apply_grants(TRAFFIC_FROM_MS, number + 1, TRAFFIC_FROM_MS + LEASE_MS, &[]);
+    assert!(fleet.routers[0].is_return_acknowledged());
+    assert!(!admit(&mut fleet, TRAFFIC_FROM_MS + 1));
+}
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -33,6 +33,9 @@
 const POOL_SWEEP: Duration = Duration::from_millis(700);
 /// How often a stopping router looks whether requests are still in flight.
 const STOP_POLL: Duration = Duration::from_millis(20);
+/// How long the leader may take to answer that quota leases were given back. Without an
+/// answer they stay reserved until they lapse.
+const QUOTA_RETURN_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the operators' server may take to close.
 const OPERATOR_API_CLOSE: Duration = Duration::from_millis(100);
 /// Requests to the additional servers have no bodies; this is the cap.
@@ -173,7 +176,8 @@
 
 /// Shuts down gracefully in two steps. While draining it still accepts requests, since
 /// clients may use a router list that was fetched before; new lists leave it out. Then
-/// it accepts no more, and streams may finish.
+/// it accepts no more, and streams may finish. What was leased of the tenants' quotas is
+/// given back last, when no request can be admitted any more.
 async fn stop(router: &Router, ingress: &HttpListener) {
     log::info!("draining: requests are still accepted, new clients are sent elsewhere");
     router.is_draining.store(true, Ordering::Relaxed);
@@ -187,6 +191,13 @@
         tokio::time::sleep(STOP_POLL).await;
     }
     log::info!(in_flight = router.in_flight.count() as u64; "stopped");
+    let return_until = until.min(Instant::now() + QUOTA_RETURN_TIMEOUT);
+    if tokio::time::timeout_at(return_until, router.quota.close())
+        .await
+        .is_err()
+    {
+        log::info!("no answer that quota leases were given back: they lapse");
+    }
     // Streams past the bound are broken off, visibly.
     ingress.shut_down();
 }
