Router: a request without an answer gets one when the process ends

When the process ended with requests in flight, a client whose request still waited for its engine saw a closed connection: nothing said whether it had run. Now it gets 502 "broken-off" (outcome unknown) if an engine or directory node may have it, else 503 "leaving" (not run), and the listener's shut-down waits up to 100 ms until those answers are out and their connections closed. Streams whose answer is under way are broken off as before.

--- a/router/src/ingress/mod.rs
+++ b/router/src/ingress/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::extensions::{ClientAdapter, RetryPolicy};
 use crate::in_flight::{InFlightGuard, LateRequestGuard};
+use crate::rejection::RouterRejection;
 use crate::router::Router;
 use body::IncomingBody;
 use claims::{RequestClaim, RequestClaims};
@@ -59,6 +60,8 @@
     _in_flight: InFlightGuard,
     /// Set when the request is accepted late in a drain.
     _late: Option<LateRequestGuard>,
+    /// An engine or a directory node may have got it.
+    is_handed_on: bool,
     /// Set when the request is authorized.
     claim: Option<RequestClaim>,
 }
@@ -102,9 +105,15 @@
         let mut guard = RequestGuard {
             _in_flight: self.router.in_flight.begin(),
             _late: None,
+            is_handed_on: false,
             claim: None,
         };
-        match self.process(request, &id, &mut guard).await {
+        let processed = tokio::select! {
+            biased;
+            processed = self.process(request, &id, &mut guard) => processed,
+            () = self.router.exiting() => Err(broken_off_at_exit(&guard)),
+        };
+        match processed {
             Ok(response) => self.respond(response, &id, guard),
             Err(rejection) => self.refuse(&rejection, &id),
         }
@@ -132,12 +141,14 @@
         let outgoing = identified.outgoing(&head, id);
         let Some(routing_key) = identified.routing_key(is_past_key_cap)? else {
             let tenant = identified.tenant();
+            guard.is_handed_on = true;
             return self
                 .forward_without_key(identified.state, &outgoing, &mut body, tenant)
                 .await;
         };
         self.admit_by_quota(&view, &routing_key.tenant).await?;
         log::info!(job = id; "admitted");
+        guard.is_handed_on = true;
         self.look_up_and_dispatch(identified.state, &outgoing, body, &routing_key)
             .await
     }
@@ -154,6 +165,14 @@
     }
 }
 
+/// What a request gets that has no answer when the process ends.
+fn broken_off_at_exit(guard: &RequestGuard) -> Rejection {
+    match guard.is_handed_on {
+        true => RouterRejection::BrokenOffAtExit.into(),
+        false => RouterRejection::ShuttingDown.into(),
+    }
+}
+
 async fn wait_for_first_lease(router: &Router) {
     let until = Instant::now() + FIRST_LEASE_WAIT;
     while router.lease.check().is_err() && Instant::now() < until {
--- a/router/src/rejection.rs
+++ b/router/src/rejection.rs
@@ -21,6 +21,9 @@
     /// It has stopped accepting requests.
     #[error("this router is shutting down; use another router")]
     ShuttingDown,
+    /// The process ends before an engine has answered.
+    #[error("this router ended before the request was answered")]
+    BrokenOffAtExit,
     /// As many requests as the settings allow are in flight.
     #[error("{max_requests} requests are in flight here; use another router")]
     RouterFull {
@@ -166,6 +169,9 @@
             Self::Starting => Reply::transient(503, "starting", 1_000),
             Self::LeaseEnded => Reply::transient(503, "no-lease", 1_000),
             Self::ShuttingDown => Reply::transient(503, "leaving", 1_000),
+            Self::BrokenOffAtExit => {
+                Reply::transient(502, "broken-off", 1_000).with_outcome(ExecutionOutcome::Unknown)
+            }
             Self::RouterFull { .. } => Reply::transient(503, "router-full", 1_000),
             Self::HttpVersion => Reply::permanent(400, "http-version"),
             Self::BodyTooLong { .. } => Reply::permanent(413, "long-body"),
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -27,6 +27,8 @@
     pub(crate) drain: OnceLock<Drain>,
     /// It accepts no new requests.
     pub(crate) is_stopped: AtomicBool,
+    /// The process is about to end: requests that have no answer yet get one.
+    pub(crate) is_exiting: watch::Sender<bool>,
     pub(crate) membership: Arc<RwLock<Membership>>,
     pub(crate) peer_links: PeerLinks,
     pub(crate) cache_tiers: CacheTiers,
@@ -38,6 +40,17 @@
 }
 
 impl Router {
+    /// Returns when the process is about to end.
+    pub(crate) async fn exiting(&self) {
+        // An error would say that this router is gone.
+        drop(
+            self.is_exiting
+                .subscribe()
+                .wait_for(|is_exiting| *is_exiting)
+                .await,
+        );
+    }
+
     /// Whether it was told to leave.
     pub(crate) fn is_draining(&self) -> bool {
         self.drain.get().is_some()
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -100,6 +100,7 @@
             lease: Lease::new(settings.lease_grace_ms),
             drain: OnceLock::new(),
             is_stopped: AtomicBool::new(false),
+            is_exiting: watch::Sender::new(false),
             membership,
             peer_links: PeerLinks::new(&settings.name, settings.peer_listen_address),
             cache_tiers: CacheTiers::new(
@@ -191,8 +192,9 @@
     }
     log::info!(in_flight = router.in_flight.count() as u64; "stopped");
     check_late_requests(router);
-    // Streams past the bound are broken off, visibly.
-    ingress.shut_down();
+    // Requests that have no answer yet get one; streams past the bound are broken off, visibly.
+    router.is_exiting.send_replace(true);
+    ingress.shut_down().await;
 }
 
 /// What was accepted after the first part of the draining has ended when the router does.
--- a/router/tests/rejection.rs
+++ b/router/tests/rejection.rs
@@ -16,10 +16,11 @@
 #[test]
 fn each_rejection_has_its_status_code_outcome_and_pause() {
     let listener = || "shop".to_string();
-    let cases: [Case; 28] = [
+    let cases: [Case; 29] = [
         (Starting, 503, "starting", NotRun, Some(1_000)),
         (LeaseEnded, 503, "no-lease", NotRun, Some(1_000)),
         (ShuttingDown, 503, "leaving", NotRun, Some(1_000)),
+        (BrokenOffAtExit, 502, "broken-off", Unknown, Some(1_000)),
         (
             RouterFull { max_requests: 7 },
             503,
--- a/transport/src/http_listener/mod.rs
+++ b/transport/src/http_listener/mod.rs
@@ -29,6 +29,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long a connection that is to end may take for it.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// How often the listener that shuts down looks whether its connections have ended.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
 /// hyper takes no smaller buffer for a head.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 
@@ -71,8 +73,19 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
-    /// Accepts no more connections, and ends the idle ones.
-    pub fn shut_down(&self) {
+    /// Accepts no more connections, and ends the idle ones. Returns when all have ended, or
+    /// after [`CLOSE_TIMEOUT`], with what is still answered under way.
+    pub async fn shut_down(&self) {
+        self.end_idle_connections();
+        let closing = async {
+            while !self.connections.lock().is_empty() {
+                tokio::time::sleep(CLOSE_POLL).await;
+            }
+        };
+        drop(tokio::time::timeout(CLOSE_TIMEOUT, closing).await);
+    }
+
+    fn end_idle_connections(&self) {
         self.start_draining();
         self.shut_down.notify_one();
         self.connections
--- a/transport/tests/http_listener.rs
+++ b/transport/tests/http_listener.rs
@@ -78,7 +78,7 @@
     woken.set_nonblocking(true).expect("open");
     let woken = TcpStream::from_std(woken).expect("open");
     woken.readable().await.expect("it is open");
-    server.shut_down();
+    server.shut_down().await;
 
     let mut answered = 0;
     for mut client in clients {
