LOST: the simulator cuts all machines into two halves, even numbers of voters too

Cause: machines may be cut into two halves beyond `tolerate`, overlapping with other losses. No fixed seed held that with operators: OPERATORS cuts a zone (two of five) for up to 3.2 s, but loses no disk, so that its voters are never an even number; STORM has both, but no operators.

simulator/src/halves.rs and the profile HALVES: the leader's voters are cut into two parts, equal ones if their number is even (brought about 40 times as often, since that is rare), for 1 to 7 s; power failures of all, disks lost within what is tolerated, freezes; four operators ask any node. Nothing is drawn in other profiles, so that their seeds stay what they are.

Seen failing, each guard taken out by hand: - Half is a majority (`div_ceil(2)` in Membership::majority): "seed 5: node-4 confirmed index 35, and 36 was acknowledged before it was asked", "seed 11: node-1 applied another entry 5". Of the older tests storms, power, succession and full disks fail too, the ones with operators or losses do not. - Votes without is_up_to_date (both in receive.rs): 5 seeds, among them "seed 12: node-2 applied another entry 16" and "seed 21: node-0 confirmed index 25, and 30 was acknowledged before it was asked". - Reads confirmed by any round (pop_confirmed): seeds 17 and 19, "node-0 confirmed index 11, and 14 was acknowledged before it was asked". The judge of histories is shown by the planted stale read, found within ten seeds.

--- a/simulator/src/fault_injection.rs
+++ b/simulator/src/fault_injection.rs
@@ -16,6 +16,7 @@
         let profile = self.profile;
         self.inject_crashes(profile.crashes, profile.all_down);
         self.inject_partitions(profile.cuts, profile.one_way);
+        self.inject_halving(profile.halves);
         self.inject_disk_faults(profile.slow_disks, profile.full_disks);
         self.inject_freeze(profile.freezes);
         if self.draw_target(profile.leadership_transfers).is_some() {
@@ -30,7 +31,7 @@
     }
 
     /// The machine that a fault of this rate hits in this round, if it comes at all.
-    fn draw_target(&mut self, thousandths_per_s: u64) -> Option<MachineIndex> {
+    pub(crate) fn draw_target(&mut self, thousandths_per_s: u64) -> Option<MachineIndex> {
         let count = self.machines.len() as u64;
         let is_drawn = self.draw(1_000 * ROUNDS_PER_S) < thousandths_per_s;
         is_drawn.then(|| self.draw(count) as MachineIndex)
@@ -50,6 +51,7 @@
             self.schedule(wait_ms, Event::Restart(machine));
         }
         if self.draw_target(all).is_some() {
+            self.report.power_losses_while_cut += usize::from(!self.cut_links.is_empty());
             for machine in 0..self.machines.len() {
                 self.crash(machine);
                 let wait_ms = 200 + self.draw(1_500);
@@ -200,6 +202,7 @@
     pub(crate) fn replace_disk(&mut self, machine: MachineIndex) -> u64 {
         self.crash(machine);
         self.report.disks_lost += 1;
+        self.report.disks_lost_while_cut += usize::from(!self.cut_links.is_empty());
         self.machines[machine].files = MemoryFiles::default();
         self.machines[machine].identity = self.draw(u64::MAX) | 1;
         let wait = 300 + self.draw(1_500);
--- a/simulator/src/fault_profile.rs
+++ b/simulator/src/fault_profile.rs
@@ -81,6 +81,8 @@
     pub cuts: u64,
     /// Links that let nothing through in one direction.
     pub one_way: u64,
+    /// Cuts of all machines into two halves.
+    pub halves: u64,
     /// Disks that are slow for a while.
     pub slow_disks: u64,
     /// Disks that are full for a while.
@@ -135,6 +137,7 @@
     crashes: 0,
     cuts: 0,
     one_way: 0,
+    halves: 0,
     slow_disks: 0,
     full_disks: 0,
     lost_disks: 0,
@@ -158,6 +161,7 @@
     crashes: 150,
     cuts: 150,
     one_way: 100,
+    halves: 0,
     slow_disks: 100,
     full_disks: 30,
     lost_disks: 40,
@@ -286,6 +290,22 @@
     ..CALM
 };
 
+/// Operators while the machines are cut into two halves again and again, and power fails
+/// and disks are lost meanwhile, so that voters are replaced.
+pub const HALVES: FaultProfile = FaultProfile {
+    crashes: 100,
+    cuts: 0,
+    one_way: 0,
+    halves: 150,
+    lost_disks: 300,
+    freezes: 50,
+    all_down: 60,
+    power_loss_after_ack: 10,
+    disks_lost_after_ack: 500,
+    leadership_transfers: 60,
+    ..OPERATORS
+};
+
 /// Operators while a small site loses machines: partitions of 2 to 22 s in one direction or
 /// both, some with a restart, replacements, lost disks.
 pub const OPERATORS_UNDER_LOSSES: FaultProfile = FaultProfile {
--- a/simulator/src/lib.rs
+++ b/simulator/src/lib.rs
@@ -9,6 +9,7 @@
 mod event_loop;
 mod fault_injection;
 mod fault_profile;
+mod halves;
 mod invariants;
 mod linearizability;
 mod losses;
@@ -29,7 +30,7 @@
 
 pub use fault_profile::{
     FaultProfile, Loss, LossPlan, OperatorPlan, PlantedFault, CALM, FIVE_MACHINES, FULL_DISKS,
-    LARGE_SITE, LEADER_SUCCESSION, NINE_MACHINES, OPERATORS, OPERATORS_UNDER_LOSSES,
+    HALVES, LARGE_SITE, LEADER_SUCCESSION, NINE_MACHINES, OPERATORS, OPERATORS_UNDER_LOSSES,
     PLANNED_REPLACEMENTS, POWER_LOSS, REPLACEMENTS, SMALL_SITE, STORM,
 };
 pub use memory_files::MemoryFiles;
--- a/simulator/src/simulation.rs
+++ b/simulator/src/simulation.rs
@@ -28,6 +28,14 @@
     pub crashes: usize,
     /// Machines that came back with an empty disk.
     pub disks_lost: usize,
+    /// Times that all machines were cut into two halves.
+    pub halvings: usize,
+    /// Those of them that cut an even number of voters into two equal parts.
+    pub even_halvings: usize,
+    /// Power failures of all machines while links were cut.
+    pub power_losses_while_cut: usize,
+    /// Disks lost while links were cut.
+    pub disks_lost_while_cut: usize,
     /// Losses drawn from a [`crate::LossPlan`].
     pub losses: usize,
     /// Machines replaced by others with another identity.
--- a/simulator/tests/simulator.rs
+++ b/simulator/tests/simulator.rs
@@ -1,9 +1,9 @@
 //! Fixed seeds of the simulator. Seeds that once failed stay.
 
 use simulator::{
-    FaultProfile, OperatorPlan, PlantedFault, Simulation, Violation, CALM, FULL_DISKS, LARGE_SITE,
-    LEADER_SUCCESSION, OPERATORS, OPERATORS_UNDER_LOSSES, PLANNED_REPLACEMENTS, POWER_LOSS,
-    REPLACEMENTS, SMALL_SITE, STORM,
+    FaultProfile, OperatorPlan, PlantedFault, Report, Simulation, Violation, CALM, FULL_DISKS,
+    HALVES, LARGE_SITE, LEADER_SUCCESSION, OPERATORS, OPERATORS_UNDER_LOSSES, PLANNED_REPLACEMENTS,
+    POWER_LOSS, REPLACEMENTS, SMALL_SITE, STORM,
 };
 
 #[test]
@@ -84,6 +84,59 @@
     none_fails((1..=30).map(|seed| (seed, 5, OPERATORS_UNDER_LOSSES)));
 }
 
+/// Machines for a seed: three or five.
+fn three_or_five(seed: u64) -> usize {
+    3 + 2 * (seed as usize % 2)
+}
+
+/// Guards: while the machines are cut into two halves for some seconds, also an even number
+/// of voters during a change of membership, and power fails for all and disks are lost
+/// meanwhile, nothing acknowledged is lost, and no operator at either half is shown an
+/// older state.
+#[test]
+fn two_halves_lose_nothing_and_show_nothing_old() {
+    let mut reports = Vec::new();
+    let mut failed = Vec::new();
+    for seed in 1..=30 {
+        match Simulation::new(seed, three_or_five(seed), HALVES).run(20_000) {
+            Ok(report) => reports.push(report),
+            Err(failure) => failed.push(format!("seed {seed}: {failure}")),
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    let sum = |count: fn(&Report) -> usize| reports.iter().map(count).sum::<usize>();
+    let brought_about = [
+        ("odd halvings", sum(|r| r.halvings - r.even_halvings)),
+        ("even halvings", sum(|r| r.even_halvings)),
+        ("power losses while cut", sum(|r| r.power_losses_while_cut)),
+        ("disks lost while cut", sum(|r| r.disks_lost_while_cut)),
+    ];
+    assert!(
+        brought_about.iter().all(|(_, count)| *count >= 5),
+        "too rare: {brought_about:?}"
+    );
+}
+
+/// Guards that the check of histories finds old states that are shown at one of two halves.
+#[test]
+fn stale_reads_at_two_halves_are_found() {
+    let operators = Some(OperatorPlan {
+        count: 4,
+        fault: Some(PlantedFault::StaleRead),
+    });
+    let is_found = |seed: u64| {
+        let profile = FaultProfile {
+            operators,
+            ..HALVES
+        };
+        let simulation = Simulation::new(seed, three_or_five(seed), profile);
+        simulation
+            .run(20_000)
+            .is_err_and(|failure| matches!(failure.violation, Violation::NotLinearizable { .. }))
+    };
+    assert!((1..=10).any(is_found), "stale reads pass");
+}
+
 /// Operators on a network that delays much, with a planted fault.
 fn planted_profile(seed: u64, fault: PlantedFault) -> FaultProfile {
     let profile = [OPERATORS, OPERATORS_UNDER_LOSSES][seed as usize % 2];
@@ -151,6 +204,7 @@
         "small" => (5, SMALL_SITE),
         "large" => (9, LARGE_SITE),
         "full" => (5, FULL_DISKS),
+        "halves" => (three_or_five(seed), HALVES),
         "operators" => (5, [OPERATORS, OPERATORS_UNDER_LOSSES][seed as usize % 2]),
         "stale-read" => planted(PlantedFault::StaleRead),
         "early-acknowledgement" => planted(PlantedFault::AcknowledgedBeforeCommit),
