--- a/placement/src/drain.rs
+++ b/placement/src/drain.rs
@@ -6,8 +6,8 @@
     /// How long it accepts every request: clients may use a list of routers that was
     /// fetched before.
     pub accept_all_ms: u64,
-    /// What is accepted later has reached its deadline by then. Before the process ends, by
-    /// a margin that covers a client's own end on its way here.
+    /// What is accepted later has reached its deadline by then; an engine is told the deadline
+    /// and stops work at it, on a stream as well. Before the process ends, by a margin that covers a client's own end on its way here.
     pub end_by_ms: u64,
 }
 
--- a/placement/src/router_selection.rs
+++ b/placement/src/router_selection.rs
@@ -80,6 +80,7 @@
                 .iter()
                 .filter(|router| router.may_be_named(is_draining))
                 .map(|router| &router.status)
+                .filter(|status| client.may_use_region(&status.region))
                 .filter(|status| client.is_in_scope(status, scope))
                 .take(MAX_NAMED_ROUTERS)
                 .collect();
@@ -126,13 +127,12 @@
         }
     }
 
+    /// Of the routers in regions that it may use.
     fn is_in_scope(&self, router: &RouterStatus, scope: SelectionScope) -> bool {
         match scope {
             SelectionScope::Zone => router.zone == self.zone,
             SelectionScope::Region => router.region == self.region,
-            SelectionScope::HomeRegions | SelectionScope::AnyRegion => {
-                self.may_use_region(&router.region)
-            }
+            SelectionScope::HomeRegions | SelectionScope::AnyRegion => true,
         }
     }
 }
--- a/placement/tests/router_selection.rs
+++ b/placement/tests/router_selection.rs
@@ -115,7 +115,7 @@
 /// Guards: a client whose region has no ready router, as while its only one restarts, is
 /// sent to a home region of the host's routes rather than to any region.
 #[test]
-fn a_client_without_a_router_of_its_region_gets_those_of_home_regions() {
+fn a_client_without_a_router_of_its_region_gets_those_of_the_homes() {
     let routers = one_in_each_of_three_regions();
     let select = |region: &str, homes: &[&str]| select_with_homes(&routers, region, homes);
     assert_eq!(select("west", &["west", "south"]), ["b:80"]);
@@ -126,7 +126,7 @@
 /// Guards: home regions never widen. Where neither the client's region nor a home region has
 /// a ready router, none is named, however many are ready elsewhere.
 #[test]
-fn a_host_with_home_regions_is_never_led_elsewhere() {
+fn a_host_with_homes_is_never_led_elsewhere() {
     let routers = one_in_each_of_three_regions();
     let select = |region: &str, homes: &[&str]| select_with_homes(&routers, region, homes);
     let none: [&str; 0] = [];
@@ -160,6 +160,20 @@
     assert_eq!(select_routers(&routers, "n-1", "north"), ["b:80", "c:80"]);
 }
 
+/// Guards: the homes hold for a router of the client's zone, too, where a zone's name stands
+/// in two regions or the client names no region.
+#[test]
+fn a_zone_does_not_lift_the_homes() {
+    let routers = one_in_each_of_three_regions();
+    let homes = BTreeSet::from(["south".to_string()]);
+    let client = LookupClient {
+        zone: "n-1",
+        region: "",
+        homes: Some(&homes),
+    };
+    assert_eq!(select(&routers, &client), ["b:80"]);
+}
+
 /// A selection states where its routers were found.
 #[test]
 fn the_scope_of_a_selection_is_stated() {
--- a/policy/tests/policy/host_homes.rs
+++ b/policy/tests/policy/host_homes.rs
@@ -14,7 +14,7 @@
 "#;
 
 #[test]
-fn a_hosts_home_regions_are_those_of_all_its_routes_that_have_homes() {
+fn a_hosts_homes_are_those_of_all_its_routes_that_have_homes() {
     let program = compile(RULES).expect("the rules compile");
     let regions =
         |names: &[&str]| HostHomes::Regions(names.iter().map(|name| name.to_string()).collect());
