--- a/transport/tests/http_listener.rs
+++ b/transport/tests/http_listener.rs
@@ -91,3 +91,30 @@
     assert_eq!(answered, handed, "of the requests that were taken");
     assert_eq!(handed, CONNECTIONS, "requests that crossed the end");
 }
+
+/// More than the kernel's buffers of both sockets hold.
+const LARGE_ANSWER_BYTES: usize = 32 << 20;
+
+/// Guards: a connection whose answer is still going out is not ended as an idle one. The
+/// answer's body has been handed to hyper by then; its last byte has not been sent.
+#[tokio::test]
+async fn an_answer_that_is_still_going_out_is_not_cut_by_a_shutdown() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let handler: Handler = Arc::new(|_: Request| {
+        Box::pin(async { hyper::Response::new(Body::with_content(vec![b'x'; LARGE_ANSWER_BYTES])) })
+    });
+    let limits = Box::new(RequestLimits::default);
+    let server = http_listener::serve(listener, limits, handler, ready(()));
+    let mut client = TcpStream::connect(address).await.expect("it listens");
+    client.write_all(REQUEST).await.expect("it is open");
+    client.readable().await.expect("the answer begins");
+    server.shut_down().await;
+    let mut answer = Vec::new();
+    let ended = client.read_to_end(&mut answer).await;
+    assert!(
+        answer.len() > LARGE_ANSWER_BYTES,
+        "{} of {LARGE_ANSWER_BYTES} bytes: {ended:?}",
+        answer.len()
+    );
+}
