--- a/transport/src/http_listener/mod.rs
+++ b/transport/src/http_listener/mod.rs
@@ -74,7 +74,7 @@
     }
 
     /// Accepts no more connections, and ends the idle ones. Returns when all have ended, or
-    /// after [`CLOSE_TIMEOUT`], with what is still answered under way.
+    /// after `CLOSE_TIMEOUT`, with what is still answered under way.
     pub async fn shut_down(&self) {
         self.end_idle_connections();
         let closing = async {
