Mappings: an evacuation voids every mapping that may lead to its region

Cause: an evacuation voided the mappings whose first region it was. A router restricts the cached mapping of a public route to the route's home regions and checks the restricted one with the first byte. Where the client's region is no home, the whole mapping begins with another region and stayed in the caches, while the restricted one was void: all three look-ups gave the same mapping and the request was refused as mapping-void, until the mapping's time to live was over. Ruled out: the epoch of resolved mappings, fresh_ms 0 in resolve.rs.

The new test fails without the mend (EvacuateZone n-a: north).

--- a/protocol/tests/formats/samples/mod.rs
+++ b/protocol/tests/formats/samples/mod.rs
@@ -169,7 +169,7 @@
         Event::Invalidated(InvalidationScope::All),
         Event::Invalidated(InvalidationScope::Tenant(name("ana"))),
         Event::Invalidated(InvalidationScope::Key(name("ana/writer"))),
-        Event::Invalidated(InvalidationScope::Home(name("north"))),
+        Event::Invalidated(InvalidationScope::Region(name("north"))),
         Event::Tenants(vec![limits]),
         Event::Services(vec![service]),
         Event::Limits(RequestLimits::default()),
--- a/residency/src/event.rs
+++ b/residency/src/event.rs
@@ -73,6 +73,9 @@
 }
 
 /// Which cached mappings an event makes void.
+///
+/// Invariant: a scope that covers a mapping restricted to some of its regions covers the
+/// whole mapping as well. Routers restrict cached mappings to the home regions of a route.
 #[binrw]
 #[brw(big)]
 #[derive(Clone, Debug, PartialEq)]
@@ -86,9 +89,9 @@
     /// The mapping of one routing key.
     #[brw(magic = 2u8)]
     Key(Name),
-    /// The mappings whose first region this is.
+    /// The mappings that may lead to this region.
     #[brw(magic = 3u8)]
-    Home(Name),
+    Region(Name),
 }
 
 impl InvalidationScope {
@@ -98,7 +101,7 @@
             InvalidationScope::All => true,
             InvalidationScope::Tenant(name) => mapping.tenant == name.0,
             InvalidationScope::Key(name) => mapping.routing_key() == name.0,
-            InvalidationScope::Home(region) => mapping.regions.first() == Some(region),
+            InvalidationScope::Region(region) => mapping.regions.contains(region),
         }
     }
 }
--- a/residency/src/state/plan.rs
+++ b/residency/src/state/plan.rs
@@ -85,9 +85,9 @@
         if self.view.evacuated.contains(&zone.0) == is_evacuated {
             return Ok(Vec::new());
         }
-        // Routers skip the engines of an evacuated zone by themselves; what changes is how
-        // long the mapping of a key at home there stays fresh.
-        let invalidated = Event::Invalidated(InvalidationScope::Home(Name(region.clone())));
+        // Routers skip the engines of an evacuated zone by themselves; what changes is the
+        // order of cells, and how long the mapping of a key at home there stays fresh.
+        let invalidated = Event::Invalidated(InvalidationScope::Region(Name(region.clone())));
         Ok(match is_evacuated {
             true => vec![Event::ZoneEvacuated(zone.clone()), invalidated],
             false => vec![Event::ZoneReinstated(zone.clone()), invalidated],
--- a/residency/tests/state/lookup.rs
+++ b/residency/tests/state/lookup.rs
@@ -92,3 +92,34 @@
     harness.must(Command::UndoMove { tenant, service });
     assert_eq!(harness.cells("ana", "north")[0], first);
 }
+
+/// Guards: what makes a mapping void also makes the whole mapping void that it was taken
+/// from. A router restricts a cached mapping to a route's home regions; if an event
+/// voided the restricted one alone, the cache would serve the whole one for its time to
+/// live, and every request by it would be refused.
+#[test]
+fn an_event_voids_no_part_of_a_mapping_without_voiding_the_whole() {
+    let mut harness = Harness::with_three_regions();
+    let homes = [Name::from("north"), Name::from("south")];
+    let whole = harness
+        .state
+        .resolve("any", "writer", "west")
+        .expect("it resolves");
+    assert_eq!(whole.regions[0].0, "west");
+    let mut restricted = whole.clone();
+    restricted.regions.retain(|region| homes.contains(region));
+
+    for zone in ["n-a", "s-a", "w-a"] {
+        for command in [evacuate(zone), reinstate(zone)] {
+            for event in harness.must(command.clone()) {
+                let Event::Invalidated(scope) = event else {
+                    continue;
+                };
+                assert!(
+                    scope.covers(&whole) || !scope.covers(&restricted),
+                    "{command:?}: {scope:?}"
+                );
+            }
+        }
+    }
+}
--- a/residency/tests/state/topology.rs
+++ b/residency/tests/state/topology.rs
@@ -89,7 +89,7 @@
         ),
         (
             evacuate("w-a"),
-            vec![InvalidationScope::Home("west".into())],
+            vec![InvalidationScope::Region("west".into())],
         ),
     ];
     for (command, wanted) in cases {
