Listener: a client's close is seen behind unread bytes; a response's end is sent before its connection

The socket's readiness tells of the close without a read (READ_CLOSED): a connection whose request is handled then ends, and the work with it. - A connection counted as idle once hyper had taken the response's last frame. A new phase, Flushing, lasts until hyper flushes the stream, which it does when its own buffer is empty. shut_down ends each connection when it is idle, and waits while something of complete responses is still sent. A client that reads nothing is cut after the idle timeout of the limits.

--- a/transport/src/http_listener/connection.rs
+++ b/transport/src/http_listener/connection.rs
@@ -4,11 +4,11 @@
 use dropshot::Body;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
 
 /// What a connection is doing.
@@ -19,41 +19,105 @@
     Idle,
     /// The head of a request comes in.
     ReadingHead,
-    /// A request is handled, or its response goes out.
+    /// A request is handled, or its response is still being made.
     Handling,
+    /// The end of a response is in hyper's buffer and not all of it is sent.
+    Flushing,
 }
 
 /// The phase of a connection, shared by its stream, its service and the listener.
 #[derive(Default)]
 pub(super) struct ConnectionState {
     phase: AtomicU8,
-    /// When the phase began.
+    /// When the phase began, or when bytes were last sent while flushing.
     since_ms: AtomicU64,
     /// Notified when the connection is to end.
     pub end: Notify,
+    /// The connection is to end as soon as it is idle.
+    ends_when_idle: AtomicBool,
+    /// The client has closed its side.
+    is_client_gone: AtomicBool,
+    /// Notified when a request begins to be handled whose client is gone.
+    abandoned: Notify,
 }
 
 impl ConnectionState {
     pub fn enter(&self, phase: Phase) {
-        self.phase.store(phase as u8, Ordering::Relaxed);
+        self.phase.store(phase as u8, Ordering::SeqCst);
         self.since_ms.store(now(), Ordering::Relaxed);
+        if phase == Phase::Idle && self.ends_when_idle.load(Ordering::SeqCst) {
+            self.end.notify_one();
+        }
+        if phase == Phase::Handling && self.is_client_gone.load(Ordering::SeqCst) {
+            self.abandoned.notify_one();
+        }
     }
 
     pub fn is_in(&self, phase: Phase) -> bool {
-        self.phase.load(Ordering::Relaxed) == phase as u8
+        self.phase.load(Ordering::SeqCst) == phase as u8
     }
 
     pub fn since_ms(&self) -> u64 {
         self.since_ms.load(Ordering::Relaxed)
     }
+
+    /// Ends the connection now if it is idle, else once it is.
+    pub fn end_when_idle(&self) {
+        self.ends_when_idle.store(true, Ordering::SeqCst);
+        if self.is_in(Phase::Idle) {
+            self.end.notify_one();
+        }
+    }
+
+    /// Returns when the client has closed its side and a request of its is being handled.
+    ///
+    /// hyper learns of a close by reading, and reads nothing while bytes wait that it has
+    /// no use for yet: a request that was sent ahead, or the rest of a long body. The
+    /// socket tells of the close without a read.
+    pub async fn wait_until_abandoned(&self, socket: &OwnedWriteHalf) {
+        match socket.ready(Interest::PRIORITY).await {
+            Ok(ready) if ready.is_read_closed() => {}
+            // Urgent data, or the runtime ends: the client is not known to be gone.
+            _ => std::future::pending().await,
+        }
+        self.is_client_gone.store(true, Ordering::SeqCst);
+        if !self.is_in(Phase::Handling) {
+            self.abandoned.notified().await;
+        }
+    }
 }
 
-/// A stream that records when the first byte of a head comes in.
+/// A stream that records when the first byte of a head comes in, and when the last byte
+/// of a response has gone out.
 pub(super) struct ObservedStream {
-    pub stream: TcpStream,
+    pub reader: OwnedReadHalf,
+    /// Shared with the task that waits for the client's close.
+    pub writer: Arc<OwnedWriteHalf>,
     pub state: Arc<ConnectionState>,
 }
 
+impl ObservedStream {
+    /// Writes once the socket has room.
+    fn poll_write_with(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&OwnedWriteHalf) -> std::io::Result<usize>,
+    ) -> Poll<std::io::Result<usize>> {
+        loop {
+            ready!(self.writer.as_ref().as_ref().poll_write_ready(context))?;
+            match write(&self.writer) {
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                written => {
+                    if self.state.is_in(Phase::Flushing) {
+                        self.state.enter(Phase::Flushing);
+                    }
+                    return Poll::Ready(written);
+                }
+            }
+        }
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -61,7 +125,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let polled = Pin::new(&mut self.reader).poll_read(context, buffer);
         if buffer.filled().len() > before && self.state.is_in(Phase::Idle) {
             self.state.enter(Phase::ReadingHead);
         }
@@ -71,54 +135,56 @@
 
 impl AsyncWrite for ObservedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.poll_write_with(context, |writer| writer.try_write(bytes))
     }
 
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    /// hyper flushes the stream only when its own buffer is empty: whatever of a response
+    /// was in it has been sent.
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        if self.state.is_in(Phase::Flushing) {
+            self.state.enter(Phase::Idle);
+        }
+        Poll::Ready(Ok(()))
     }
 
+    /// The connection is dropped right after it, which shuts the socket's side down.
     fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        bytes: &[std::io::IoSlice<'_>],
+        buffers: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+        self.poll_write_with(context, |writer| writer.try_write_vectored(buffers))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 }
 
-/// Makes the connection idle again when the end of a response was sent, or the response
-/// was given up.
-pub(super) struct IdleOnDrop(pub Arc<ConnectionState>);
+/// Says that a response is complete but for what is buffered of it, or was given up.
+pub(super) struct FlushOnDrop(pub Arc<ConnectionState>);
 
-impl Drop for IdleOnDrop {
+impl Drop for FlushOnDrop {
     fn drop(&mut self) {
-        self.0.enter(Phase::Idle);
+        self.0.enter(Phase::Flushing);
     }
 }
 
 /// The body of a response on its way out.
 pub(super) struct ObservedBody {
     pub body: Body,
-    pub _idle_on_drop: IdleOnDrop,
+    pub _flush_on_drop: FlushOnDrop,
 }
 
 impl HttpBody for ObservedBody {
--- a/transport/src/http_listener/mod.rs
+++ b/transport/src/http_listener/mod.rs
@@ -6,9 +6,10 @@
 
 use crate::http_server::{Handler, Request, Response};
 use crate::now;
-use connection::{ConnectionState, IdleOnDrop, ObservedBody, ObservedStream, Phase};
+use connection::{ConnectionState, FlushOnDrop, ObservedBody, ObservedStream, Phase};
 use dropshot::Body;
 use hyper::body::Incoming;
+use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use residency::RequestLimits;
@@ -34,6 +35,9 @@
 /// hyper takes no smaller buffer for a head.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 
+/// A client's connection as hyper serves it.
+type ServerConnection<S> = hyper::server::conn::http1::Connection<TokioIo<ObservedStream>, S>;
+
 /// A listener for clients.
 pub struct HttpListener {
     connections: Mutex<HashMap<u64, Arc<ConnectionState>>>,
@@ -73,26 +77,31 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
-    /// Accepts no more connections, and ends the idle ones. Returns when all have ended, or
-    /// after `CLOSE_TIMEOUT`, with what is still answered under way.
+    /// Accepts no more connections, and ends each as soon as it is idle. Returns when all
+    /// have ended, or when for `CLOSE_TIMEOUT` nothing more was sent of the responses that
+    /// are complete. What is still answered goes on.
     pub async fn shut_down(&self) {
-        self.end_idle_connections();
-        let closing = async {
-            while !self.connections.lock().is_empty() {
-                tokio::time::sleep(CLOSE_POLL).await;
-            }
-        };
-        drop(tokio::time::timeout(CLOSE_TIMEOUT, closing).await);
-    }
-
-    fn end_idle_connections(&self) {
         self.start_draining();
         self.shut_down.notify_one();
-        self.connections
-            .lock()
+        for state in self.connections.lock().values() {
+            state.end_when_idle();
+        }
+        let started_ms = now();
+        while self.is_closing(started_ms) {
+            tokio::time::sleep(CLOSE_POLL).await;
+        }
+    }
+
+    /// Whether connections may still end soon.
+    fn is_closing(&self, started_ms: u64) -> bool {
+        let connections = self.connections.lock();
+        let last_sent_ms = connections
             .values()
-            .filter(|state| state.is_in(Phase::Idle))
-            .for_each(|state| state.end.notify_one());
+            .filter(|state| state.is_in(Phase::Flushing))
+            .map(|state| state.since_ms())
+            .max();
+        let since_ms = started_ms.max(last_sent_ms.unwrap_or_default());
+        !connections.is_empty() && now() < since_ms + CLOSE_TIMEOUT.as_millis() as u64
     }
 
     async fn accept(self: Arc<HttpListener>, listener: TcpListener, handler: Handler) {
@@ -141,14 +150,14 @@
             let (listener, state) = (Arc::clone(self), Arc::clone(state));
             hyper::service::service_fn(move |request: hyper::Request<Incoming>| {
                 state.enter(Phase::Handling);
-                let idle_on_drop = IdleOnDrop(Arc::clone(&state));
+                let flush_on_drop = FlushOnDrop(Arc::clone(&state));
                 let responding = handler(request.map(Body::wrap) as Request);
                 let listener = Arc::clone(&listener);
                 async move {
                     let response = listener.close_if_draining(responding.await);
                     Ok::<_, Infallible>(response.map(|body| ObservedBody {
                         body,
-                        _idle_on_drop: idle_on_drop,
+                        _flush_on_drop: flush_on_drop,
                     }))
                 }
             })
@@ -156,13 +165,37 @@
         let max_head_bytes = usize::try_from((self.limits)().max_head_bytes)
             .unwrap_or(usize::MAX)
             .max(MIN_HEAD_BYTES);
+        let (reader, writer) = stream.into_split();
+        let writer = Arc::new(writer);
         let stream = TokioIo::new(ObservedStream {
-            stream,
+            reader,
+            writer: Arc::clone(&writer),
             state: Arc::clone(state),
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .max_buf_size(max_head_bytes)
             .serve_connection(stream, service);
+        let served = self.serve_until_ended(connection, state);
+        tokio::select! {
+            biased;
+            ended = served => ended,
+            () = state.wait_until_abandoned(&writer) => {
+                log::debug!("a client closed its connection while its request was handled");
+                Ok(())
+            }
+        }
+    }
+
+    /// Drives a connection until it ends by itself, or is to end and has nothing more to
+    /// send.
+    async fn serve_until_ended<S>(
+        &self,
+        connection: ServerConnection<S>,
+        state: &ConnectionState,
+    ) -> hyper::Result<()>
+    where
+        S: HttpService<Incoming, ResBody = ObservedBody, Error = Infallible>,
+    {
         let mut connection = pin!(connection);
         tokio::select! {
             // A request that is already here is read before the connection is to end.
@@ -177,6 +210,7 @@
                 Ok(ended) => return ended,
                 // A request came in as the connection was to end: it is answered first.
                 Err(_) if state.is_in(Phase::Handling) => {}
+                Err(_) if state.is_in(Phase::Flushing) && !self.is_overdue(state) => {}
                 Err(_) => return Ok(()),
             }
         }
@@ -191,23 +225,28 @@
         response
     }
 
-    /// Ends connections that take too long over a head, or are idle for too long.
+    /// Ends connections that take too long over a head, are idle for too long, or whose
+    /// clients don't read the end of a response.
     async fn end_overdue_connections(self: Arc<HttpListener>) {
         loop {
             tokio::time::sleep(TIMEOUT_CHECK_INTERVAL).await;
-            let (limits, now_ms) = ((self.limits)(), now());
             for state in self.connections.lock().values() {
-                let limit_ms = if state.is_in(Phase::Idle) {
-                    limits.idle_timeout_ms
-                } else if state.is_in(Phase::ReadingHead) {
-                    limits.head_timeout_ms
-                } else {
-                    continue;
-                };
-                if now_ms > state.since_ms() + limit_ms {
+                if self.is_overdue(state) {
                     state.end.notify_one();
                 }
             }
         }
     }
+
+    fn is_overdue(&self, state: &ConnectionState) -> bool {
+        let limits = (self.limits)();
+        let limit_ms = if state.is_in(Phase::Handling) {
+            return false;
+        } else if state.is_in(Phase::ReadingHead) {
+            limits.head_timeout_ms
+        } else {
+            limits.idle_timeout_ms
+        };
+        now() > state.since_ms() + limit_ms
+    }
 }
