Connections: requests that may run only once use idle connections, too

A request that may run once is never sent again once a byte was sent. If a used connection costs one its response (engine closed it in that moment, surplus response of an earlier request), that engine's used connections carry idempotent requests alone for 10 s. A retry always gets a new connection. A response without an id is believed on a new connection alone.

--- a/dispatch/src/attempt.rs
+++ b/dispatch/src/attempt.rs
@@ -8,7 +8,7 @@
 
 use crate::body::RequestBody;
 use crate::connect::EngineConnection;
-use crate::connection_pool::PooledConnection;
+use crate::connection_pool::{ConnectionHistory, PooledConnection};
 use crate::dispatcher::Dispatcher;
 use crate::engine_protocol::ResponseClass;
 use crate::engine_tracker::EngineSlot;
@@ -21,7 +21,8 @@
 use hyper::body::Incoming;
 use hyper::Response;
 use placement::{
-    ExecutionOutcome, RequestEvent, RequestState, RequestStateMachine, SelectionRequest,
+    ConnectionDemand, ExecutionOutcome, RequestEvent, RequestState, RequestStateMachine,
+    SelectionRequest,
 };
 use residency::Mapping;
 use std::future::Future;
@@ -144,6 +145,7 @@
             mut sender,
             guard_slot,
             driver,
+            history,
         } = connection;
         guard_slot.arm(armed);
         let engine_protocol = &self.dispatcher.options.engine_protocol;
@@ -160,7 +162,7 @@
         let mut sending = pin!(sender.send_request(outgoing));
         let head = self.await_head(sending.as_mut(), &slot, remaining).await;
         match head {
-            ResponseHead::Received(response) => match self.classify(&response) {
+            ResponseHead::Received(response) => match self.classify(&response, history) {
                 Ok(()) => {
                     slot.record_first_event();
                     apply_event(self.state, RequestEvent::ResponseStarted);
@@ -168,17 +170,18 @@
                         sender,
                         guard_slot,
                         driver,
+                        history,
                     };
                     Ok(Some(self.relay(response, slot, connection)))
                 }
-                Err(unusable) => self.handle_unusable(unusable, &slot),
+                Err(unusable) => self.handle_unusable(unusable, &slot, history),
             },
             ResponseHead::Lost(_) if !first_byte_sent.load(Ordering::SeqCst) => {
                 self.dispatcher.metrics.increment("held-at-the-gate");
                 apply_event(self.state, RequestEvent::NothingSent);
                 Ok(None)
             }
-            ResponseHead::Lost(error) => self.handle_lost(error, &slot),
+            ResponseHead::Lost(error) => self.handle_lost(error, &slot, history),
             ResponseHead::DeadlinePassed => Err(rejections::deadline_passed(self.state.outcome())),
         }
     }
@@ -205,13 +208,12 @@
         }
     }
 
-    /// A connection to the engine: for an idempotent request a pooled one, if there is
-    /// one.
+    /// A connection to the engine: a pooled one, if there is one and the request may use
+    /// it.
     async fn connect(&mut self, slot: &EngineSlot) -> Option<EngineConnection> {
-        if self.state.is_idempotent() {
-            if let Some(pooled) = self.dispatcher.connections.acquire(&slot.name) {
-                return Some(EngineConnection::Pooled(pooled));
-            }
+        let demand = self.connection_demand();
+        if let Some(pooled) = self.dispatcher.connections.acquire(&slot.name, demand) {
+            return Some(EngineConnection::Pooled(pooled));
         }
         match self.dispatcher.connect(slot.address).await {
             Ok(stream) => Some(EngineConnection::New(stream)),
@@ -226,6 +228,13 @@
         }
     }
 
+    fn connection_demand(&self) -> ConnectionDemand {
+        ConnectionDemand {
+            is_idempotent: self.state.is_idempotent(),
+            is_retry: !self.tried.is_empty(),
+        }
+    }
+
     /// What must hold when the first byte is sent to this engine.
     fn guard(&self, slot: &EngineSlot) -> DispatchGuard {
         DispatchGuard {
@@ -313,9 +322,13 @@
     }
 
     /// Whether a response can be relayed to the client.
-    fn classify(&self, response: &Response<Incoming>) -> Result<(), UnusableResponse> {
+    fn classify(
+        &self,
+        response: &Response<Incoming>,
+        history: ConnectionHistory,
+    ) -> Result<(), UnusableResponse> {
         let classify = &self.dispatcher.options.engine_protocol.classify_response;
-        match classify(self.request, response.status(), response.headers()) {
+        match classify(self.request, history, response.status(), response.headers()) {
             ResponseClass::Response if is_delimited(response, &self.request.method) => Ok(()),
             ResponseClass::Response => Err(UnusableResponse::Unrelated("it has no end mark")),
             ResponseClass::NotRun => Err(UnusableResponse::NotRun),
@@ -328,11 +341,15 @@
         &mut self,
         response: UnusableResponse,
         slot: &EngineSlot,
+        history: ConnectionHistory,
     ) -> Result<Option<EngineResponse>, Rejection> {
         match response {
             UnusableResponse::WrongEngine => slot.record_replaced(),
             UnusableResponse::NotRun => slot.record_not_run(),
-            UnusableResponse::Unrelated(reason) => return self.handle_unrelated(reason, slot),
+            UnusableResponse::Unrelated(reason) => {
+                self.dispatcher.connections.record_loss(&slot.name, history);
+                return self.handle_unrelated(reason, slot);
+            }
         }
         self.dispatcher.metrics.increment("declined");
         self.tried.push(slot.name.clone());
@@ -356,9 +373,13 @@
         &mut self,
         error: LostResponse,
         slot: &EngineSlot,
+        history: ConnectionHistory,
     ) -> Result<Option<EngineResponse>, Rejection> {
         log::info!(job = self.request.id.as_str(), engine = slot.name.as_str();
             "the response was lost: {error}");
+        if !matches!(error, LostResponse::Abandoned) {
+            self.dispatcher.connections.record_loss(&slot.name, history);
+        }
         self.dispatcher.metrics.increment("answers-lost");
         self.record_failure(slot);
         self.response_lost(rejections::engine_lost)
--- a/dispatch/src/connect.rs
+++ b/dispatch/src/connect.rs
@@ -1,7 +1,7 @@
 //! Connections to engines: a pooled one or a new one.
 
 use crate::body::OutgoingBody;
-use crate::connection_pool::PooledConnection;
+use crate::connection_pool::{ConnectionHistory, PooledConnection};
 use crate::dispatcher::Dispatcher;
 use crate::guard::{GuardSlot, GuardedStream};
 use hyper_util::rt::TokioIo;
@@ -44,6 +44,7 @@
             sender,
             guard_slot,
             driver,
+            history: ConnectionHistory::New,
         })
     }
 }
--- a/dispatch/src/connection_pool.rs
+++ b/dispatch/src/connection_pool.rs
@@ -1,8 +1,9 @@
-//! Idle connections to engines, kept for idempotent requests.
+//! Idle connections to engines.
 
 use crate::body::OutgoingBody;
 use crate::guard::GuardSlot;
 use parking_lot::Mutex;
+use placement::{ConnectionDemand, ConnectionReuse, ReuseMode};
 use std::collections::HashMap;
 use std::sync::Arc;
 use transport::{now, AbortOnDrop};
@@ -10,6 +11,16 @@
 /// The most idle connections that are kept for one engine.
 const MAX_IDLE_PER_ENGINE: usize = 8;
 
+/// What a connection was used for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ConnectionHistory {
+    /// It carries its first request.
+    New,
+    /// It carried other requests before; a surplus response to one of them may come where
+    /// the next one is due.
+    Reused,
+}
+
 /// One HTTP/1.1 connection. Invariant: it carries one request at a time.
 pub struct PooledConnection {
     /// Sends requests on it.
@@ -18,6 +29,8 @@
     pub guard_slot: Arc<GuardSlot>,
     /// Ends the connection when dropped.
     pub driver: AbortOnDrop,
+    /// What it was used for.
+    pub history: ConnectionHistory,
 }
 
 struct IdleConnection {
@@ -36,11 +49,24 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
+    reuse: Mutex<ConnectionReuse>,
 }
 
 impl ConnectionPool {
-    /// The connection to an engine that was used last and is still alive.
-    pub fn acquire(&self, engine: &str) -> Option<PooledConnection> {
+    /// An empty pool.
+    pub fn new(mode: ReuseMode) -> ConnectionPool {
+        ConnectionPool {
+            idle: Mutex::default(),
+            reuse: Mutex::new(ConnectionReuse::new(mode)),
+        }
+    }
+
+    /// The connection to an engine that was used last and is still alive, if the request
+    /// may use it.
+    pub fn acquire(&self, engine: &str, demand: ConnectionDemand) -> Option<PooledConnection> {
+        if !self.reuse.lock().may_reuse(now(), engine, demand) {
+            return None;
+        }
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(engine)?;
         connections.retain(IdleConnection::is_alive);
@@ -59,7 +85,10 @@
         let mut idle = self.idle.lock();
         let connections = idle.entry(engine.to_string()).or_default();
         connections.push(IdleConnection {
-            connection,
+            connection: PooledConnection {
+                history: ConnectionHistory::Reused,
+                ..connection
+            },
             expires_at_ms: now() + idle_timeout_ms,
         });
         if connections.len() > MAX_IDLE_PER_ENGINE {
@@ -67,6 +96,14 @@
         }
     }
 
+    /// A request that was sent to the engine over a connection of such a history got no
+    /// response of its own.
+    pub fn record_loss(&self, engine: &str, history: ConnectionHistory) {
+        if history == ConnectionHistory::Reused {
+            self.reuse.lock().record_loss(now(), engine);
+        }
+    }
+
     /// Closes the idle connections to an engine that failed: they may hang as well.
     pub fn discard(&self, engine: &str) {
         drop(self.idle.lock().remove(engine));
--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
 use crate::engine_protocol::EngineProtocol;
 use crate::engine_tracker::EngineTracker;
 use crate::guard::PermitDispatch;
+use placement::ReuseMode;
 use residency::View;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,9 +26,10 @@
     /// The conventions of the engines.
     pub engine_protocol: EngineProtocol,
     /// How long an idle connection is kept if the engine's response doesn't say;
-    /// 0 keeps none. Only idempotent requests are sent over a connection that was
-    /// used before.
+    /// 0 keeps none.
     pub idle_timeout_ms: u64,
+    /// Which requests are sent over a connection that was used before.
+    pub reuse_mode: ReuseMode,
     /// How long connecting to an engine may take.
     pub connect_timeout: Duration,
     /// How long a request may wait for any engine to become known.
@@ -43,6 +45,7 @@
         DispatchOptions {
             engine_protocol: EngineProtocol::default(),
             idle_timeout_ms: 0,
+            reuse_mode: ReuseMode::default(),
             connect_timeout: link::HANDSHAKE_TIMEOUT,
             discovery_wait_ms: DISCOVERY_WAIT_MS,
             abandon_after_fraction: 0.0,
--- a/dispatch/src/engine_protocol.rs
+++ b/dispatch/src/engine_protocol.rs
@@ -1,6 +1,7 @@
 //! How engines are spoken to: the headers that they get, and what the head of
 //! their response says.
 
+use crate::connection_pool::ConnectionHistory;
 use crate::request::RequestParts;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use std::net::SocketAddr;
@@ -45,9 +46,10 @@
 /// Rewrites a client's headers into those for an engine.
 pub type RewriteHeaders = Box<dyn Fn(&mut HeaderMap, &HeaderContext) + Send + Sync>;
 
-/// Classifies the head of a response.
-pub type ClassifyResponse =
-    Box<dyn Fn(&RequestParts, StatusCode, &HeaderMap) -> ResponseClass + Send + Sync>;
+/// Classifies the head of a response that came over a connection of such a history.
+pub type ClassifyResponse = Box<
+    dyn Fn(&RequestParts, ConnectionHistory, StatusCode, &HeaderMap) -> ResponseClass + Send + Sync,
+>;
 
 /// The conventions of a kind of engine. By default those of our own engines, which
 /// know a request by its id and say by one header that they did not run it.
@@ -62,7 +64,9 @@
     fn default() -> EngineProtocol {
         EngineProtocol {
             rewrite_headers: Box::new(set_host_and_request_id),
-            classify_response: Box::new(|_, status, headers| classify_by_outcome(status, headers)),
+            classify_response: Box::new(|_, _, status, headers| {
+                classify_by_outcome(status, headers)
+            }),
         }
     }
 }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod select;
 
 pub use body::{BodyStream, ChannelBody, OutgoingBody, RequestBody};
+pub use connection_pool::ConnectionHistory;
 pub use dispatcher::{DispatchOptions, Dispatcher, RetryBudgetFn};
 pub use engine_protocol::{
     ClassifyResponse, EngineProtocol, HeaderContext, ResponseClass, RewriteHeaders,
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -12,6 +12,7 @@
 //! | what may be attempted next, and what an error may claim | `request_state` |
 //! | whether there is budget for a retry | `retry` |
 //! | whether a cached mapping may be used | `cache` |
+//! | whether a request may use a connection that carried others | `connection_reuse` |
 //! | what a router knows, and until when it may act on it | `replica_view` |
 //! | which requests a router that leaves still accepts | `drain` |
 //! | which routers and directory nodes there are | `router_membership` |
@@ -19,6 +20,7 @@
 //! | which process owns what, without communication | `rendezvous` |
 
 mod cache;
+mod connection_reuse;
 mod drain;
 mod engine;
 mod load;
@@ -31,6 +33,7 @@
 mod router_selection;
 
 pub use cache::{Cache, CacheEntry, CacheLookup};
+pub use connection_reuse::{ConnectionDemand, ConnectionReuse, ReuseMode};
 pub use drain::{Drain, DrainPlan};
 pub use engine::{
     may_serve, select_engine, Candidate, EngineHealthStatus, EngineHealthTracker, EngineListChange,
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -69,7 +69,7 @@
         false => EngineTracker::by_health(settings.peer_listen_address, peers),
     };
     tokio::spawn(Arc::clone(&engine_tracker).run(view_out.clone()));
-    let connections: Arc<ConnectionPool> = Arc::default();
+    let connections = Arc::new(ConnectionPool::new(options.reuse_mode));
     if options.idle_timeout_ms > 0 {
         tokio::spawn(sweep_pool(
             Arc::clone(&connections),
