Lease: a router that is cut off from a majority goes on past its lease for a while

Change: while no lease comes the router probes the directory nodes it knows, 1.5 s each. PartitionDetector (placement, sync) says cut off if for at least half of them the last probe failed by silence within 3 s; a refusal, a late connection or no recent probe counts as reachable.

--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -13,6 +13,7 @@
 //! | whether there is budget for a retry | `retry` |
 //! | whether a cached mapping may be used | `cache` |
 //! | whether a request may use a connection that carried others | `connection_reuse` |
+//! | whether a router is cut off from a majority of the directory nodes | `partition_detector` |
 //! | what a router knows, and until when it may act on it | `replica_view` |
 //! | which requests a router that leaves still accepts | `drain` |
 //! | which routers and directory nodes there are | `router_membership` |
@@ -24,6 +25,7 @@
 mod drain;
 mod engine;
 mod load;
+mod partition_detector;
 mod quota;
 mod rendezvous;
 mod replica_view;
@@ -41,6 +43,7 @@
     ENGINE_LOST_AFTER_MS, HEALTH_REPORT_TIMEOUT_MS, SLOW_START_RESPONSES,
 };
 pub use load::{EngineLoadEstimator, EngineLoadStatus, LoadUpdate, PrefillEstimate, ProbeTarget};
+pub use partition_detector::PartitionDetector;
 pub use quota::{
     AdmissionDecision, LeaseRateLimiter, QueueTicket, QueueingRateLimiter, QuotaLeaseAllocator,
     QuotaTolerance, RateLimit, TokenAllocator, QUOTA_LEASE_MS, STARTUP_RESERVE_RATIO,
--- a/router/src/lease.rs
+++ b/router/src/lease.rs
@@ -1,8 +1,9 @@
 //! The lease: until when this router may accept and dispatch work.
 //!
 //! A directory node renews it in response to heartbeats (`session.rs`). Past its
-//! end the router goes on for the grace of the settings, then refuses requests with
-//! [`RouterRejection::LeaseEnded`] and logs that the lease ended.
+//! end the router goes on for the grace of the settings, and longer while it is known to
+//! be cut off from a majority of the directory nodes (`partition_probe.rs`). Then it
+//! refuses requests with [`RouterRejection::LeaseEnded`] and logs that the lease ended.
 
 use crate::rejection::RouterRejection;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -14,16 +15,22 @@
     until_ms: AtomicU64,
     /// How long the router goes on past the end, in milliseconds.
     grace_ms: u64,
+    /// How long at most it goes on past the end while it is known to be cut off.
+    partition_grace_ms: u64,
+    /// Until when it is known to be cut off; 0 if it is not.
+    cut_off_until_ms: AtomicU64,
     /// The end of the latest lease was logged.
     is_end_logged: AtomicBool,
 }
 
 impl Lease {
     /// None is granted yet.
-    pub fn new(grace_ms: u64) -> Lease {
+    pub fn new(grace_ms: u64, partition_grace_ms: u64) -> Lease {
         Lease {
             until_ms: AtomicU64::new(0),
             grace_ms,
+            partition_grace_ms,
+            cut_off_until_ms: AtomicU64::new(0),
             is_end_logged: AtomicBool::new(false),
         }
     }
@@ -41,6 +48,24 @@
         }
     }
 
+    /// Sets until when the router is known to be cut off from a majority of the directory
+    /// nodes, if it is.
+    pub fn set_cut_off_until(&self, until_ms: Option<u64>) {
+        self.cut_off_until_ms
+            .store(until_ms.unwrap_or(0), Ordering::Relaxed);
+    }
+
+    /// Until when a router goes on past a lease that ended at `until_ms`.
+    fn grace_until_ms(&self, until_ms: u64) -> u64 {
+        // A router that never had a lease knows no state that was in force.
+        if until_ms == 0 {
+            return 0;
+        }
+        let cut_off_until_ms = self.cut_off_until_ms.load(Ordering::Relaxed);
+        let partition_until_ms = cut_off_until_ms.min(until_ms + self.partition_grace_ms);
+        partition_until_ms.max(until_ms + self.grace_ms)
+    }
+
     /// Whether work may be accepted and dispatched now.
     ///
     /// # Errors
@@ -48,9 +73,7 @@
     /// [`RouterRejection::LeaseEnded`] past the end and the grace.
     pub fn check(&self) -> Result<(), RouterRejection> {
         let until_ms = self.until_ms();
-        // A router that never had a lease knows no state that was in force.
-        let grace_ms = if until_ms > 0 { self.grace_ms } else { 0 };
-        if now() < until_ms + grace_ms {
+        if now() < self.grace_until_ms(until_ms) {
             return Ok(());
         }
         if until_ms == 0 {
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,7 +5,8 @@
 //!   gracefully (`startup.rs`).
 //! - `ingress/` is the way of a request, one file for each phase.
 //! - `session.rs` keeps the replicated state and the lease up to date; `lease.rs`
-//!   says whether work may be accepted by it.
+//!   says whether work may be accepted by it, and `partition_probe.rs` whether the
+//!   router is cut off from those who grant it.
 //! - `cache_tiers.rs` and `regional_cache.rs` hold mappings; on a miss a directory
 //!   node resolves the key (`pending_lookups.rs`) or takes the whole request
 //!   (`forwarding/`).
@@ -23,6 +24,7 @@
 mod load_gossip;
 mod membership;
 mod operator_api;
+mod partition_probe;
 mod peer_links;
 mod peer_server;
 mod pending_lookups;
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -84,6 +84,12 @@
         "how long it goes on past its lease's end while no directory node renews it",
         Some("0"),
     ),
+    setting(
+        "partition-grace-ms",
+        "MS",
+        "the same while it is known to be cut off from a majority of the directory nodes",
+        Some("0"),
+    ),
     setting(
         "level",
         "LEVEL",
@@ -148,6 +154,7 @@
         buffered_body_bytes: 0,
         resolves_by_key_only: false,
         lease_grace_ms: reader.count("lease-grace-ms", 0, 600_000),
+        partition_grace_ms: reader.count("partition-grace-ms", 0, 600_000),
         heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
     };
     let log_level = reader.text("level");
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -56,6 +56,9 @@
     /// How long it goes on past its lease's end, while no directory node renews it,
     /// in milliseconds; by time alone, whatever the cause.
     pub lease_grace_ms: u64,
+    /// How long at most it goes on past its lease's end while it is known to be cut off
+    /// from a majority of the directory nodes, in milliseconds; 0: not at all.
+    pub partition_grace_ms: u64,
     /// How often it sends a heartbeat in its session, in milliseconds.
     pub heartbeat_interval_ms: u64,
 }
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -11,7 +11,7 @@
 use crate::rejection::RouterRejection;
 use crate::router::Router;
 use crate::settings::Settings;
-use crate::{load_gossip, operator_api, peer_server, session};
+use crate::{load_gossip, operator_api, partition_probe, peer_server, session};
 use anyhow::Context;
 use dispatch::connection_pool::ConnectionPool;
 use dispatch::engine_tracker::EngineTracker;
@@ -100,7 +100,7 @@
         };
         Router {
             view,
-            lease: Lease::new(settings.lease_grace_ms),
+            lease: Lease::new(settings.lease_grace_ms, settings.partition_grace_ms),
             drain: OnceLock::new(),
             is_stopped: AtomicBool::new(false),
             is_exiting: watch::Sender::new(false),
@@ -121,6 +121,9 @@
     let listener = listen(router.settings.peer_listen_address).await?;
     tokio::spawn(peer_server::accept(Arc::clone(&router), listener));
     tokio::spawn(session::run(Arc::clone(&router)));
+    if router.settings.partition_grace_ms > 0 {
+        tokio::spawn(partition_probe::run(Arc::clone(&router)));
+    }
     if uses_passive_health_checks {
         tokio::spawn(Arc::clone(&router.dispatcher.engine_tracker).probe_suspects());
         tokio::spawn(load_gossip::run(Arc::clone(&router)));
--- a/testbed/tests/forwarding.rs
+++ b/testbed/tests/forwarding.rs
@@ -339,6 +339,7 @@
             buffered_body_bytes: 0,
             resolves_by_key_only: false,
             lease_grace_ms: 0,
+            partition_grace_ms: 0,
             heartbeat_interval_ms: 100,
         };
         let router_address = settings.ingress_address;
--- a/transport/src/link.rs
+++ b/transport/src/link.rs
@@ -60,6 +60,18 @@
 /// # Errors
 /// What the system says, or `TimedOut` after 450 ms.
 pub async fn connect(source: SocketAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    connect_within(CONNECT_TIMEOUT, source, to).await
+}
+
+/// Connects from `source`'s address within a time.
+///
+/// # Errors
+/// What the system says, or `TimedOut`.
+pub async fn connect_within(
+    timeout: Duration,
+    source: SocketAddr,
+    to: SocketAddr,
+) -> io::Result<TcpStream> {
     let socket = match to.is_ipv4() {
         true => TcpSocket::new_v4()?,
         false => TcpSocket::new_v6()?,
@@ -67,7 +79,7 @@
     if source.is_ipv4() == to.is_ipv4() && !source.ip().is_unspecified() {
         socket.bind(SocketAddr::new(source.ip(), 0))?;
     }
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(to))
+    let stream = tokio::time::timeout(timeout, socket.connect(to))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
