--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -13,6 +13,7 @@
 //! | whether there is budget for a retry | `retry` |
 //! | whether a cached mapping may be used | `cache` |
 //! | whether a request may use a connection that carried others | `connection_reuse` |
+//! | how long a router goes on past its lease | `lease_grace` |
 //! | whether a router is cut off from a majority of the directory nodes | `partition_detector` |
 //! | what a router knows, and until when it may act on it | `replica_view` |
 //! | which requests a router that leaves still accepts | `drain` |
@@ -24,6 +25,7 @@
 mod connection_reuse;
 mod drain;
 mod engine;
+mod lease_grace;
 mod load;
 mod partition_detector;
 mod quota;
@@ -42,6 +44,7 @@
     EngineSelection, HealthReport, SelectedEngine, SelectionRequest, SlowStart,
     ENGINE_LOST_AFTER_MS, HEALTH_REPORT_TIMEOUT_MS, SLOW_START_RESPONSES,
 };
+pub use lease_grace::LeaseGrace;
 pub use load::{EngineLoadEstimator, EngineLoadStatus, LoadUpdate, PrefillEstimate, ProbeTarget};
 pub use partition_detector::PartitionDetector;
 pub use quota::{
--- a/router/src/lease.rs
+++ b/router/src/lease.rs
@@ -6,6 +6,7 @@
 //! refuses requests with [`RouterRejection::LeaseEnded`] and logs that the lease ended.
 
 use crate::rejection::RouterRejection;
+use placement::LeaseGrace;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use transport::now;
 
@@ -13,10 +14,7 @@
 pub struct Lease {
     /// Until when it is valid, on this process's clock; 0 until the first one.
     until_ms: AtomicU64,
-    /// How long the router goes on past the end, in milliseconds.
-    grace_ms: u64,
-    /// How long at most it goes on past the end while it is known to be cut off.
-    partition_grace_ms: u64,
+    grace: LeaseGrace,
     /// Until when it is known to be cut off; 0 if it is not.
     cut_off_until_ms: AtomicU64,
     /// The end of the latest lease was logged.
@@ -25,11 +23,10 @@
 
 impl Lease {
     /// None is granted yet.
-    pub fn new(grace_ms: u64, partition_grace_ms: u64) -> Lease {
+    pub fn new(grace: LeaseGrace) -> Lease {
         Lease {
             until_ms: AtomicU64::new(0),
-            grace_ms,
-            partition_grace_ms,
+            grace,
             cut_off_until_ms: AtomicU64::new(0),
             is_end_logged: AtomicBool::new(false),
         }
@@ -57,13 +54,8 @@
 
     /// Until when a router goes on past a lease that ended at `until_ms`.
     fn grace_until_ms(&self, until_ms: u64) -> u64 {
-        // A router that never had a lease knows no state that was in force.
-        if until_ms == 0 {
-            return 0;
-        }
         let cut_off_until_ms = self.cut_off_until_ms.load(Ordering::Relaxed);
-        let partition_until_ms = cut_off_until_ms.min(until_ms + self.partition_grace_ms);
-        partition_until_ms.max(until_ms + self.grace_ms)
+        self.grace.until_ms(until_ms, cut_off_until_ms)
     }
 
     /// Whether work may be accepted and dispatched now.
@@ -87,7 +79,7 @@
     fn log_end(&self, until_ms: u64) {
         if !self.is_end_logged.swap(true, Ordering::Relaxed) {
             let past_end_ms = now().saturating_sub(until_ms);
-            log::warn!(past_end_ms = past_end_ms, grace_ms = self.grace_ms;
+            log::warn!(past_end_ms = past_end_ms, grace_ms = self.grace.unconditional_ms;
                 "the lease ended: requests are refused until a directory node renews it");
         }
     }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,7 +1,7 @@
 //! The project's own router program: settings by flags and a JSON file; clients and
 //! engines by the project's own HTTP interface.
 
-use placement::DrainPlan;
+use placement::{DrainPlan, LeaseGrace};
 use router::{Extensions, Settings, ENGINE_SLOT_WAIT_MS};
 use settings::{setting, Setting, SettingsReader};
 use std::time::Duration;
@@ -153,8 +153,10 @@
         slot_wait_ms: ENGINE_SLOT_WAIT_MS,
         buffered_body_bytes: 0,
         resolves_by_key_only: false,
-        lease_grace_ms: reader.count("lease-grace-ms", 0, 600_000),
-        partition_grace_ms: reader.count("partition-grace-ms", 0, 600_000),
+        lease_grace: LeaseGrace {
+            unconditional_ms: reader.count("lease-grace-ms", 0, 600_000),
+            partition_ms: reader.count("partition-grace-ms", 0, 600_000),
+        },
         heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
     };
     let log_level = reader.text("level");
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -1,6 +1,6 @@
 //! A router's settings, checked by the program that reads them.
 
-use placement::DrainPlan;
+use placement::{DrainPlan, LeaseGrace};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -53,12 +53,8 @@
     /// Cache misses are resolved by the key alone, and no request is forwarded to a
     /// directory node with its body.
     pub resolves_by_key_only: bool,
-    /// How long it goes on past its lease's end, while no directory node renews it,
-    /// in milliseconds; by time alone, whatever the cause.
-    pub lease_grace_ms: u64,
-    /// How long at most it goes on past its lease's end while it is known to be cut off
-    /// from a majority of the directory nodes, in milliseconds; 0: not at all.
-    pub partition_grace_ms: u64,
+    /// How long it goes on past its lease's end, while no directory node renews it.
+    pub lease_grace: LeaseGrace,
     /// How often it sends a heartbeat in its session, in milliseconds.
     pub heartbeat_interval_ms: u64,
 }
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -100,7 +100,7 @@
         };
         Router {
             view,
-            lease: Lease::new(settings.lease_grace_ms, settings.partition_grace_ms),
+            lease: Lease::new(settings.lease_grace),
             drain: OnceLock::new(),
             is_stopped: AtomicBool::new(false),
             is_exiting: watch::Sender::new(false),
@@ -121,7 +121,7 @@
     let listener = listen(router.settings.peer_listen_address).await?;
     tokio::spawn(peer_server::accept(Arc::clone(&router), listener));
     tokio::spawn(session::run(Arc::clone(&router)));
-    if router.settings.partition_grace_ms > 0 {
+    if router.settings.lease_grace.partition_ms > 0 {
         tokio::spawn(partition_probe::run(Arc::clone(&router)));
     }
     if uses_passive_health_checks {
--- a/testbed/tests/forwarding.rs
+++ b/testbed/tests/forwarding.rs
@@ -338,8 +338,7 @@
             slot_wait_ms: 0,
             buffered_body_bytes: 0,
             resolves_by_key_only: false,
-            lease_grace_ms: 0,
-            partition_grace_ms: 0,
+            lease_grace: Default::default(),
             heartbeat_interval_ms: 100,
         };
         let router_address = settings.ingress_address;
