Refusals: clients come back after as long as an outage of leases has lasted

Change: the time told is that since the lease and its grace ended, 50 ms to 1 s: as little is known of an outage, it is as likely to last for as long again; at its begin another router may still have a lease.

--- a/router/src/lease.rs
+++ b/router/src/lease.rs
@@ -65,14 +65,17 @@
     /// [`RouterRejection::LeaseEnded`] past the end and the grace.
     pub fn check(&self) -> Result<(), RouterRejection> {
         let until_ms = self.until_ms();
-        if now() < self.grace_until_ms(until_ms) {
+        let grace_until_ms = self.grace_until_ms(until_ms);
+        let now = now();
+        if now < grace_until_ms {
             return Ok(());
         }
         if until_ms == 0 {
             return Err(RouterRejection::Starting);
         }
         self.log_end(until_ms);
-        Err(RouterRejection::LeaseEnded)
+        let ended_for_ms = now - grace_until_ms;
+        Err(RouterRejection::LeaseEnded { ended_for_ms })
     }
 
     /// Logs once for each lease that it ended.
--- a/router/src/rejection.rs
+++ b/router/src/rejection.rs
@@ -17,7 +17,10 @@
     Starting,
     /// The lease and its grace ended; see `lease.rs`.
     #[error("this router has no valid lease; use another router")]
-    LeaseEnded,
+    LeaseEnded {
+        /// How long ago the lease and its grace ended.
+        ended_for_ms: u64,
+    },
     /// It has stopped accepting requests.
     #[error("this router is shutting down; use another router")]
     ShuttingDown,
@@ -128,6 +131,10 @@
     NoRouter,
 }
 
+/// Bounds of the time after which a client is told to come back in an outage.
+const MIN_OUTAGE_RETRY_AFTER_MS: u64 = 50;
+const MAX_OUTAGE_RETRY_AFTER_MS: u64 = 1_000;
+
 /// What a client gets for a rejection.
 struct Reply {
     status: u16,
@@ -163,11 +170,19 @@
     }
 }
 
+/// When to come back in an outage that has lasted for so long: as little is known of it, it
+/// is as likely to last for as long again. At first another router may have a lease.
+fn outage_retry_after_ms(lasted_ms: u64) -> u64 {
+    lasted_ms.clamp(MIN_OUTAGE_RETRY_AFTER_MS, MAX_OUTAGE_RETRY_AFTER_MS)
+}
+
 impl RouterRejection {
     fn reply(&self) -> Reply {
         match self {
             Self::Starting => Reply::transient(503, "starting", 1_000),
-            Self::LeaseEnded => Reply::transient(503, "no-lease", 1_000),
+            Self::LeaseEnded { ended_for_ms } => {
+                Reply::transient(503, "no-lease", outage_retry_after_ms(*ended_for_ms))
+            }
             Self::ShuttingDown => Reply::transient(503, "leaving", 1_000),
             Self::BrokenOffAtExit => {
                 Reply::transient(502, "broken-off", 1_000).with_outcome(ExecutionOutcome::Unknown)
--- a/router/tests/rejection.rs
+++ b/router/tests/rejection.rs
@@ -16,9 +16,31 @@
 #[test]
 fn each_rejection_has_its_status_code_outcome_and_pause() {
     let listener = || "shop".to_string();
-    let cases: [Case; 29] = [
+    let cases: [Case; 31] = [
         (Starting, 503, "starting", NotRun, Some(1_000)),
-        (LeaseEnded, 503, "no-lease", NotRun, Some(1_000)),
+        (
+            LeaseEnded { ended_for_ms: 0 },
+            503,
+            "no-lease",
+            NotRun,
+            Some(50),
+        ),
+        (
+            LeaseEnded { ended_for_ms: 400 },
+            503,
+            "no-lease",
+            NotRun,
+            Some(400),
+        ),
+        (
+            LeaseEnded {
+                ended_for_ms: 9_000,
+            },
+            503,
+            "no-lease",
+            NotRun,
+            Some(1_000),
+        ),
         (ShuttingDown, 503, "leaving", NotRun, Some(1_000)),
         (BrokenOffAtExit, 502, "broken-off", Unknown, Some(1_000)),
         (
