Directory: routers are subscribed once a majority has confirmed the node's state

Hypothesis: after a loss of power of all machines the first leases come 2 s after the nodes are back. Change: a session subscribes to the driver when the node's lease is valid. Heartbeats, look-ups and lists of routers pass before that as they did.

--- a/directory/src/subscriptions/session.rs
+++ b/directory/src/subscriptions/session.rs
@@ -6,6 +6,7 @@
 use crate::router_registry::WaitingHeartbeat;
 use protocol::{Frame, LookupResponse};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -15,14 +16,14 @@
 /// Frames that wait for one router, at the most. A router whose queue is full when a
 /// change comes loses its session and connects again for a snapshot.
 const QUEUE_LEN: usize = 1024;
+/// How often a session that waits looks whether the node's state is confirmed.
+const CONFIRMATION_POLL: Duration = Duration::from_millis(20);
 /// The most that a router's frame may hold.
 const MAX_FRAME_BYTES: usize = 1 << 20;
 
 /// Why a session was ended here. The router connects again, which is always safe.
 #[derive(Debug, thiserror::Error)]
 enum SessionError {
-    #[error("the driver's queue is full")]
-    DriverBusy,
     #[error("its frames come {silence_ms} ms late")]
     FramesLate { silence_ms: u64 },
     #[error("it fell behind")]
@@ -46,12 +47,12 @@
         let text = "this node belongs to no cluster yet".into();
         return Ok(link::send(&mut writer, &Frame::Refused { text }).await?);
     }
-    // The driver's thread holds the only lasting sender: when it drops it, the session
-    // ends.
+    // Once it is subscribed, the driver's thread holds the only lasting sender: when it
+    // drops it, the session ends.
     let weak_sender = sender.downgrade();
-    if !control.driver.send(DriverCommand::Subscribe(sender)) {
-        return Err(SessionError::DriverBusy.into());
-    }
+    let subscribing = subscribe_when_confirmed(Arc::clone(&control), sender);
+    let subscribing = tokio::spawn(subscribing);
+    let _subscribing = AbortOnDrop(subscribing.abort_handle());
     log::info!(router = router.as_str(); "A router's session begins");
     let list_task = tokio::spawn(router_list::send_updates(
         Arc::clone(&control),
@@ -64,6 +65,18 @@
     }
 }
 
+/// Subscribes a router once a majority has confirmed this node's state. Until then the
+/// state may be older than the router's, as after a restart of all nodes: a snapshot of it
+/// would be refused, and its bytes would hold up the one that counts.
+async fn subscribe_when_confirmed(control: Arc<ControlPlane>, sender: mpsc::Sender<Frame>) {
+    while !control.driver.lease_valid() {
+        tokio::time::sleep(CONFIRMATION_POLL).await;
+    }
+    if !control.driver.send(DriverCommand::Subscribe(sender)) {
+        log::warn!("A router's session ends: the driver's queue is full");
+    }
+}
+
 async fn write_frames(
     mut queue: mpsc::Receiver<Frame>,
     mut writer: OwnedWriteHalf,
--- a/directory/tests/recorded_data.rs
+++ b/directory/tests/recorded_data.rs
@@ -6,11 +6,14 @@
 use consensus::wal::{DiskStorage, WriteAheadLog};
 use consensus::{Entry, EntryPayload, HardState, Member, Membership};
 use directory::{Committed, ControlPlane, Extensions, RuntimeFlavor, Settings};
+use protocol::{ConnectionKind, Frame, LookupResponse, MAX_FRAME_BYTES};
 use residency::{Command, EngineState, Name, Outcome, Proposal, State, UpdateMode};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
+use transport::link;
 
 const CLUSTER: u64 = 0xe7c0_2db5_1704_7a79;
 /// The identities of d1 to d4, as their folders hold them.
@@ -284,13 +287,64 @@
     has_started.await.expect("it starts")
 }
 
+/// A router's session with a node that no majority has confirmed. The node answers it, but
+/// has sent no snapshot by then: its state is older than what the routers know.
+async fn unconfirmed_session(node: usize) -> TcpStream {
+    let address: SocketAddr = member(node).address.parse().expect("an address");
+    let source = SocketAddr::from(([127, 0, 0, 1], 0));
+    let kind = ConnectionKind::RouterSession;
+    let deadline = std::time::Instant::now() + PATIENCE;
+    let mut session = loop {
+        match link::dial(source, address, kind, "r1").await {
+            Ok(session) => break session,
+            Err(error) => assert!(std::time::Instant::now() < deadline, "{error}"),
+        }
+        tokio::task::yield_now().await;
+    };
+    let lookup = Frame::LookupRequest {
+        request_id: 1,
+        tenant: "ana".into(),
+        service: "writer".into(),
+        region: "north".into(),
+    };
+    link::send(&mut session, &lookup).await.expect("it is open");
+    loop {
+        match link::receive(&mut session, MAX_FRAME_BYTES).await {
+            Ok(Some(Frame::LookupResponse { response, .. })) => {
+                assert_eq!(response, LookupResponse::Unavailable);
+                return session;
+            }
+            Ok(Some(Frame::RegistryUpdate(_))) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// The epoch of the first snapshot of a session.
+async fn first_snapshot(session: &mut TcpStream) -> u64 {
+    loop {
+        match link::receive(session, MAX_FRAME_BYTES).await {
+            Ok(Some(Frame::Snapshot { epoch, .. })) => return epoch,
+            Ok(Some(Frame::RegistryUpdate(_))) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
 #[tokio::test]
 async fn nodes_restarted_on_recorded_data_go_on() {
     let copy = Copy::new("restart");
-    let mut nodes = Vec::new();
-    for node in 1..=4 {
+    let mut nodes = vec![start(&copy, 1).await];
+    let mut session = unconfirmed_session(1).await;
+    for node in 2..=4 {
         nodes.push(start(&copy, node).await);
     }
+    let epoch = tokio::time::timeout(PATIENCE, first_snapshot(&mut session)).await;
+    assert_eq!(
+        epoch,
+        Ok(LAST_INDEX),
+        "not what the node's own snapshot holds"
+    );
     for node in &nodes {
         assert!(
             node.read_barrier_within(PATIENCE).await,
