Directory: a node that holds no state yet refuses routers' sessions

A router that connected to it stayed for 0.9 s without a lease, since its session now waits for the node to be confirmed; before that the empty state was refused at once. It is refused in words.

--- a/directory/src/subscriptions/session.rs
+++ b/directory/src/subscriptions/session.rs
@@ -43,8 +43,8 @@
 ) -> anyhow::Result<()> {
     let (reader, mut writer) = stream.into_split();
     let (sender, queue) = mpsc::channel::<Frame>(QUEUE_LEN);
-    if control.driver.cluster_status.borrow().cluster == 0 {
-        let text = "this node belongs to no cluster yet".into();
+    if let Some(text) = refusal(&control) {
+        let text = text.into();
         return Ok(link::send(&mut writer, &Frame::Refused { text }).await?);
     }
     // Once it is subscribed, the driver's thread holds the only lasting sender: when it
@@ -65,6 +65,16 @@
     }
 }
 
+/// Why a router is better off with another node; `None` where it is not.
+fn refusal(control: &ControlPlane) -> Option<&'static str> {
+    if control.driver.cluster_status.borrow().cluster == 0 {
+        return Some("this node belongs to no cluster yet");
+    }
+    let is_empty = control.view().epoch == 0;
+    // As after the loss of its disk: it has to catch up first.
+    (is_empty && !control.driver.lease_valid()).then_some("this node holds no state yet")
+}
+
 /// Subscribes a router once a majority has confirmed this node's state. Until then the
 /// state may be older than the router's, as after a restart of all nodes: a snapshot of it
 /// would be refused, and its bytes would hold up the one that counts.
