Look-up: the rest of a body is read meanwhile, so that a client that leaves is noticed

A body longer than the receive window was read by nobody during a look-up, so that the router sent the request to an engine when the look-up ended. Ruled out: reading the socket's state (done, sees resets alone), a probe by urgent data. Now RequestBody reads its remainder ahead while the look-up is under way, 1 MiB of a body and 16 MiB of all at the most; beyond it a close is hidden as before.

--- a/dispatch/src/body.rs
+++ b/dispatch/src/body.rs
@@ -2,32 +2,120 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
+use std::collections::VecDeque;
+use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+
+/// Of one body, so much is read ahead at the most, in bytes.
+const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
 
 /// A body that is read while it is passed on.
 pub type BodyStream = UnsyncBoxBody<Bytes, anyhow::Error>;
 
-/// A request's body: what was buffered while its routing key was read, then the
-/// remainder of the client's stream.
+/// A request's body: what was buffered of it, then the remainder of the client's stream.
 ///
-/// Invariant: it can be sent again exactly if it never had a remainder.
+/// Invariant: it can be sent again as long as no remainder of it was taken.
 pub struct RequestBody {
-    /// The first bytes of the body; all of it where there is no remainder.
-    pub buffered: Bytes,
+    /// The first bytes of the body, in pieces; all of it where there is no remainder.
+    buffered: Vec<Bytes>,
     remainder: Option<BodyStream>,
     is_consumed: bool,
+    /// For the bytes that were read ahead.
+    read_ahead: Option<OwnedSemaphorePermit>,
+}
+
+/// The bytes that may be read ahead of all bodies of a process together.
+#[derive(Clone)]
+pub struct ReadAheadBudget(Arc<Semaphore>);
+
+impl ReadAheadBudget {
+    /// So many bytes, 4 GiB at the most.
+    pub fn new(max_bytes: u32) -> ReadAheadBudget {
+        ReadAheadBudget(Arc::new(Semaphore::new(max_bytes as usize)))
+    }
 }
 
+/// The client's body ended before its time, or can't be read: the client is gone, or sends
+/// what is no body. Nothing of the request was sent to an engine.
+#[derive(Debug, thiserror::Error)]
+#[error("the rest of the body can't be read: {0}")]
+pub struct BodyReadError(anyhow::Error);
+
 impl RequestBody {
     /// A body of these buffered bytes, followed by `remainder`.
     pub fn new(buffered: Bytes, remainder: Option<BodyStream>) -> RequestBody {
         RequestBody {
-            buffered,
+            buffered: vec![buffered],
             remainder,
             is_consumed: false,
+            read_ahead: None,
+        }
+    }
+
+    /// The pieces that are buffered, in their order.
+    pub fn buffered(&self) -> &[Bytes] {
+        &self.buffered
+    }
+
+    /// Does some work while the remainder is read into the buffer, as far as the budget
+    /// allows. A client's close stays in the client's own kernel until the bytes that were
+    /// sent before it are read: a body that nobody reads hides that its client has left.
+    ///
+    /// # Errors
+    /// [`BodyReadError`] as soon as the remainder can't be read; the work is dropped.
+    pub async fn read_ahead_during<T>(
+        &mut self,
+        budget: &ReadAheadBudget,
+        work: impl Future<Output = T>,
+    ) -> Result<T, BodyReadError> {
+        tokio::select! {
+            biased;
+            done = work => Ok(done),
+            error = self.read_ahead(budget) => Err(error),
+        }
+    }
+
+    /// Reads the remainder into the buffer; returns only if it can't be read. What was
+    /// read when this is dropped is in the buffer.
+    async fn read_ahead(&mut self, budget: &ReadAheadBudget) -> BodyReadError {
+        while self.may_read_ahead(budget) {
+            let Some(remainder) = &mut self.remainder else {
+                break;
+            };
+            match remainder.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.add_read_ahead(data, budget);
+                    }
+                }
+                Some(Err(error)) => return BodyReadError(error),
+                None => self.remainder = None,
+            }
+        }
+        std::future::pending().await
+    }
+
+    fn may_read_ahead(&self, budget: &ReadAheadBudget) -> bool {
+        let read_ahead = self.read_ahead.as_ref();
+        let read_ahead_bytes = read_ahead.map_or(0, OwnedSemaphorePermit::num_permits);
+        read_ahead_bytes < MAX_READ_AHEAD_BYTES && budget.0.available_permits() > 0
+    }
+
+    /// Keeps a piece that was read. The last one may pass the budget.
+    fn add_read_ahead(&mut self, data: Bytes, budget: &ReadAheadBudget) {
+        let bytes = data.len().min(budget.0.available_permits());
+        self.buffered.push(data);
+        let Ok(permit) = Arc::clone(&budget.0).try_acquire_many_owned(bytes as u32) else {
+            return;
+        };
+        match &mut self.read_ahead {
+            Some(held) => held.merge(permit),
+            None => self.read_ahead = Some(permit),
         }
     }
 
@@ -49,9 +137,9 @@
 
     /// The body as it is sent to an engine. Takes the remainder.
     pub(crate) fn take_outgoing(&mut self) -> OutgoingBody {
-        let buffered = Some(self.buffered.clone()).filter(|buffered| !buffered.is_empty());
+        let pieces = self.buffered.iter().filter(|piece| !piece.is_empty());
         OutgoingBody {
-            buffered,
+            buffered: pieces.cloned().collect(),
             remainder: self.take_remainder(),
         }
     }
@@ -59,7 +147,7 @@
 
 /// A request's body on its way to an engine.
 pub struct OutgoingBody {
-    buffered: Option<Bytes>,
+    buffered: VecDeque<Bytes>,
     remainder: Option<BodyStream>,
 }
 
@@ -71,8 +159,8 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
-        if let Some(buffered) = self.buffered.take() {
-            return Poll::Ready(Some(Ok(Frame::data(buffered))));
+        if let Some(piece) = self.buffered.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(piece))));
         }
         match &mut self.remainder {
             Some(remainder) => Pin::new(remainder).poll_frame(context),
@@ -81,13 +169,16 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.buffered.is_none() && self.remainder.is_none()
+        self.buffered.is_empty() && self.remainder.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.remainder {
             Some(_) => SizeHint::default(),
-            None => SizeHint::with_exact(self.buffered.as_ref().map_or(0, |b| b.len() as u64)),
+            None => {
+                let buffered_bytes: usize = self.buffered.iter().map(Bytes::len).sum();
+                SizeHint::with_exact(buffered_bytes as u64)
+            }
         }
     }
 }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -22,7 +22,9 @@
 mod response_head;
 mod select;
 
-pub use body::{BodyStream, ChannelBody, OutgoingBody, RequestBody};
+pub use body::{
+    BodyReadError, BodyStream, ChannelBody, OutgoingBody, ReadAheadBudget, RequestBody,
+};
 pub use connection_pool::ConnectionHistory;
 pub use dispatcher::{DispatchOptions, Dispatcher, RetryBudgetFn};
 pub use engine_protocol::{
--- a/router/src/forwarding/conversation.rs
+++ b/router/src/forwarding/conversation.rs
@@ -135,7 +135,9 @@
             .as_mut()
             .expect("only an upload takes it, and none has started yet");
         link::send(writer, &Frame::RequestHead(head)).await?;
-        link::send(writer, &Frame::RequestBody(self.body.buffered.to_vec())).await?;
+        for piece in self.body.buffered() {
+            link::send(writer, &Frame::RequestBody(piece.to_vec())).await?;
+        }
         if !self.body.has_remainder() {
             link::send(writer, &Frame::RequestEnd).await?;
         } else if self.permit.is_none() {
--- a/router/src/ingress/lookup.rs
+++ b/router/src/ingress/lookup.rs
@@ -11,6 +11,7 @@
 use placement::{CacheLookup, RequestState, RequestStateMachine};
 use protocol::LookupResponse;
 use residency::Mapping;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 use transport::http_server::Response;
@@ -46,7 +47,8 @@
         routing_key: &RoutingKey,
     ) -> Result<Found, Rejection> {
         let key = residency::routing_key(&routing_key.tenant, &routing_key.service);
-        match self.look_up_cached(&key, routing_key).await {
+        let looking_up = self.look_up_cached(&key, routing_key);
+        match self.read_ahead_during(body, looking_up).await? {
             Some(mapping) => Ok(Found::Mapping(mapping)),
             None => {
                 self.look_up_missing(state, parts, body, &key, routing_key)
@@ -114,12 +116,14 @@
         routing_key: &RoutingKey,
     ) -> Result<Found, Rejection> {
         let router = &self.router;
-        let permit = match self.join_or_lead(key, parts.deadline_ms).await? {
+        let joining = self.join_or_lead(key, parts.deadline_ms);
+        let permit = match self.read_ahead_during(body, joining).await?? {
             Joined::Mapping(mapping) => return Ok(Found::Mapping(mapping)),
             Joined::Lead(permit) => permit,
         };
         if router.settings.resolves_by_key_only {
-            return self.look_up_by_key(state, &permit, routing_key).await;
+            let resolving = self.look_up_by_key(state, &permit, routing_key);
+            return self.read_ahead_during(body, resolving).await?;
         }
         let tenant = Some(routing_key.tenant.as_str());
         match forwarding::forward(router, state, parts, body, tenant, Some(&permit)).await {
@@ -139,7 +143,21 @@
             ForwardOutcome::Refused(rejection) => return Err(rejection),
             ForwardOutcome::Unreachable => {}
         }
-        self.look_up_by_key(state, &permit, routing_key).await
+        let resolving = self.look_up_by_key(state, &permit, routing_key);
+        self.read_ahead_during(body, resolving).await?
+    }
+
+    /// Does a part of a lookup while the client's body is read, so that a client that
+    /// leaves meanwhile is noticed.
+    async fn read_ahead_during<T>(
+        &self,
+        body: &mut RequestBody,
+        work: impl Future<Output = T>,
+    ) -> Result<T, RouterRejection> {
+        let done = body.read_ahead_during(&self.router.read_ahead, work).await;
+        done.map_err(|error| RouterRejection::BodyUnreadable {
+            cause: error.to_string(),
+        })
     }
 
     /// Leads the lookup of a key, or waits for the one that leads it.
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -8,7 +8,7 @@
 use crate::pending_lookups::PendingLookups;
 use crate::settings::Settings;
 use dispatch::quota::QuotaLimiter;
-use dispatch::Dispatcher;
+use dispatch::{Dispatcher, ReadAheadBudget};
 use parking_lot::RwLock;
 use placement::Drain;
 use residency::View;
@@ -35,6 +35,8 @@
     pub(crate) pending_lookups: PendingLookups,
     pub(crate) quota: QuotaLimiter,
     pub(crate) dispatcher: Dispatcher,
+    /// For bodies of requests that are being looked up.
+    pub(crate) read_ahead: ReadAheadBudget,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) in_flight: InFlight,
 }
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -16,7 +16,7 @@
 use dispatch::connection_pool::ConnectionPool;
 use dispatch::engine_tracker::EngineTracker;
 use dispatch::quota::QuotaLimiter;
-use dispatch::Dispatcher;
+use dispatch::{Dispatcher, ReadAheadBudget};
 use parking_lot::RwLock;
 use placement::Drain;
 use residency::View;
@@ -33,6 +33,9 @@
 
 /// How often pooled connections of engines that left are looked for.
 const POOL_SWEEP: Duration = Duration::from_millis(700);
+/// Bytes of bodies that are read while their requests are looked up, of all requests.
+/// Past it a body waits in its client's kernel, which hides that the client has left.
+const MAX_READ_AHEAD_BYTES: u32 = 16 << 20;
 /// How often a stopping router looks whether requests are still in flight.
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// How long the leader may take to answer that quota leases were given back. Without an
@@ -113,6 +116,7 @@
             pending_lookups: PendingLookups::default(),
             quota: quota_margin.map_or_else(QuotaLimiter::default, QuotaLimiter::without_queue),
             dispatcher,
+            read_ahead: ReadAheadBudget::new(MAX_READ_AHEAD_BYTES),
             metrics,
             in_flight: InFlight::default(),
             settings,
