Consensus: a long log is applied in steps, with heartbeats between them

A step now applies 128 KiB of commands or one entry; the rest is due at once, after what else has come.

--- a/consensus/src/entry.rs
+++ b/consensus/src/entry.rs
@@ -38,3 +38,13 @@
     /// Its content.
     pub payload: EntryPayload,
 }
+
+impl Entry {
+    /// Bytes of the command that it carries.
+    pub(crate) fn command_bytes(&self) -> usize {
+        match &self.payload {
+            EntryPayload::Command(bytes) => bytes.len(),
+            EntryPayload::Noop | EntryPayload::Membership(_) => 0,
+        }
+    }
+}
--- a/consensus/src/node/commit.rs
+++ b/consensus/src/node/commit.rs
@@ -4,6 +4,10 @@
 use super::{Effect, Node, RequestError, Role, Token};
 use crate::{Entry, EntryPayload};
 
+/// A step applies no further entry once its commands have this many bytes. Invariant: to
+/// apply as much takes a small part of an election timeout.
+const MAX_APPLIED_BYTES: usize = 128 << 10;
+
 impl Node {
     /// Appends a proposal as leader; it is sent with the next heartbeat round, which is
     /// due at once. Proposals of one turn of the driver's loop are sent together.
@@ -40,9 +44,16 @@
         }
     }
 
-    /// Applies what is committed, in log order.
+    /// Applies what is committed, in log order, as much as fits one step. The rest follows
+    /// with the next steps: a node that applies its whole log after a restart in one go
+    /// sends no heartbeat meanwhile and loses the leadership that it has just won.
     pub(super) fn apply_committed(&mut self) {
-        while let Some(entry) = self.log.apply_next() {
+        let mut applied_bytes = 0;
+        while applied_bytes < MAX_APPLIED_BYTES {
+            let Some(entry) = self.log.apply_next() else {
+                return;
+            };
+            applied_bytes += entry.command_bytes();
             let token = match self.proposals.on_applied(&entry) {
                 Outcome::Committed(token) => Some(token),
                 Outcome::Replaced(token) => {
--- a/consensus/src/node/mod.rs
+++ b/consensus/src/node/mod.rs
@@ -178,6 +178,9 @@
     /// When time alone next changes something here, in milliseconds of the driver's
     /// clock: a tick before then has no effect.
     pub fn next_deadline(&self) -> u64 {
+        if self.log.has_unapplied() {
+            return self.now;
+        }
         if self.election.role != Role::Leader {
             return self.election.deadline;
         }
--- a/consensus/src/node/raft_log.rs
+++ b/consensus/src/node/raft_log.rs
@@ -2,21 +2,13 @@
 //! committed and applied (Raft thesis §3.5, §5.1).
 
 use super::timing::SnapshotPolicy;
-use crate::{Entry, EntryPayload, LogIndex, LogPosition, Snapshot, Term};
+use crate::{Entry, LogIndex, LogPosition, Snapshot, Term};
 use std::collections::VecDeque;
 
 /// A message takes no further entry once its commands have this many bytes. One entry
 /// always fits.
 const MAX_MESSAGE_BYTES: usize = 2 << 20;
 
-/// Bytes of the command that an entry carries.
-fn command_bytes(entry: &Entry) -> usize {
-    match &entry.payload {
-        EntryPayload::Command(bytes) => bytes.len(),
-        EntryPayload::Noop | EntryPayload::Membership(_) => 0,
-    }
-}
-
 /// Invariants: `entries` follow the snapshot without a gap;
 /// `snapshot.index <= applied_index <= commit_index <= last_index()`.
 #[derive(Clone, Hash)]
@@ -112,7 +104,7 @@
         let batch = self.entries.iter().skip(skipped).take(max_entries);
         let batch = batch.take_while(|entry| {
             let has_room = bytes < MAX_MESSAGE_BYTES;
-            bytes += command_bytes(entry);
+            bytes += entry.command_bytes();
             has_room
         });
         batch.cloned().collect()
@@ -142,10 +134,15 @@
             .expect("a committed entry past the snapshot is in the log")
             .clone();
         self.applied_index = entry.index;
-        self.applied_bytes += command_bytes(&entry);
+        self.applied_bytes += entry.command_bytes();
         Some(entry)
     }
 
+    /// Whether committed entries wait to be applied.
+    pub(super) fn has_unapplied(&self) -> bool {
+        self.applied_index < self.commit_index
+    }
+
     /// Whether enough was applied since the last snapshot for a new one.
     pub(super) fn is_snapshot_due(&self, policy: SnapshotPolicy) -> bool {
         let entries = self.applied_index - self.snapshot.index;
@@ -163,7 +160,7 @@
             if entry.index > snapshot.index {
                 break;
             }
-            self.applied_bytes -= command_bytes(entry);
+            self.applied_bytes -= entry.command_bytes();
             self.entries.pop_front();
         }
         self.snapshot = snapshot;
