Sessions: a router gets what its view lacks, and each frame is encoded once

A router that waited over 0.9 s for a lease gave up halfway and asked the next node for another one: after a loss of power of the core 82 routers ask at once. Sessions wait for the node's lease by a watch in place of a poll every 20 ms. The protocol has version 10; no layout has changed.

--- a/directory/src/driver/command.rs
+++ b/directory/src/driver/command.rs
@@ -2,8 +2,9 @@
 
 use super::status::MembershipReport;
 use consensus::node::{PersistedState, Write};
-use consensus::{Member, Message, NodeId, Term};
-use protocol::{Frame, PeerRequest, PeerResponse, Validity};
+use consensus::{ClusterId, Member, Message, NodeId, Term};
+use protocol::{EncodedFrame, PeerRequest, PeerResponse, Validity};
+use residency::Epoch;
 use std::sync::mpsc::SyncSender;
 use tokio::sync::{mpsc, oneshot};
 
@@ -43,14 +44,24 @@
     },
     /// Found a cluster with this node as its only voter.
     Bootstrap(oneshot::Sender<Result<(), BootstrapError>>),
-    /// Send this router the state as it is, then each change.
-    Subscribe(mpsc::Sender<Frame>),
+    /// Send this router what its view lacks, then each change.
+    Subscribe(Subscription),
     /// Hand leadership to another voter, if it is here.
     TransferLeadership,
     /// The health of the members, as their leader knows it.
     MembershipReport(oneshot::Sender<MembershipReport>),
 }
 
+/// A router that is to get the changes of the state.
+pub(crate) struct Subscription {
+    /// The frames of its session.
+    pub(crate) sender: mpsc::Sender<EncodedFrame>,
+    /// The cluster that its view is of; 0 where it holds none.
+    pub(crate) cluster: ClusterId,
+    /// The epoch of its view.
+    pub(crate) epoch: Epoch,
+}
+
 /// A request from this process to the leader.
 pub(crate) struct LocalRequest {
     pub(super) request: PeerRequest,
--- a/directory/src/driver/handle.rs
+++ b/directory/src/driver/handle.rs
@@ -133,6 +133,11 @@
         self.lease.is_valid()
     }
 
+    /// Returns once a majority has confirmed this node's state within `LEASE_MS`.
+    pub(crate) async fn wait_until_lease_valid(&self) {
+        self.lease.wait_until_valid().await;
+    }
+
     /// Whether what is read from sockets may date from before a pause of this process.
     pub(crate) fn was_paused_recently(&self) -> bool {
         self.pause_detector.paused_recently()
--- a/directory/src/driver/lease.rs
+++ b/directory/src/driver/lease.rs
@@ -4,35 +4,57 @@
 //! requested. It is in memory alone: a node that restarts has none.
 
 use protocol::LEASE_MS;
-use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::watch;
 use transport::now;
 
 /// Renewed and ended by the driver's thread, read by all parts of the node.
-#[derive(Default)]
 pub(super) struct Lease {
     /// When the read index that a majority confirmed last was requested; 0: none was
     /// confirmed, or the lease was ended.
-    confirmed_at_ms: AtomicU64,
+    confirmed_at_ms: watch::Sender<u64>,
+}
+
+impl Default for Lease {
+    fn default() -> Lease {
+        Lease {
+            confirmed_at_ms: watch::Sender::new(0),
+        }
+    }
 }
 
 impl Lease {
     /// Renews the lease from a read index that was requested at `requested_at_ms`.
     pub(super) fn renew(&self, requested_at_ms: u64) {
-        self.confirmed_at_ms
-            .fetch_max(requested_at_ms, Ordering::Relaxed);
+        self.confirmed_at_ms.send_if_modified(|confirmed_at_ms| {
+            let is_later = *confirmed_at_ms < requested_at_ms;
+            *confirmed_at_ms = requested_at_ms.max(*confirmed_at_ms);
+            is_later
+        });
     }
 
     /// Ends the lease before its time: the state that it was for is replaced.
     pub(super) fn end(&self) {
-        self.confirmed_at_ms.store(0, Ordering::Relaxed);
+        self.confirmed_at_ms.send_replace(0);
     }
 
     pub(super) fn is_valid(&self) -> bool {
         self.is_valid_at(now())
     }
 
+    /// Returns once the lease is valid.
+    pub(super) async fn wait_until_valid(&self) {
+        let mut confirmed_at_ms = self.confirmed_at_ms.subscribe();
+        let is_valid = |confirmed_at_ms: &u64| now() < *confirmed_at_ms + LEASE_MS;
+        // An error would say that this lease is gone.
+        drop(confirmed_at_ms.wait_for(is_valid).await);
+    }
+
     fn is_valid_at(&self, now_ms: u64) -> bool {
-        now_ms < self.confirmed_at_ms.load(Ordering::Relaxed) + LEASE_MS
+        now_ms < self.confirmed_at_ms() + LEASE_MS
+    }
+
+    fn confirmed_at_ms(&self) -> u64 {
+        *self.confirmed_at_ms.borrow()
     }
 }
 
@@ -58,7 +80,7 @@
                 "This node's lease began: a majority confirmed its state"
             );
         }
-        match lease.confirmed_at_ms.load(Ordering::Relaxed) {
+        match lease.confirmed_at_ms() {
             0 => log::warn!("This node's lease ended: it falls back to what its disk holds"),
             confirmed_at_ms => log::warn!(
                 confirmed_ago_ms = now_ms.saturating_sub(confirmed_at_ms), lease_ms = LEASE_MS;
--- a/directory/src/driver/mod.rs
+++ b/directory/src/driver/mod.rs
@@ -12,6 +12,7 @@
 //!
 //! All other parts of the node hold a `ConsensusDriver` (`handle.rs`).
 
+mod change_history;
 mod command;
 mod disk;
 mod handle;
@@ -21,7 +22,7 @@
 mod status;
 mod thread;
 
-pub(crate) use command::{DriverCommand, DriverSettings, RequestFromPeer};
+pub(crate) use command::{DriverCommand, DriverSettings, RequestFromPeer, Subscription};
 pub(crate) use handle::{no_lease_refusal, ConsensusDriver, ResolveError};
 pub(crate) use pause_detector::MAX_SILENCE_MS;
 pub(crate) use start::start;
--- a/directory/src/driver/thread/driver_thread.rs
+++ b/directory/src/driver/thread/driver_thread.rs
@@ -2,6 +2,7 @@
 
 use super::quota_grants::QuotaGrants;
 use super::request_table::RequestTable;
+use crate::driver::change_history::ChangeHistory;
 use crate::driver::command::{DriverSettings, WriteBatch};
 use crate::driver::lease::{Lease, LeaseLog};
 use crate::driver::pause_detector::PauseDetector;
@@ -10,8 +11,8 @@
 use crate::peer_connections::PeerConnections;
 use consensus::node::Node;
 use parking_lot::RwLock;
-use protocol::Frame;
-use residency::{State, View};
+use protocol::EncodedFrame;
+use residency::{Epoch, State, View};
 use std::sync::atomic::AtomicUsize;
 use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
@@ -41,7 +42,12 @@
     pub(super) published: Published,
     /// Routers that get each change. One whose queue is full is dropped, which ends its
     /// session; it connects again for a snapshot.
-    pub(super) subscribers: Vec<mpsc::Sender<Frame>>,
+    pub(super) subscribers: Vec<mpsc::Sender<EncodedFrame>>,
+    /// What a router gets whose session begins anew.
+    pub(super) history: ChangeHistory,
+    /// The snapshot that routers get which hold no view, of the epoch that it was made at;
+    /// encoded for the first of them.
+    pub(super) encoded_snapshot: Option<(Epoch, EncodedFrame)>,
     pub(super) requests: RequestTable,
     /// By which deadlines of forwarded requests are stated.
     pub(super) leader_clock: LeaderClock,
@@ -67,6 +73,8 @@
             metrics,
             published,
             subscribers: Vec::new(),
+            history: ChangeHistory::default(),
+            encoded_snapshot: None,
             requests: RequestTable::new(),
             leader_clock: LeaderClock::default(),
             grants,
--- a/directory/src/driver/thread/effects.rs
+++ b/directory/src/driver/thread/effects.rs
@@ -7,7 +7,7 @@
 use consensus::codec::from_bytes;
 use consensus::node::{Effect, Input, RequestError};
 use consensus::{Entry, EntryPayload, Message, Snapshot};
-use protocol::{Frame, PeerResponse};
+use protocol::{EncodedFrame, Frame, PeerResponse};
 use residency::{Event, Name, Outcome, Proposal, State};
 use std::sync::mpsc::TrySendError;
 use std::sync::Arc;
@@ -82,13 +82,14 @@
     }
 
     fn publish_events(&mut self, base_epoch: u64, epoch: u64, events: Vec<Event>) {
-        let frame = Frame::Change {
+        let frame = EncodedFrame::new(&Frame::Change {
             base_epoch,
             epoch,
             events,
-        };
+        });
         self.subscribers
             .retain(|subscriber| subscriber.try_send(frame.clone()).is_ok());
+        self.history.push(base_epoch, frame);
     }
 
     /// Takes over the leader's snapshot in place of the state here.
--- a/directory/src/driver/thread/run_loop.rs
+++ b/directory/src/driver/thread/run_loop.rs
@@ -2,14 +2,13 @@
 
 use super::driver_thread::DriverThread;
 use super::request_table::{ConfirmedRead, Waiter};
-use crate::driver::command::{BootstrapError, DriverCommand, WriteBatch};
+use crate::driver::command::{BootstrapError, DriverCommand, Subscription, WriteBatch};
 use consensus::node::{Input, Node, PersistedState, SnapshotPolicy};
-use protocol::{Frame, PeerResponse};
+use protocol::{EncodedFrame, Frame, PeerResponse};
 use residency::State;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use transport::now;
 
 /// Commands that are handled before the node ticks again, at the most.
@@ -78,7 +77,7 @@
                 response,
             } => self.handle_response(request_id, clock_ms, response),
             DriverCommand::Bootstrap(sender) => drop(sender.send(self.bootstrap())),
-            DriverCommand::Subscribe(subscriber) => self.subscribe(subscriber),
+            DriverCommand::Subscribe(subscription) => self.subscribe(subscription),
             DriverCommand::TransferLeadership => self.step(Input::TransferLeadership),
             DriverCommand::MembershipReport(sender) => drop(sender.send(self.membership_report())),
         }
@@ -121,17 +120,47 @@
         }
     }
 
-    /// Sends a router the state as it is; each change follows.
-    fn subscribe(&mut self, subscriber: mpsc::Sender<Frame>) {
+    /// Sends a router what its view lacks; each change follows.
+    fn subscribe(&mut self, subscription: Subscription) {
+        let Subscription {
+            sender,
+            cluster,
+            epoch,
+        } = subscription;
+        let own_cluster = self.node.cluster();
+        let subscribed = EncodedFrame::new(&Frame::Subscribed {
+            cluster: own_cluster,
+        });
+        let current_epoch = self.published.state.read().epoch();
+        let missing = match cluster == own_cluster {
+            true => self.history.since(epoch, current_epoch),
+            false => None,
+        };
+        let missing = missing.unwrap_or_else(|| vec![self.snapshot_frame()]);
+        let mut frames = std::iter::once(subscribed).chain(missing);
+        if frames.all(|frame| sender.try_send(frame).is_ok()) {
+            self.subscribers.push(sender);
+        }
+    }
+
+    /// The view as a snapshot, encoded once for all routers that need it at this epoch.
+    fn snapshot_frame(&mut self) -> EncodedFrame {
         let state = self.published.state.read();
-        let snapshot = Frame::Snapshot {
-            epoch: state.epoch(),
+        let epoch = state.epoch();
+        if let Some((_, frame)) = self
+            .encoded_snapshot
+            .as_ref()
+            .filter(|(of, _)| *of == epoch)
+        {
+            return frame.clone();
+        }
+        let frame = EncodedFrame::new(&Frame::Snapshot {
+            epoch,
             events: state.view.snapshot(),
-        };
+        });
         drop(state);
-        if subscriber.try_send(snapshot).is_ok() {
-            self.subscribers.push(subscriber);
-        }
+        self.encoded_snapshot = Some((epoch, frame.clone()));
+        frame
     }
 
     /// Goes on from what a disk that had failed holds, as after a restart: what was
@@ -172,6 +201,8 @@
         self.published.view.send_replace(view);
         *self.published.state.write() = state;
         self.subscribers.clear();
+        self.history.clear();
+        self.encoded_snapshot = None;
     }
 
     fn take_due_snapshot(&mut self) {
--- a/directory/src/router_registry.rs
+++ b/directory/src/router_registry.rs
@@ -3,7 +3,7 @@
 
 use parking_lot::Mutex;
 use placement::{is_same_to_peers, ObservedRouter};
-use protocol::{Frame, RouterDemand, RouterStatus};
+use protocol::{EncodedFrame, RouterDemand, RouterStatus};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -15,7 +15,7 @@
 
 /// A router's heartbeat that waits for the leader's confirmation.
 pub(crate) struct WaitingHeartbeat {
-    pub(crate) sender: mpsc::Sender<Frame>,
+    pub(crate) sender: mpsc::Sender<EncodedFrame>,
     pub(crate) received_at_ms: u64,
     pub(crate) demand: RouterDemand,
 }
--- a/directory/src/subscriptions/leases.rs
+++ b/directory/src/subscriptions/leases.rs
@@ -7,7 +7,8 @@
 use crate::control_plane::ControlPlane;
 use crate::router_registry::WaitingHeartbeat;
 use protocol::{
-    Frame, PeerRequest, PeerResponse, QuotaGrant, RouterDemand, RouterGrants, LEASE_MS,
+    EncodedFrame, Frame, PeerRequest, PeerResponse, QuotaGrant, RouterDemand, RouterGrants,
+    LEASE_MS,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,7 +78,7 @@
                     epoch: index,
                     grants: grants_for(&heartbeat.demand, &grants),
                 };
-                drop(heartbeat.sender.try_send(lease));
+                drop(heartbeat.sender.try_send(EncodedFrame::new(&lease)));
             }
         }
         _ => {
--- a/directory/src/subscriptions/router_list.rs
+++ b/directory/src/subscriptions/router_list.rs
@@ -3,7 +3,7 @@
 use crate::control_plane::ControlPlane;
 use consensus::Member;
 use placement::RouterMembership;
-use protocol::Frame;
+use protocol::{EncodedFrame, Frame};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -12,7 +12,10 @@
 const ROUTER_LIST_INTERVAL_MS: u64 = 900;
 
 /// Sends the list, then its changes. Ends with the session, whose `sender` is then gone.
-pub(super) async fn send_updates(control: Arc<ControlPlane>, sender: mpsc::WeakSender<Frame>) {
+pub(super) async fn send_updates(
+    control: Arc<ControlPlane>,
+    sender: mpsc::WeakSender<EncodedFrame>,
+) {
     let mut versions = control.routers.versions();
     let (mut known, mut known_version) = (RouterMembership::default(), None);
     while let Some(sender) = sender.upgrade() {
@@ -25,10 +28,8 @@
         };
         // An update that finds the queue full is part of the next one.
         known_version = None;
-        if sender
-            .try_send(Frame::RegistryUpdate(update.clone()))
-            .is_ok()
-        {
+        let frame = EncodedFrame::new(&Frame::RegistryUpdate(update.clone()));
+        if sender.try_send(frame).is_ok() {
             known.apply(&update);
             known_version = Some(version);
         }
--- a/directory/src/subscriptions/session.rs
+++ b/directory/src/subscriptions/session.rs
@@ -2,9 +2,11 @@
 
 use super::router_list;
 use crate::control_plane::ControlPlane;
-use crate::driver::{DriverCommand, ResolveError, MAX_SILENCE_MS};
+use crate::driver::{DriverCommand, ResolveError, Subscription, MAX_SILENCE_MS};
 use crate::router_registry::WaitingHeartbeat;
-use protocol::{Frame, LookupResponse};
+use consensus::ClusterId;
+use protocol::{EncodedFrame, Frame, LookupResponse};
+use residency::Epoch;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -16,8 +18,8 @@
 /// Frames that wait for one router, at the most. A router whose queue is full when a
 /// change comes loses its session and connects again for a snapshot.
 const QUEUE_LEN: usize = 1024;
-/// How often a session that waits looks whether the node's state is confirmed.
-const CONFIRMATION_POLL: Duration = Duration::from_millis(20);
+/// How long a router may take to accept a piece of what is sent to it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The most that a router's frame may hold.
 const MAX_FRAME_BYTES: usize = 1 << 20;
 
@@ -30,6 +32,8 @@
     FellBehind,
     #[error("an unexpected frame from a router: {0:?}")]
     UnexpectedFrame(Box<Frame>),
+    #[error("the first frame says no view: {0:?}")]
+    NotSubscribed(Box<Frame>),
 }
 
 /// Serves a router until it leaves, falls behind, or one of its frames breaks the
@@ -41,16 +45,24 @@
     stream: TcpStream,
     router: String,
 ) -> anyhow::Result<()> {
-    let (reader, mut writer) = stream.into_split();
-    let (sender, queue) = mpsc::channel::<Frame>(QUEUE_LEN);
+    let (mut reader, mut writer) = stream.into_split();
+    let (sender, queue) = mpsc::channel::<EncodedFrame>(QUEUE_LEN);
     if let Some(text) = refusal(&control) {
         let text = text.into();
         return Ok(link::send(&mut writer, &Frame::Refused { text }).await?);
     }
+    let Some((cluster, epoch)) = receive_view_position(&mut reader).await? else {
+        return Ok(());
+    };
     // Once it is subscribed, the driver's thread holds the only lasting sender: when it
     // drops it, the session ends.
     let weak_sender = sender.downgrade();
-    let subscribing = subscribe_when_confirmed(Arc::clone(&control), sender);
+    let subscription = Subscription {
+        sender,
+        cluster,
+        epoch,
+    };
+    let subscribing = subscribe_when_confirmed(Arc::clone(&control), subscription);
     let subscribing = tokio::spawn(subscribing);
     let _subscribing = AbortOnDrop(subscribing.abort_handle());
     log::info!(router = router.as_str(); "A router's session begins");
@@ -75,25 +87,35 @@
     (is_empty && !control.driver.lease_valid()).then_some("this node holds no state yet")
 }
 
+/// The cluster and the epoch of the view that a router holds, by its first frame. `None`
+/// where it closed before that.
+async fn receive_view_position(
+    reader: &mut OwnedReadHalf,
+) -> anyhow::Result<Option<(ClusterId, Epoch)>> {
+    let first = link::receive(reader, protocol::MAX_HELLO_BYTES);
+    match tokio::time::timeout(link::HANDSHAKE_TIMEOUT, first).await?? {
+        Some(Frame::Subscribe { cluster, epoch }) => Ok(Some((cluster, epoch))),
+        Some(other) => Err(SessionError::NotSubscribed(Box::new(other)).into()),
+        None => Ok(None),
+    }
+}
+
 /// Subscribes a router once a majority has confirmed this node's state. Until then the
 /// state may be older than the router's, as after a restart of all nodes: a snapshot of it
 /// would be refused, and its bytes would hold up the one that counts.
-async fn subscribe_when_confirmed(control: Arc<ControlPlane>, sender: mpsc::Sender<Frame>) {
-    while !control.driver.lease_valid() {
-        tokio::time::sleep(CONFIRMATION_POLL).await;
-    }
-    if !control.driver.send(DriverCommand::Subscribe(sender)) {
+async fn subscribe_when_confirmed(control: Arc<ControlPlane>, subscription: Subscription) {
+    control.driver.wait_until_lease_valid().await;
+    if !control.driver.send(DriverCommand::Subscribe(subscription)) {
         log::warn!("A router's session ends: the driver's queue is full");
     }
 }
 
 async fn write_frames(
-    mut queue: mpsc::Receiver<Frame>,
+    mut queue: mpsc::Receiver<EncodedFrame>,
     mut writer: OwnedWriteHalf,
 ) -> anyhow::Result<()> {
     while let Some(frame) = queue.recv().await {
-        tokio::time::timeout(link::HANDSHAKE_TIMEOUT * 2, link::send(&mut writer, &frame))
-            .await??;
+        link::send_steadily(&mut writer, &frame, WRITE_TIMEOUT).await?;
     }
     Ok(())
 }
@@ -101,7 +123,7 @@
 async fn read_frames(
     control: &ControlPlane,
     mut reader: OwnedReadHalf,
-    weak_sender: mpsc::WeakSender<Frame>,
+    weak_sender: mpsc::WeakSender<EncodedFrame>,
 ) -> anyhow::Result<()> {
     let mut received_at_ms = now();
     while let Some(frame) = link::receive(&mut reader, MAX_FRAME_BYTES).await? {
@@ -131,10 +153,10 @@
             } => {
                 control.metrics.increment("resolves");
                 let response = resolve(control, &tenant, &service, &region);
-                drop(sender.try_send(Frame::LookupResponse {
+                drop(sender.try_send(EncodedFrame::new(&Frame::LookupResponse {
                     request_id,
                     response,
-                }));
+                })));
             }
             other => return Err(SessionError::UnexpectedFrame(Box::new(other)).into()),
         }
--- /dev/null
+++ b/directory/tests/cluster/main.rs
@@ -0,0 +1,5 @@
+//! Several directory nodes within the test's process.
+
+mod common;
+mod operator_commands;
+mod subscriptions;
--- a/directory/tests/cluster/operator_commands.rs
+++ b/directory/tests/cluster/operator_commands.rs
@@ -1,8 +1,6 @@
 //! Commands that a network partition delays on their way to the leader.
 
-mod common;
-
-use common::{Nodes, PATIENCE};
+use crate::common::{Nodes, PATIENCE};
 use consensus::{Message, MessageBody};
 use directory::{CommandError, Committed, ControlPlane};
 use protocol::{Frame, PeerRequest, PeerResponse, Validity};
--- a/directory/tests/recorded_data.rs
+++ b/directory/tests/recorded_data.rs
@@ -301,6 +301,13 @@
         }
         tokio::task::yield_now().await;
     };
+    let subscribe = Frame::Subscribe {
+        cluster: 0,
+        epoch: 0,
+    };
+    link::send(&mut session, &subscribe)
+        .await
+        .expect("it is open");
     let lookup = Frame::LookupRequest {
         request_id: 1,
         tenant: "ana".into(),
@@ -325,7 +332,7 @@
     loop {
         match link::receive(session, MAX_FRAME_BYTES).await {
             Ok(Some(Frame::Snapshot { epoch, .. })) => return epoch,
-            Ok(Some(Frame::RegistryUpdate(_))) => {}
+            Ok(Some(Frame::RegistryUpdate(_) | Frame::Subscribed { .. })) => {}
             other => panic!("{other:?}"),
         }
     }
--- a/placement/src/replica_view.rs
+++ b/placement/src/replica_view.rs
@@ -1,6 +1,7 @@
 //! The view that a router keeps by its session with a directory node, and until when the
 //! router may act on it.
 
+use consensus::ClusterId;
 use protocol::LEASE_MS;
 use residency::{Event, View};
 use std::collections::BTreeMap;
@@ -43,10 +44,15 @@
 ///
 /// Invariants: the view's epoch only rises, whichever node sends and however late; a lease is
 /// counted from the time at which the heartbeat was sent, and is accepted only if the view
-/// holds everything that was committed when the lease was granted.
+/// holds everything that was committed when the lease was granted; `cluster` is the one
+/// whose log made the view.
 #[derive(Default)]
 pub struct ReplicaView {
     view: Arc<View>,
+    /// 0 while the view is empty.
+    cluster: ClusterId,
+    /// The cluster of the session's node; 0 before it is known.
+    session_cluster: ClusterId,
     /// When the heartbeats of this session were sent that no lease has answered, by number.
     unanswered_heartbeats: BTreeMap<u64, u64>,
     lease_expires_at_ms: u64,
@@ -58,6 +64,11 @@
         &self.view
     }
 
+    /// The cluster whose log made the view; 0 while it is empty.
+    pub fn cluster(&self) -> ClusterId {
+        self.cluster
+    }
+
     /// The time before which new requests may be dispatched.
     pub fn lease_expires_at(&self) -> u64 {
         self.lease_expires_at_ms
@@ -66,6 +77,12 @@
     /// A new session begins: the heartbeats of the one before renew nothing any more.
     pub fn begin_session(&mut self) {
         self.unanswered_heartbeats.clear();
+        self.session_cluster = 0;
+    }
+
+    /// The session's node is of this cluster.
+    pub fn record_cluster(&mut self, cluster: ClusterId) {
+        self.session_cluster = cluster;
     }
 
     /// A heartbeat with this number is sent now.
@@ -90,6 +107,7 @@
             });
         }
         self.replace_view(View::default(), epoch, events);
+        self.cluster = self.session_cluster;
         Ok(if epoch > current_epoch {
             ReplicaUpdate::Snapshot
         } else {
--- a/protocol/src/codec.rs
+++ b/protocol/src/codec.rs
@@ -4,6 +4,7 @@
 use binrw::{BinRead, BinResult, BinWrite, Endian};
 use consensus::codec::to_bytes;
 use std::io::{Cursor, ErrorKind};
+use std::sync::Arc;
 
 /// Longest frame in bytes, on any connection. What a frame holds takes several times
 /// its length in memory.
@@ -20,6 +21,22 @@
     bytes
 }
 
+/// A frame as it goes over connections, encoded once for all of them. Cheap to clone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedFrame(Arc<[u8]>);
+
+impl EncodedFrame {
+    /// Encodes a frame.
+    pub fn new(frame: &Frame) -> EncodedFrame {
+        EncodedFrame(encode(frame).into())
+    }
+
+    /// Its length and its content.
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
 /// The length of the frame that follows, in bytes.
 ///
 /// # Errors
@@ -109,6 +126,7 @@
         24 => "company",
         25 => "resolve",
         26 => "resolved",
+        27..=28 => "subscribe",
         30..=39 => "job",
         40..=42 => "cache",
         _ => "unknown",
--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -9,7 +9,7 @@
 use crate::router_session::{QuotaGrant, RegistryUpdate, RouterDemand, RouterStatus};
 use binrw::binrw;
 use consensus::codec::{read_bytes, read_list, read_string, write_bytes, write_list, write_string};
-use consensus::{Member, Message, NodeId};
+use consensus::{ClusterId, Member, Message, NodeId};
 use residency::{Epoch, Event, Mapping};
 
 /// A frame. The `magic` of a variant is its kind, the first byte on a connection.
@@ -141,6 +141,21 @@
         #[bw(write_with = write_list)]
         events: Vec<Event>,
     },
+    /// The router's first frame: which view it holds, so that it gets only what it lacks.
+    #[brw(magic = 27u8)]
+    Subscribe {
+        /// The cluster that the view is of; 0 where it holds none.
+        cluster: ClusterId,
+        /// The view's epoch.
+        epoch: Epoch,
+    },
+    /// The router is subscribed. What its view lacks follows: the changes since its epoch,
+    /// or a snapshot; each later change after it.
+    #[brw(magic = 28u8)]
+    Subscribed {
+        /// The node's cluster.
+        cluster: ClusterId,
+    },
     /// Which routers and directory nodes there are.
     #[brw(magic = 24u8)]
     RegistryUpdate(RegistryUpdate),
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -33,7 +33,7 @@
 pub mod router_session;
 
 pub use cache_sharing::{CachedPrefix, EngineLoad};
-pub use codec::{decode, encode, kind_name, MAX_FRAME_BYTES};
+pub use codec::{decode, encode, kind_name, EncodedFrame, MAX_FRAME_BYTES};
 pub use error::FrameError;
 pub use forwarding::{ForwardedRequest, Header};
 pub use frame::Frame;
--- a/protocol/src/router_session.rs
+++ b/protocol/src/router_session.rs
@@ -1,8 +1,9 @@
 //! A router and its directory node, one connection: heartbeats with quota demands go
 //! up; leases with quota grants, the replicated view and the list of routers come down.
 //!
-//! The node sends the view as a snapshot first and its changes from then on. A lease
-//! follows all changes that were committed when its heartbeat was sent.
+//! The router's first frame says which view it holds. The node sends the changes that this
+//! view lacks, where it still has them, else a snapshot; and each change from then on. A
+//! lease follows all changes that were committed when its heartbeat was sent.
 
 use crate::codec::{read_flag, write_flag};
 use binrw::binrw;
--- a/protocol/tests/formats/recorded.rs
+++ b/protocol/tests/formats/recorded.rs
@@ -9,6 +9,10 @@
     Command, ConfigDocument, DrainTarget, MaintenanceWindow, Outcome, Proposal, State, UpdateMode,
 };
 
+/// The version of the protocol that wrote the fixtures. Later ones have added frames; the
+/// layouts are the same.
+const RECORDED_VERSION: u16 = 9;
+
 /// The recorded frames of a conversation, each with its length prefix.
 fn split(mut recorded: &[u8]) -> Vec<&[u8]> {
     let mut frames = Vec::new();
@@ -27,7 +31,7 @@
         (
             "handshake",
             include_bytes!("../fixtures/handshake.frames"),
-            handshake(),
+            handshake(RECORDED_VERSION),
         ),
         ("peers", include_bytes!("../fixtures/peers.frames"), peers()),
         (
--- a/protocol/tests/formats/samples/frames.rs
+++ b/protocol/tests/formats/samples/frames.rs
@@ -112,7 +112,7 @@
 }
 
 /// How a connection begins, and how it is refused.
-pub fn handshake() -> Vec<Frame> {
+pub fn handshake(version: u16) -> Vec<Frame> {
     let kinds = [
         ConnectionKind::Peer,
         ConnectionKind::RouterSession,
@@ -120,7 +120,7 @@
         ConnectionKind::CacheSharing,
     ];
     let hello = |kind| Frame::Hello {
-        version: VERSION,
+        version,
         kind,
         name: "edge-1".into(),
     };
@@ -283,6 +283,17 @@
     frames
 }
 
+/// The beginning of a router's session, since version 10.
+pub fn subscription() -> Vec<Frame> {
+    vec![
+        Frame::Subscribe {
+            cluster: 77,
+            epoch: 9,
+        },
+        Frame::Subscribed { cluster: 77 },
+    ]
+}
+
 /// One request on its way through a directory node.
 pub fn forwarding() -> Vec<Frame> {
     let header = Header {
@@ -359,9 +370,10 @@
 /// One frame of each kind at least.
 pub fn frames() -> Vec<Frame> {
     [
-        handshake(),
+        handshake(protocol::VERSION),
         peers(),
         router_session(),
+        subscription(),
         forwarding(),
         cache_sharing(),
     ]
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -33,6 +33,7 @@
 mod router;
 mod router_lookup;
 mod session;
+mod session_reader;
 mod settings;
 mod startup;
 
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -6,6 +6,7 @@
 
 use crate::conversation_error::ConversationError;
 use crate::router::Router;
+use crate::session_reader::SessionReader;
 use placement::{ReplicaUpdate, ReplicaView};
 use protocol::{ConnectionKind, Frame, RouterStatus};
 use std::net::SocketAddr;
@@ -13,17 +14,16 @@
 use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
-use transport::AbortOnDrop;
 use transport::{link, now};
 
 /// Heartbeats out of turn keep at least this distance.
 const MIN_HEARTBEAT_DISTANCE_MS: u64 = 50;
-/// Without a lease from a node for this long, the next one is tried.
+/// Without a lease from a node for this long, the next one is tried. A long frame that
+/// still comes in counts like one: a snapshot that is given up halfway is sent again by the
+/// next node, and if all routers do so, none ever gets one whole.
 const LEASE_TIMEOUT_MS: u64 = 900;
 /// Outgoing lookups that wait for the connection; more are refused.
 const OUTGOING_FRAMES: usize = 256;
-/// Frames that were read and wait to be applied.
-const INCOMING_FRAMES: usize = 64;
 /// The pause between two passes over all nodes, before jitter.
 const RECONNECT_PAUSE_MS: u64 = 100;
 
@@ -101,22 +101,16 @@
         &settings.name,
     )
     .await?;
-    let (mut reader, mut writer) = stream.into_split();
+    let (reader, mut writer) = stream.into_split();
+    let subscribe = Frame::Subscribe {
+        cluster: state.replica.cluster(),
+        epoch: state.replica.view().epoch,
+    };
+    send(&mut writer, &subscribe).await?;
     let (queue, mut outgoing) = mpsc::channel(OUTGOING_FRAMES);
     router.pending_lookups.connect(node, queue);
     router.metrics.increment("sessions");
-    // A separate task reads, since a read that is cancelled midway loses a frame.
-    let (frames, mut incoming) = mpsc::channel(INCOMING_FRAMES);
-    let reading = tokio::spawn(async move {
-        loop {
-            let frame = link::receive(&mut reader, protocol::MAX_FRAME_BYTES).await;
-            let is_last = !matches!(frame, Ok(Some(_)));
-            if frames.send(frame).await.is_err() || is_last {
-                return;
-            }
-        }
-    });
-    let _reading = AbortOnDrop(reading.abort_handle());
+    let mut incoming = SessionReader::start(reader);
     let mut interval = tokio::time::interval(Duration::from_millis(settings.heartbeat_interval_ms));
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut lease_renewed_ms = now();
@@ -125,7 +119,8 @@
         tokio::select! {
             () = next_heartbeat(&mut interval, router, last_heartbeat_ms) => {
                 last_heartbeat_ms = now();
-                let silence_ms = now().saturating_sub(lease_renewed_ms);
+                let progress_ms = lease_renewed_ms.max(incoming.long_frame_seen_ms());
+                let silence_ms = now().saturating_sub(progress_ms);
                 if silence_ms >= LEASE_TIMEOUT_MS {
                     return Err(ConversationError::NoLease { silence_ms });
                 }
@@ -135,8 +130,8 @@
                 let frame = frame.ok_or(ConversationError::QueueClosed)?;
                 send(&mut writer, &frame).await?;
             }
-            frame = incoming.recv() => {
-                match frame.unwrap_or(Ok(None))? {
+            frame = incoming.next() => {
+                match frame? {
                     Some(Frame::Lease { heartbeat, epoch, grants }) => {
                         if let Some(until_ms) = state.replica.renew_lease(heartbeat, epoch) {
                             lease_renewed_ms = now();
@@ -144,7 +139,14 @@
                             router.quota.apply_grants(heartbeat, until_ms, &grants);
                         }
                     }
-                    Some(frame) => apply(router, &mut state.replica, frame)?,
+                    Some(frame) => {
+                        let is_snapshot = matches!(frame, Frame::Snapshot { .. });
+                        apply(router, &mut state.replica, frame)?;
+                        if is_snapshot {
+                            // A lease that came ahead of it was refused.
+                            interval.reset_immediately();
+                        }
+                    }
                     None => return Err(ConversationError::Closed),
                 }
             }
@@ -205,6 +207,7 @@
     frame: Frame,
 ) -> Result<(), ConversationError> {
     match frame {
+        Frame::Subscribed { cluster } => replica.record_cluster(cluster),
         Frame::Snapshot { epoch, events } => {
             let taken = replica.apply_snapshot(epoch, &events)?;
             if taken == ReplicaUpdate::Snapshot {
--- a/testbed/src/simulated_router/router.rs
+++ b/testbed/src/simulated_router/router.rs
@@ -126,6 +126,14 @@
         addresses.into_iter().map(|(_, _, at)| at).collect()
     }
 
+    /// The first frame of a session.
+    pub(super) fn subscribe_frame(&self) -> Frame {
+        Frame::Subscribe {
+            cluster: self.replica.cluster(),
+            epoch: self.replica.view().epoch,
+        }
+    }
+
     pub(super) fn record_epoch(&mut self) {
         let epoch = self.replica.view().epoch;
         if self.epochs.last().is_none_or(|(last, _)| *last < epoch) {
@@ -146,6 +154,7 @@
                     self.quota.apply_grants(number, until, &shares);
                 }
             }
+            Frame::Subscribed { cluster } => self.replica.record_cluster(cluster),
             Frame::Snapshot { epoch, events } => {
                 self.replica
                     .apply_snapshot(epoch, &events)
--- a/testbed/src/simulated_router/session.rs
+++ b/testbed/src/simulated_router/session.rs
@@ -30,6 +30,8 @@
     };
     let stream = link::dial(source, address, ConnectionKind::RouterSession, &name).await?;
     let (mut reader, mut writer) = stream.into_split();
+    let subscribe = router.lock().subscribe_frame();
+    link::send(&mut writer, &subscribe).await?;
     let beating = async {
         let mut beat = tokio::time::interval(Duration::from_millis(HEARTBEAT_MS));
         beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/testbed/tests/forwarding.rs
+++ b/testbed/tests/forwarding.rs
@@ -105,6 +105,8 @@
     }
 
     async fn session(&self, mut stream: TcpStream) -> anyhow::Result<()> {
+        let first = link::receive(&mut stream, protocol::MAX_FRAME_BYTES).await?;
+        anyhow::ensure!(matches!(first, Some(Frame::Subscribe { .. })), "{first:?}");
         let epoch = self.state.epoch();
         let events = self.state.view.snapshot();
         link::send(&mut stream, &Frame::Snapshot { epoch, events }).await?;
--- a/testbed/tests/partitioned_leader.rs
+++ b/testbed/tests/partitioned_leader.rs
@@ -311,6 +311,13 @@
     }
 
     let mut session = dial(protocol::ConnectionKind::RouterSession).await;
+    let subscribe = Frame::Subscribe {
+        cluster: 0,
+        epoch: 0,
+    };
+    link::send(&mut session, &subscribe)
+        .await
+        .expect("it is sent");
     let resolve = Frame::LookupRequest {
         request_id: 1,
         tenant: "ana".into(),
@@ -397,6 +404,13 @@
     )
     .await;
     let mut stream = dialled.expect("the kernel takes it");
+    let subscribe = Frame::Subscribe {
+        cluster: 0,
+        epoch: 0,
+    };
+    link::send(&mut stream, &subscribe)
+        .await
+        .expect("it is sent");
     let front = RouterStatus {
         name: router.name.clone(),
         region: router.region.clone(),
--- a/transport/src/link.rs
+++ b/transport/src/link.rs
@@ -1,7 +1,7 @@
 //! Framed TCP links between own processes.
 
 use protocol::codec::{decode_length, LENGTH_BYTES};
-use protocol::{ConnectionKind, Frame, FrameError};
+use protocol::{ConnectionKind, EncodedFrame, Frame, FrameError};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 /// How long to wait after a failed accept, for instance for want of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// A piece of a frame that is sent steadily.
+const PIECE_BYTES: usize = 32 << 10;
 /// What is reserved at once for a frame, whatever length it states.
 const MAX_RESERVED_BYTES: usize = 1 << 16;
 
@@ -119,6 +121,27 @@
     Ok(())
 }
 
+/// Sends one frame piece by piece, each of which the other side has to accept within a
+/// time. So a long frame may take as long as a slow link needs, while a link that stands
+/// still is noticed as soon as with a short one.
+///
+/// # Errors
+/// [`LinkError::Io`], `TimedOut` for a piece that was not accepted; a part of the frame
+/// may have been sent.
+pub async fn send_steadily(
+    to: &mut (impl AsyncWrite + Unpin),
+    frame: &EncodedFrame,
+    piece_timeout: Duration,
+) -> Result<(), LinkError> {
+    for piece in frame.bytes().chunks(PIECE_BYTES) {
+        tokio::time::timeout(piece_timeout, to.write_all(piece))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    }
+    traffic::count_sent(frame.bytes());
+    Ok(())
+}
+
 /// Reads one frame. `None`: the other side closed between frames.
 ///
 /// # Errors
@@ -127,6 +150,18 @@
 pub async fn receive(
     from: &mut (impl AsyncRead + Unpin),
     max_bytes: usize,
+) -> Result<Option<Frame>, LinkError> {
+    receive_observed(from, max_bytes, |_| {}).await
+}
+
+/// The same. `observe` is called with the frame's length whenever a part of it came.
+///
+/// # Errors
+/// As of [`receive`].
+pub async fn receive_observed(
+    from: &mut (impl AsyncRead + Unpin),
+    max_bytes: usize,
+    mut observe: impl FnMut(usize),
 ) -> Result<Option<Frame>, LinkError> {
     let mut length = [0; LENGTH_BYTES];
     if let Err(error) = from.read_exact(&mut length).await {
@@ -137,10 +172,11 @@
     }
     let expected_bytes = decode_length(length, max_bytes)?;
     let mut bytes = Vec::with_capacity(expected_bytes.min(MAX_RESERVED_BYTES));
-    let seen_bytes = from
-        .take(expected_bytes as u64)
-        .read_to_end(&mut bytes)
-        .await?;
+    let mut rest = from.take(expected_bytes as u64);
+    while rest.read_buf(&mut bytes).await? > 0 {
+        observe(expected_bytes);
+    }
+    let seen_bytes = bytes.len();
     if seen_bytes < expected_bytes {
         return Err(LinkError::Frame(FrameError::Truncated {
             expected_bytes,
