--- a/consensus/tests/support/single_node.rs
+++ b/consensus/tests/support/single_node.rs
@@ -47,6 +47,16 @@
         }
     }
 
+    /// The node's time, in milliseconds.
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
+    /// One tick, at the same time as the step before.
+    pub fn tick(&mut self) {
+        self.step(Input::Tick);
+    }
+
     /// Lets time pass until its election timer runs out.
     pub fn run_until_pre_candidate(&mut self) {
         while self.node.role() != Role::PreCandidate {
