Consensus: reads without a leader, by a majority asked one by one

In the model checker a state property: no set of servers confirms a copy from before the last committed command.

--- a/consensus/src/lib.rs
+++ b/consensus/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `wal`: the log on disk: checksummed segments with snapshots beside them, over the
 //!   small [`wal::LogStorage`] trait.
 //! - `repair`: which change of membership a leader makes by itself.
+//! - `quorum_read`: whether a copy of the state is the newest, without a leader.
 //! - `codec`: strings, byte strings and lists in binrw layouts.
 //! - `entry`, `membership`, `message`, `types`: the data that nodes exchange and persist.
 //!
@@ -14,6 +15,7 @@
 
 pub mod codec;
 pub mod node;
+pub mod quorum_read;
 pub mod repair;
 pub mod wal;
 
--- a/consensus/src/node/mod.rs
+++ b/consensus/src/node/mod.rs
@@ -20,6 +20,7 @@
 //! - `election`: ticks, campaigns, leadership won, lost and transferred;
 //! - `replication`: the leader sends entries and takes the answers;
 //! - `append`: a follower appends entries;
+//! - `log_report`: what the node says of its log;
 //! - `commit`: proposals, the commit index, applying;
 //! - `membership`: changes of membership; `snapshot`: taking and installing snapshots.
 
@@ -30,6 +31,7 @@
 mod election;
 mod election_state;
 mod input;
+mod log_report;
 mod membership;
 mod membership_state;
 mod progress;
--- a/consensus/src/node/raft_log.rs
+++ b/consensus/src/node/raft_log.rs
@@ -2,7 +2,7 @@
 //! committed and applied (Raft thesis §3.5, §5.1).
 
 use super::timing::SnapshotPolicy;
-use crate::{Entry, LogIndex, LogPosition, Snapshot, Term};
+use crate::{Entry, EntryPayload, LogIndex, LogPosition, Snapshot, Term};
 use std::collections::VecDeque;
 
 /// A message takes no further entry once its commands have this many bytes. One entry
@@ -138,6 +138,15 @@
         Some(entry)
     }
 
+    /// Index of the newest command that is not applied yet.
+    pub(super) fn newest_unapplied_command(&self) -> Option<LogIndex> {
+        let unapplied = self.entries.iter().rev();
+        let mut unapplied = unapplied.take_while(|entry| entry.index > self.applied_index);
+        unapplied
+            .find(|entry| matches!(entry.payload, EntryPayload::Command(_)))
+            .map(|entry| entry.index)
+    }
+
     /// Whether committed entries wait to be applied.
     pub(super) fn has_unapplied(&self) -> bool {
         self.applied_index < self.commit_index
--- a/consensus/tests/model/properties.rs
+++ b/consensus/tests/model/properties.rs
@@ -2,10 +2,11 @@
 //! `cluster`.
 
 use consensus::node::{PersistedState, Role};
-use consensus::{Entry, EntryPayload, Membership, NodeId};
+use consensus::quorum_read::{is_current, LogReport};
+use consensus::{Entry, EntryPayload, LogIndex, Membership, NodeId};
 
 use crate::checker::Violation;
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, CLUSTER};
 use crate::history::broken;
 use crate::server::{holds, last_of, members_of, Server};
 
@@ -13,9 +14,50 @@
     check_log_matching(cluster, changed)?;
     check_membership(cluster, &cluster.servers[changed])?;
     check_leader(cluster, &cluster.servers[changed])?;
+    check_quorum_reads(cluster)?;
     check_leader_completeness(cluster)
 }
 
+/// Index of the last committed command up to `index`; 0 if there is none.
+fn last_command_up_to(cluster: &Cluster, index: LogIndex) -> LogIndex {
+    let committed = cluster.history.committed.iter().rev();
+    let mut committed = committed.skip_while(|entry| entry.index > index);
+    committed
+        .find(|entry| matches!(entry.payload, EntryPayload::Command(_)))
+        .map_or(0, |entry| entry.index)
+}
+
+/// Whoever lacks the last committed command is told so by each quorum that it may ask:
+/// no set of servers confirms a copy of the state from before it.
+fn check_quorum_reads(cluster: &Cluster) -> Result<(), Violation> {
+    let last_change = last_command_up_to(cluster, LogIndex::MAX);
+    if last_change == 0 {
+        return Ok(());
+    }
+    let old_epoch = last_change - 1;
+    let report = |server: &Server| {
+        let node = &server.node;
+        node.log_report(last_command_up_to(cluster, node.applied_index()))
+    };
+    let reports: Vec<LogReport> = cluster
+        .servers
+        .iter()
+        .map(|server| report(server))
+        .collect();
+    for subset in 1..1_u32 << reports.len() {
+        let is_in_subset = |at: &usize| subset & (1 << at) != 0;
+        let asked = (0..reports.len()).filter(is_in_subset);
+        let asked: Vec<&LogReport> = asked.map(|at| &reports[at]).collect();
+        if is_current(asked.iter().copied(), CLUSTER, old_epoch) {
+            return broken(
+                "a quorum read is never stale",
+                format!("{asked:?} confirm epoch {old_epoch}, {last_change} is committed"),
+            );
+        }
+    }
+    Ok(())
+}
+
 /// Log Matching: logs that agree on an entry's index and term agree on the
 /// entry and on all before it.
 fn check_log_matching(cluster: &Cluster, changed: usize) -> Result<(), Violation> {
