Lease: extended by what a majority of the directory nodes say, not by probes of ports

Each router now holds a connection to each directory node, made in calm times, and asks what the node's log holds while no lease comes (router/src/directory_watch.rs); the node's driver thread answers. placement/src/directory_observer.rs decides: - a majority that has no newer change than the router's view is a lease, from the time when the first of them was asked (consensus/src/quorum_read.rs); - a majority of the voters that is silent on connections that stand, or whose machines refuse connections, is out of reach: the router goes on as before. A driver that does not answer does not act either, and a full queue of new connections silences nobody. Bounds as before: 15 s past the lease on the platform, 0 by default, 0 with revoke_everywhere. Ruled out: more routers as witnesses (they see the same), a port apart from the driver (it answers for a driver that stands still), a silence of new connections. Tests: those of PartitionDetector pinned the evidence that can be faked. The new ones demand as much of a silence (at most half of the voters, forgotten after a suspension, taken back by an answer) and more: on a connection that stands, of voters alone, 1.5 s long.

--- a/directory/src/driver/command.rs
+++ b/directory/src/driver/command.rs
@@ -2,6 +2,7 @@
 
 use super::status::MembershipReport;
 use consensus::node::{PersistedState, Write};
+use consensus::quorum_read::LogReport;
 use consensus::{ClusterId, Member, Message, NodeId, Term};
 use protocol::{EncodedFrame, PeerRequest, PeerResponse, Validity};
 use residency::Epoch;
@@ -48,6 +49,8 @@
     Subscribe(Subscription),
     /// Hand leadership to another voter, if it is here.
     TransferLeadership,
+    /// What this node's log holds when the command is handled.
+    LogReport(oneshot::Sender<LogReport>),
     /// The health of the members, as their leader knows it.
     MembershipReport(oneshot::Sender<MembershipReport>),
 }
--- a/directory/src/driver/handle.rs
+++ b/directory/src/driver/handle.rs
@@ -4,6 +4,7 @@
 use super::lease::Lease;
 use super::pause_detector::PauseDetector;
 use super::status::{ClusterStatus, MembershipReport};
+use consensus::quorum_read::LogReport;
 use consensus::{NodeId, Term};
 use parking_lot::RwLock;
 use protocol::{PeerRequest, PeerResponse};
@@ -190,6 +191,16 @@
         }
     }
 
+    /// What this node's log holds, some time after this was called; `None` where the
+    /// driver is overloaded.
+    pub(crate) async fn log_report(&self) -> Option<LogReport> {
+        let (sender, receiver) = oneshot::channel();
+        if !self.send(DriverCommand::LogReport(sender)) {
+            return None;
+        }
+        receiver.await.ok()
+    }
+
     /// The health of the members, as the leader knows it; defaults where it is elsewhere.
     pub(crate) async fn membership(&self) -> MembershipReport {
         let (sender, receiver) = oneshot::channel();
--- a/directory/src/driver/thread/run_loop.rs
+++ b/directory/src/driver/thread/run_loop.rs
@@ -78,6 +78,7 @@
             } => self.handle_response(request_id, clock_ms, response),
             DriverCommand::Bootstrap(sender) => drop(sender.send(self.bootstrap())),
             DriverCommand::Subscribe(subscription) => self.subscribe(subscription),
+            DriverCommand::LogReport(sender) => drop(sender.send(self.log_report())),
             DriverCommand::TransferLeadership => self.step(Input::TransferLeadership),
             DriverCommand::MembershipReport(sender) => drop(sender.send(self.membership_report())),
         }
--- a/directory/src/driver/thread/status.rs
+++ b/directory/src/driver/thread/status.rs
@@ -3,6 +3,7 @@
 use super::driver_thread::DriverThread;
 use crate::driver::status::{ClusterStatus, MembershipReport};
 use consensus::node::Role;
+use consensus::quorum_read::LogReport;
 use consensus::{Member, Membership};
 
 /// The members by name.
@@ -39,6 +40,12 @@
         }
     }
 
+    /// What this node's log holds now.
+    pub(super) fn log_report(&self) -> LogReport {
+        let epoch = self.published.state.read().epoch();
+        self.node.log_report(epoch)
+    }
+
     fn current_status(&self) -> ClusterStatus {
         let node = &self.node;
         ClusterStatus {
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -30,6 +30,7 @@
 mod router_count;
 mod router_registry;
 mod settings;
+mod state_watch;
 mod subscriptions;
 
 pub use command_result::{command_result, outcome_result, CommandError, Committed, Retry};
--- a/directory/src/peers/inbound.rs
+++ b/directory/src/peers/inbound.rs
@@ -3,7 +3,7 @@
 use super::sender_check::{check_sender, PeerFrameError};
 use crate::control_plane::ControlPlane;
 use crate::driver::{DriverCommand, RequestFromPeer, MAX_SILENCE_MS};
-use crate::{forwarded_requests, subscriptions};
+use crate::{forwarded_requests, state_watch, subscriptions};
 use consensus::Member;
 use protocol::{ConnectionKind, Frame, PeerRequest, PeerResponse};
 use std::sync::Arc;
@@ -24,6 +24,7 @@
         ConnectionKind::Peer => receive_from_peer(control, stream).await,
         ConnectionKind::RouterSession => subscriptions::serve(control, stream, name).await,
         ConnectionKind::Forwarding => forwarded_requests::serve(control, stream).await,
+        ConnectionKind::StateWatch => state_watch::serve(control, stream).await,
         ConnectionKind::CacheSharing => anyhow::bail!("{name} takes this for a router"),
     }
 }
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -14,7 +14,7 @@
 //! | whether a cached mapping may be used | `cache` |
 //! | whether a request may use a connection that carried others | `connection_reuse` |
 //! | how long a router goes on past its lease | `lease_grace` |
-//! | whether a router is cut off from a majority of the directory nodes | `partition_detector` |
+//! | whether a router may act on its view while no lease comes | `directory_observer` |
 //! | what a router knows, and until when it may act on it | `replica_view` |
 //! | which requests a router that leaves still accepts | `drain` |
 //! | which routers and directory nodes there are | `router_membership` |
@@ -23,11 +23,11 @@
 
 mod cache;
 mod connection_reuse;
+mod directory_observer;
 mod drain;
 mod engine;
 mod lease_grace;
 mod load;
-mod partition_detector;
 mod quota;
 mod rendezvous;
 mod replica_view;
@@ -38,6 +38,7 @@
 
 pub use cache::{Cache, CacheEntry, CacheLookup};
 pub use connection_reuse::{ConnectionDemand, ConnectionReuse, ReuseMode};
+pub use directory_observer::DirectoryObserver;
 pub use drain::{Drain, DrainPlan};
 pub use engine::{
     may_serve, select_engine, Candidate, EngineHealthStatus, EngineHealthTracker, EngineListChange,
@@ -46,13 +47,12 @@
 };
 pub use lease_grace::LeaseGrace;
 pub use load::{EngineLoadEstimator, EngineLoadStatus, LoadUpdate, PrefillEstimate, ProbeTarget};
-pub use partition_detector::PartitionDetector;
 pub use quota::{
     AdmissionDecision, LeaseRateLimiter, QueueTicket, QueueingRateLimiter, QuotaLeaseAllocator,
     QuotaTolerance, RateLimit, TokenAllocator, QUOTA_LEASE_MS, STARTUP_RESERVE_RATIO,
 };
 pub use rendezvous::rank;
-pub use replica_view::{ReplicaUpdate, ReplicaView, ReplicaViewError};
+pub use replica_view::{ReplicaPosition, ReplicaUpdate, ReplicaView, ReplicaViewError};
 pub use request_state::{
     ExecutionOutcome, InvalidTransition, RequestEvent, RequestState, RequestStateMachine,
 };
--- a/placement/src/replica_view.rs
+++ b/placement/src/replica_view.rs
@@ -3,7 +3,7 @@
 
 use consensus::ClusterId;
 use protocol::LEASE_MS;
-use residency::{Event, View};
+use residency::{Epoch, Event, View};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -40,6 +40,15 @@
     Events,
 }
 
+/// Which state a view is of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaPosition {
+    /// The cluster whose log made the view; 0 while it is empty.
+    pub cluster: ClusterId,
+    /// The index of the last log entry that changed it.
+    pub epoch: Epoch,
+}
+
 /// A router's copy of the replicated state and its lease.
 ///
 /// Invariants: the view's epoch only rises, whichever node sends and however late; a lease is
@@ -64,9 +73,12 @@
         &self.view
     }
 
-    /// The cluster whose log made the view; 0 while it is empty.
-    pub fn cluster(&self) -> ClusterId {
-        self.cluster
+    /// Which state the view is of.
+    pub fn position(&self) -> ReplicaPosition {
+        ReplicaPosition {
+            cluster: self.cluster,
+            epoch: self.view.epoch,
+        }
     }
 
     /// The time before which new requests may be dispatched.
--- a/protocol/src/codec.rs
+++ b/protocol/src/codec.rs
@@ -163,6 +163,7 @@
         27..=28 => "subscribe",
         30..=39 => "job",
         40..=42 => "cache",
+        50..=51 => "state",
         _ => "unknown",
     }
 }
--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -7,6 +7,7 @@
 use crate::lookup::LookupResponse;
 use crate::peers::{PeerRequest, PeerResponse, Validity};
 use crate::router_session::{QuotaGrant, RegistryUpdate, RouterDemand, RouterStatus};
+use crate::state_watch::StateReport;
 use binrw::binrw;
 use consensus::codec::{read_bytes, read_list, read_string, write_bytes, write_list, write_string};
 use consensus::{ClusterId, Member, Message, NodeId};
@@ -186,6 +187,17 @@
         response: LookupResponse,
     },
 
+    // Beside a router's session.
+    /// Asks what the node's log holds.
+    #[brw(magic = 50u8)]
+    StateQuery {
+        /// Rises with each query on a connection.
+        number: u64,
+    },
+    /// The response to a state query, made after it came.
+    #[brw(magic = 51u8)]
+    StateReport(StateReport),
+
     // A forwarded request.
     /// The head of the request; its body follows.
     #[brw(magic = 30u8)]
--- a/protocol/src/handshake.rs
+++ b/protocol/src/handshake.rs
@@ -23,6 +23,8 @@
     Forwarding = 3,
     /// A router to another one; see [`crate::cache_sharing`].
     CacheSharing = 4,
+    /// A router to a directory node, beside its session; see [`crate::state_watch`].
+    StateWatch = 5,
 }
 
 /// Whether a process that speaks version `seen` can be understood.
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`handshake`] | both ends of each connection, first |
 //! | [`peers`] | directory node to directory node: consensus, requests to the leader, routers seen |
 //! | [`router_session`] | a router and its directory node: heartbeats, leases, the replicated view |
+//! | [`state_watch`] | a router and each directory node: what the node's log holds |
 //! | [`lookup`] | on a router's session: where a tenant's service may run |
 //! | [`forwarding`] | a router and a directory node: one request and its response |
 //! | [`cache_sharing`] | routers of a region: cached lookups, load gossip |
@@ -33,6 +34,7 @@
 pub mod lookup;
 pub mod peers;
 pub mod router_session;
+pub mod state_watch;
 
 pub use cache_sharing::{CachedPrefix, EngineLoad};
 pub use codec::{decode, decode_within, encode, kind_name, EncodedFrame, MAX_FRAME_BYTES};
@@ -45,3 +47,4 @@
 pub use router_session::{
     QuotaDemand, QuotaGrant, RegistryUpdate, RouterDemand, RouterStatus, LEASE_MS, RECENT_SPANS_MS,
 };
+pub use state_watch::StateReport;
--- a/protocol/tests/formats/samples/frames.rs
+++ b/protocol/tests/formats/samples/frames.rs
@@ -1,6 +1,7 @@
 //! One frame of each kind at least, by conversation.
 
 use super::{commands, events, mapping, member, membership, name};
+use consensus::quorum_read::LogReport;
 use consensus::{Entry, EntryPayload, Message, MessageBody, Snapshot};
 use protocol::*;
 use residency::{Command, Outcome, Proposal};
@@ -294,6 +295,25 @@
     ]
 }
 
+/// A router's questions for a node's log, since version 10.
+pub fn state_watch() -> Vec<Frame> {
+    let log = LogReport {
+        identity: 5,
+        cluster: 77,
+        newest_change: 9,
+        voters: vec![5, 6, 7],
+    };
+    vec![
+        Frame::Hello {
+            version: protocol::VERSION,
+            kind: ConnectionKind::StateWatch,
+            name: "edge-1".into(),
+        },
+        Frame::StateQuery { number: 3 },
+        Frame::StateReport(StateReport { number: 3, log }),
+    ]
+}
+
 /// One request on its way through a directory node.
 pub fn forwarding() -> Vec<Frame> {
     let header = Header {
@@ -374,6 +394,7 @@
         peers(),
         router_session(),
         subscription(),
+        state_watch(),
         forwarding(),
         cache_sharing(),
     ]
--- a/router/src/lease.rs
+++ b/router/src/lease.rs
@@ -1,8 +1,8 @@
 //! The lease: until when this router may accept and dispatch work.
 //!
 //! A directory node renews it in response to heartbeats (`session.rs`). Past its
-//! end the router goes on for the grace of the settings, and longer while it is known to
-//! be cut off from a majority of the directory nodes (`partition_probe.rs`). Then it
+//! end the router goes on for the grace of the settings, and longer while what it observes
+//! of the directory nodes allows it (`directory_watch.rs`). Then it
 //! refuses requests with [`RouterRejection::LeaseEnded`] and logs that the lease ended.
 
 use crate::rejection::RouterRejection;
@@ -15,8 +15,9 @@
     /// Until when it is valid, on this process's clock; 0 until the first one.
     until_ms: AtomicU64,
     grace: LeaseGrace,
-    /// Until when it is known to be cut off; 0 if it is not.
-    cut_off_until_ms: AtomicU64,
+    /// Until when what it observes of the directory nodes allows it to go on; 0 if nothing
+    /// does.
+    extended_until_ms: AtomicU64,
     /// The end of the latest lease was logged.
     is_end_logged: AtomicBool,
 }
@@ -27,7 +28,7 @@
         Lease {
             until_ms: AtomicU64::new(0),
             grace,
-            cut_off_until_ms: AtomicU64::new(0),
+            extended_until_ms: AtomicU64::new(0),
             is_end_logged: AtomicBool::new(false),
         }
     }
@@ -45,17 +46,16 @@
         }
     }
 
-    /// Sets until when the router is known to be cut off from a majority of the directory
-    /// nodes, if it is.
-    pub fn set_cut_off_until(&self, until_ms: Option<u64>) {
-        self.cut_off_until_ms
+    /// Sets until when what the router observes allows it to go on, if anything does.
+    pub fn extend(&self, until_ms: Option<u64>) {
+        self.extended_until_ms
             .store(until_ms.unwrap_or(0), Ordering::Relaxed);
     }
 
     /// Until when a router goes on past a lease that ended at `until_ms`.
     fn grace_until_ms(&self, until_ms: u64) -> u64 {
-        let cut_off_until_ms = self.cut_off_until_ms.load(Ordering::Relaxed);
-        self.grace.until_ms(until_ms, cut_off_until_ms)
+        let extended_until_ms = self.extended_until_ms.load(Ordering::Relaxed);
+        self.grace.until_ms(until_ms, extended_until_ms)
     }
 
     /// Whether work may be accepted and dispatched now.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,8 +5,8 @@
 //!   gracefully (`startup.rs`).
 //! - `ingress/` is the way of a request, one file for each phase.
 //! - `session.rs` keeps the replicated state and the lease up to date; `lease.rs`
-//!   says whether work may be accepted by it, and `partition_probe.rs` whether the
-//!   router is cut off from those who grant it.
+//!   says whether work may be accepted by it, and `directory_watch.rs` whether what the
+//!   directory nodes say, or their silence, extends it.
 //! - `cache_tiers.rs` and `regional_cache.rs` hold mappings; on a miss a directory
 //!   node resolves the key (`pending_lookups.rs`) or takes the whole request
 //!   (`forwarding/`).
@@ -16,6 +16,7 @@
 
 mod cache_tiers;
 mod conversation_error;
+mod directory_watch;
 mod extensions;
 mod forwarding;
 mod in_flight;
@@ -24,7 +25,6 @@
 mod load_gossip;
 mod membership;
 mod operator_api;
-mod partition_probe;
 mod peer_links;
 mod peer_server;
 mod pending_lookups;
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -9,8 +9,8 @@
 use crate::settings::Settings;
 use dispatch::quota::QuotaLimiter;
 use dispatch::{Dispatcher, ReadAheadBudget};
-use parking_lot::RwLock;
-use placement::Drain;
+use parking_lot::{Mutex, RwLock};
+use placement::{Drain, ReplicaPosition};
 use residency::View;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, OnceLock};
@@ -22,6 +22,8 @@
     pub(crate) settings: Settings,
     /// The replicated state as this router holds it; set by the session alone.
     pub(crate) view: watch::Sender<Arc<View>>,
+    /// Which state the view is of. Invariant: the view is never older.
+    pub(crate) view_position: Mutex<ReplicaPosition>,
     pub(crate) lease: Lease,
     /// Set when it drains: it still accepts requests, and tells others that it leaves.
     pub(crate) drain: OnceLock<Drain>,
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -7,7 +7,7 @@
 use crate::conversation_error::ConversationError;
 use crate::router::Router;
 use crate::session_reader::SessionReader;
-use placement::{ReplicaUpdate, ReplicaView};
+use placement::{ReplicaPosition, ReplicaUpdate, ReplicaView};
 use protocol::{ConnectionKind, Frame, RouterStatus};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -102,10 +102,8 @@
     )
     .await?;
     let (reader, mut writer) = stream.into_split();
-    let subscribe = Frame::Subscribe {
-        cluster: state.replica.cluster(),
-        epoch: state.replica.view().epoch,
-    };
+    let ReplicaPosition { cluster, epoch } = state.replica.position();
+    let subscribe = Frame::Subscribe { cluster, epoch };
     send(&mut writer, &subscribe).await?;
     let (queue, mut outgoing) = mpsc::channel(OUTGOING_FRAMES);
     router.pending_lookups.connect(node, queue);
@@ -200,6 +198,12 @@
     }
 }
 
+/// Puts the replica's view in force.
+fn publish_view(router: &Router, replica: &ReplicaView) {
+    router.view.send_replace(Arc::clone(replica.view()));
+    *router.view_position.lock() = replica.position();
+}
+
 /// Applies a frame of the node to this router's state.
 fn apply(
     router: &Router,
@@ -213,7 +217,7 @@
             if taken == ReplicaUpdate::Snapshot {
                 router.cache_tiers.invalidate_all(epoch);
             }
-            router.view.send_replace(Arc::clone(replica.view()));
+            publish_view(router, replica);
             router.metrics.increment("pictures");
             log::info!(epoch = epoch; "the snapshot is in force");
         }
@@ -225,7 +229,7 @@
             replica.apply_events(base_epoch, epoch, &events)?;
             // The caches first: a request that sees the new view finds no invalid mapping.
             router.cache_tiers.invalidate(epoch, &events);
-            router.view.send_replace(Arc::clone(replica.view()));
+            publish_view(router, replica);
             router.metrics.increment("changes");
             log::info!(epoch = epoch; "in force");
         }
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -11,13 +11,13 @@
 use crate::rejection::RouterRejection;
 use crate::router::Router;
 use crate::settings::Settings;
-use crate::{load_gossip, operator_api, partition_probe, peer_server, session};
+use crate::{directory_watch, load_gossip, operator_api, peer_server, session};
 use anyhow::Context;
 use dispatch::connection_pool::ConnectionPool;
 use dispatch::engine_tracker::EngineTracker;
 use dispatch::quota::QuotaLimiter;
 use dispatch::{Dispatcher, ReadAheadBudget};
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use placement::Drain;
 use residency::View;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -103,6 +103,7 @@
         };
         Router {
             view,
+            view_position: Mutex::default(),
             lease: Lease::new(settings.lease_grace),
             drain: OnceLock::new(),
             is_stopped: AtomicBool::new(false),
@@ -126,7 +127,7 @@
     tokio::spawn(peer_server::accept(Arc::clone(&router), listener));
     tokio::spawn(session::run(Arc::clone(&router)));
     if router.settings.lease_grace.partition_ms > 0 {
-        tokio::spawn(partition_probe::run(Arc::clone(&router)));
+        tokio::spawn(directory_watch::run(Arc::clone(&router)));
     }
     if uses_passive_health_checks {
         tokio::spawn(Arc::clone(&router.dispatcher.engine_tracker).probe_suspects());
--- a/testbed/src/simulated_router/router.rs
+++ b/testbed/src/simulated_router/router.rs
@@ -3,7 +3,7 @@
 use anyhow::bail;
 use dispatch::quota::QuotaLimiter;
 use nix::time::{clock_gettime, ClockId};
-use placement::{QuotaTolerance, ReplicaView, RouterMembership};
+use placement::{QuotaTolerance, ReplicaPosition, ReplicaView, RouterMembership};
 use protocol::{Frame, RouterStatus};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -128,10 +128,8 @@
 
     /// The first frame of a session.
     pub(super) fn subscribe_frame(&self) -> Frame {
-        Frame::Subscribe {
-            cluster: self.replica.cluster(),
-            epoch: self.replica.view().epoch,
-        }
+        let ReplicaPosition { cluster, epoch } = self.replica.position();
+        Frame::Subscribe { cluster, epoch }
     }
 
     pub(super) fn record_epoch(&mut self) {
