--- a/placement/src/directory_observer.rs
+++ b/placement/src/directory_observer.rs
@@ -47,6 +47,14 @@
         self.refused_at_ms
             .is_some_and(|refused_at_ms| now < refused_at_ms + REFUSAL_MS)
     }
+
+    /// Whether another node than this one runs at the address: one that lost its disk comes
+    /// back with a new identity.
+    fn is_replaced(&self, voter: NodeId) -> bool {
+        self.answer
+            .as_ref()
+            .is_some_and(|answer| answer.log.identity != voter)
+    }
 }
 
 /// The directory nodes as a router observes them, by address.
@@ -143,14 +151,16 @@
         Some(answers[needed - 1].asked_at_ms)
     }
 
-    /// Whether fewer than a majority of the voters may be acting: whoever is cut off can't
-    /// tell whether the others agree on changes without it.
+    /// Whether fewer than a majority of the voters can be acting within reach. The router
+    /// can't tell then whether those out of reach agree on changes without it.
     fn is_cut_off(&self, now: u64, members: &[Member]) -> bool {
         let voters = self.voters(members);
         let is_out_of_reach = |voter: &&NodeId| {
             let member = members.iter().find(|member| member.identity == **voter);
             let node = member.and_then(|member| self.nodes.get(&member.address));
-            node.is_some_and(|node| node.is_silent(now) || node.is_refusing(now))
+            node.is_some_and(|node| {
+                node.is_silent(now) || node.is_refusing(now) || node.is_replaced(**voter)
+            })
         };
         let out_of_reach = voters.iter().filter(is_out_of_reach).count();
         let within_reach = voters.len() - out_of_reach;
@@ -159,8 +169,8 @@
 
     /// The voters by the latest answer; before the first, all members.
     fn voters(&self, members: &[Member]) -> Vec<NodeId> {
-        let latest = self.answers().max_by_key(|answer| answer.asked_at_ms);
-        match latest.filter(|answer| !answer.log.voters.is_empty()) {
+        let of_members = self.answers().filter(|answer| !answer.log.voters.is_empty());
+        match of_members.max_by_key(|answer| answer.asked_at_ms) {
             Some(answer) => answer.log.voters.clone(),
             None => members.iter().map(|member| member.identity).collect(),
         }
--- a/placement/tests/directory_observer.rs
+++ b/placement/tests/directory_observer.rs
@@ -213,6 +213,47 @@
     assert_eq!(fixture.extended_until(2_500), Some(2_500 + CUT_OFF_MS));
 }
 
+/// Guards: a voter whose address another node has can't be acting. That node lost the
+/// voter's disk, and says so by its identity.
+#[test]
+fn a_voter_that_lost_its_disk_is_out_of_reach() {
+    let mut fixture = Fixture::new(members(5));
+    let number = fixture.ask(1_000, &[1, 2, 3]);
+    fixture.answer(number, 1, EPOCH);
+    fixture.answer(number, 2, EPOCH);
+    fixture.ask(1_100, &[4, 5]);
+    let now = 1_100 + SILENCE_MS;
+    assert_eq!(
+        fixture.extended_until(now),
+        Some(now + CUT_OFF_MS),
+        "3, 4, 5"
+    );
+    let blank = LogReport {
+        identity: 99,
+        cluster: 0,
+        newest_change: 0,
+        voters: Vec::new(),
+    };
+    let report = |number| StateReport {
+        number,
+        log: blank.clone(),
+    };
+    fixture.observer.record_report(&address(3), report(number));
+    assert_eq!(fixture.extended_until(now), Some(now + CUT_OFF_MS));
+    // Its word confirms nothing, whichever way it is counted.
+    let number = fixture.ask(now, &[1, 2, 3, 4, 5]);
+    for node in [1, 2] {
+        fixture.answer(number, node, EPOCH);
+    }
+    fixture.observer.record_report(&address(3), report(number));
+    fixture.answer(number, 4, EPOCH + 1);
+    assert_eq!(
+        fixture.extended_until(now + 100),
+        None,
+        "1, 2 and 4 can act"
+    );
+}
+
 /// Guards: a process that was suspended knows nothing when it resumes: the answers may
 /// wait in its sockets.
 #[test]
