Simulator: routers that ask the machines one by one act on nothing old

Three readers in every run, with the product's own DirectoryObserver: questions and answers late, lost, held back over freezes, machines out of reach, disks lost, voters replaced.

--- a/placement/src/directory_observer.rs
+++ b/placement/src/directory_observer.rs
@@ -169,7 +169,9 @@
 
     /// The voters by the latest answer; before the first, all members.
     fn voters(&self, members: &[Member]) -> Vec<NodeId> {
-        let of_members = self.answers().filter(|answer| !answer.log.voters.is_empty());
+        let of_members = self
+            .answers()
+            .filter(|answer| !answer.log.voters.is_empty());
         match of_members.max_by_key(|answer| answer.asked_at_ms) {
             Some(answer) => answer.log.voters.clone(),
             None => members.iter().map(|member| member.identity).collect(),
--- a/simulator/src/event_loop.rs
+++ b/simulator/src/event_loop.rs
@@ -62,6 +62,7 @@
             Event::Successor(predecessor) => self.start_successor(predecessor),
             Event::DrainMachine { machine, until_ms } => self.drain_machine(machine, until_ms),
             Event::Operator(event) => self.operator_event(event),
+            Event::Reader(event) => self.reader_event(event),
             Event::MachineRemoved(machine) => {
                 self.remove_machine(machine);
                 Ok(())
--- a/simulator/src/lib.rs
+++ b/simulator/src/lib.rs
@@ -20,6 +20,7 @@
 mod operator_driver;
 mod operator_history;
 mod operators;
+mod quorum_readers;
 mod random;
 mod request_decision;
 mod request_handling;
--- a/simulator/src/node_driver.rs
+++ b/simulator/src/node_driver.rs
@@ -270,6 +270,9 @@
             }
         }
         if let Some(token) = token {
+            if let Some(Outcome::Applied { epoch }) = outcome {
+                self.quorum_readers.record_acknowledged(now_ms, epoch);
+            }
             if let Some(outcome) = outcome {
                 self.send_leader_response(machine, token, LeaderResponse::Outcome(outcome));
             }
--- a/simulator/src/run.rs
+++ b/simulator/src/run.rs
@@ -71,6 +71,7 @@
                 self.drive_clients()?;
             }
             self.drive_operators();
+            self.drive_quorum_readers()?;
             self.inject_faults()?;
             self.inject_losses()?;
             self.check_liveness(start_ms)?;
--- a/simulator/src/simulation.rs
+++ b/simulator/src/simulation.rs
@@ -4,6 +4,7 @@
 use crate::machine::{Machine, MachineIndex};
 use crate::memory_files::MemoryFiles;
 use crate::operators::Operators;
+use crate::quorum_readers::{QuorumReaders, ReaderEvent};
 use crate::random::draw;
 use crate::requests::OperatorEvent;
 use crate::violation::{Failure, Violation};
@@ -46,6 +47,10 @@
     pub operations_answered: usize,
     /// Operators' calls without one.
     pub operations_unanswered: usize,
+    /// How often a reader could act by a majority's word.
+    pub quorum_reads: usize,
+    /// Those of them while no node led.
+    pub quorum_reads_without_leader: usize,
     /// Snapshots that a node got from its leader.
     pub snapshots_installed: usize,
     /// The longest time between two acknowledgements.
@@ -76,6 +81,7 @@
     },
     MachineRemoved(MachineIndex),
     Operator(OperatorEvent),
+    Reader(ReaderEvent),
 }
 
 /// A machine that counts as lost.
@@ -115,6 +121,7 @@
     /// Machines that asked to leave, by the token of the request.
     pub(crate) leave_requests: BTreeMap<u64, MachineIndex>,
     pub(crate) operators: Operators,
+    pub(crate) quorum_readers: QuorumReaders,
 }
 
 impl Simulation {
@@ -142,6 +149,7 @@
             next_loss_at_ms: 0,
             leave_requests: BTreeMap::new(),
             operators: Operators::default(),
+            quorum_readers: QuorumReaders::new(seed),
         };
         for machine in 0..nodes {
             simulation.add_machine(format!("zone-{}", machine % ZONE_COUNT));
--- a/simulator/src/violation.rs
+++ b/simulator/src/violation.rs
@@ -53,6 +53,22 @@
         /// The index acknowledged when the read was requested.
         acknowledged: LogIndex,
     },
+    /// A majority's word confirmed a copy of the state that lacks what was acknowledged
+    /// before.
+    #[error(
+        "reader {reader} acts on epoch {epoch} by a majority's word of {asked_at_ms} ms, and \
+         {acknowledged} was acknowledged before"
+    )]
+    StaleQuorumRead {
+        /// The reader.
+        reader: usize,
+        /// The epoch of its copy.
+        epoch: u64,
+        /// The newest change that was acknowledged before the first machine was asked.
+        acknowledged: u64,
+        /// When that was, in the simulation's time.
+        asked_at_ms: u64,
+    },
     /// Two machines applied different entries at one index.
     #[error("node-{machine} applied another entry {index}")]
     DivergentEntry {
--- a/simulator/tests/simulator.rs
+++ b/simulator/tests/simulator.rs
@@ -117,6 +117,31 @@
     );
 }
 
+/// Guards: what a router holds is confirmed by a majority's own word only if nothing newer
+/// was acknowledged before, whichever machines answer, late or not at all, while leaders
+/// come and go, disks are lost and voters are replaced; also while nobody leads.
+#[test]
+fn a_majoritys_word_confirms_nothing_old() {
+    let profiles = [STORM, HALVES, POWER_LOSS, LEADER_SUCCESSION, FULL_DISKS];
+    let mut reports = Vec::new();
+    let mut failed = Vec::new();
+    for seed in 2_001..=2_050 {
+        let profile = profiles[seed as usize % profiles.len()];
+        match Simulation::new(seed, three_or_five(seed), profile).run(20_000) {
+            Ok(report) => reports.push(report),
+            Err(failure) => failed.push(format!("seed {seed}: {failure}")),
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    let reads: usize = reports.iter().map(|report| report.quorum_reads).sum();
+    let leaderless = reports
+        .iter()
+        .map(|report| report.quorum_reads_without_leader)
+        .sum::<usize>();
+    assert!(reads >= 10_000, "too rare: {reads}");
+    assert!(leaderless >= 500, "too rare without a leader: {leaderless}");
+}
+
 /// Guards that the check of histories finds old states that are shown at one of two halves.
 #[test]
 fn stale_reads_at_two_halves_are_found() {
@@ -253,7 +278,8 @@
     println!(
         "{} seeds: {} acknowledged, {} confirmed, {} elections, {} crashes, {} disks lost, \
          {} snapshots installed, {} losses, {} machines replaced, {} operations answered, \
-         {} unanswered, longest silence under losses {} ms, {} failed",
+         {} unanswered, {} quorum reads, {} of them without a leader, \
+         longest silence under losses {} ms, {} failed",
         seeds.len(),
         sum(|r| r.acknowledged),
         sum(|r| r.confirmed),
@@ -265,6 +291,8 @@
         sum(|r| r.machines_replaced),
         sum(|r| r.operations_answered),
         sum(|r| r.operations_unanswered),
+        sum(|r| r.quorum_reads),
+        sum(|r| r.quorum_reads_without_leader),
         reports
             .iter()
             .map(|report| report.longest_silence_ms)
