--- a/consensus/tests/support/single_node.rs
+++ b/consensus/tests/support/single_node.rs
@@ -7,10 +7,12 @@
 const IDENTITY: NodeId = 1;
 const TICK_MS: u64 = 50;
 
-/// Node 1 and what it has applied, in order.
+/// Node 1, what it has applied and what it has sent.
 pub struct SingleNode {
     pub node: Node,
     pub applied: Vec<LogIndex>,
+    /// What it sent, in order.
+    pub sent: Vec<Message>,
     now: u64,
 }
 
@@ -30,6 +32,7 @@
         SingleNode {
             node: Node::new(IDENTITY, Timing::default(), 9, now, persisted),
             applied: Vec::new(),
+            sent: Vec::new(),
             now,
         }
     }
@@ -41,6 +44,7 @@
                 match effect {
                     Effect::Write(ticket, _) => inputs.push(Input::Synced(ticket)),
                     Effect::Apply(entry, _) => self.applied.push(entry.index),
+                    Effect::Send(message) => self.sent.push(message),
                     _ => {}
                 }
             }
