--- a/directory/src/control_plane.rs
+++ b/directory/src/control_plane.rs
@@ -12,7 +12,7 @@
 use parking_lot::RwLock;
 use placement::ObservedRouter;
 use protocol::{PeerRequest, PeerResponse, RouterStatus};
-use residency::{ConfigDocument, State, View};
+use residency::{ConfigDocument, Epoch, State, View};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,11 +49,40 @@
     /// Has a majority confirm how far the log is committed (ReadIndex). True only once
     /// all that was committed when this was asked is applied at this node.
     pub async fn read_barrier(&self) -> bool {
+        self.confirmed_epoch().await.is_some()
+    }
+
+    /// The epoch of this node's state once all that was committed when this was asked is
+    /// applied; `None` where no majority confirms it.
+    async fn confirmed_epoch(&self) -> Option<Epoch> {
         let request = PeerRequest::ReadIndex {
             demands: Vec::new(),
         };
-        let response = self.driver.request(request).await;
-        matches!(response, PeerResponse::ReadIndex { .. })
+        match self.driver.request(request).await {
+            PeerResponse::ReadIndex { index, .. } => Some(index),
+            _ => None,
+        }
+    }
+
+    /// Reads the state as it is in force: nothing that was acknowledged before this was
+    /// asked is missing. `None` where no majority confirms that within the time-out.
+    pub async fn read_in_force<T>(
+        &self,
+        timeout: Duration,
+        read: impl Fn(&State) -> T,
+    ) -> Option<T> {
+        let attempts = async {
+            loop {
+                let confirmed = self.confirmed_epoch().await;
+                let value = confirmed
+                    .and_then(|epoch| self.with_state(|state| state.read_confirmed(epoch, &read)));
+                if let Some(value) = value {
+                    return value;
+                }
+                tokio::time::sleep(transport::jitter(READ_BARRIER_RETRY_MS)).await;
+            }
+        };
+        tokio::time::timeout(timeout, attempts).await.ok()
     }
 
     /// The same, repeated until it succeeds or the time-out ends; false then.
--- a/directory/src/operator_api/status.rs
+++ b/directory/src/operator_api/status.rs
@@ -64,13 +64,14 @@
 /// The topology in force, never one older than what was acknowledged before it was
 /// asked for.
 pub(super) async fn topology(control: &ControlPlane) -> Result<Response, ApiError> {
-    if !control.read_barrier_within(READ_BARRIER_TIMEOUT).await {
-        return Err(ApiError::NoMajority);
+    let read = |state: &State| {
+        let document = residency::parse_json(&state.document()).unwrap_or_default();
+        json!({ "epoch": state.epoch(), "book": document })
+    };
+    match control.read_in_force(READ_BARRIER_TIMEOUT, read).await {
+        Some(value) => Ok(http_server::json(200, &value)),
+        None => Err(ApiError::NoMajority),
     }
-    let state = control.driver.state.read();
-    let document = residency::parse_json(&state.document()).unwrap_or_default();
-    let value = json!({ "epoch": state.epoch(), "book": document });
-    Ok(http_server::json(200, &value))
 }
 
 fn members(cluster_status: &ClusterStatus, report: &MembershipReport) -> OwnedValue {
--- a/residency/src/state.rs
+++ b/residency/src/state.rs
@@ -103,6 +103,13 @@
         self.view.epoch
     }
 
+    /// Reads a state that holds everything up to `confirmed`, which a majority confirmed.
+    /// `None` where it does not: it may have been replaced by an older one since, when a
+    /// node goes on from what its disk holds.
+    pub fn read_confirmed<T>(&self, confirmed: Epoch, read: impl FnOnce(&State) -> T) -> Option<T> {
+        (self.epoch() >= confirmed).then(|| read(self))
+    }
+
     /// The topology file in force, as JSON.
     pub fn document(&self) -> String {
         self.document.encode()
