Exits: a process that ends by itself says why, on stderr and in its data folder

Each exit path now ends in telemetry::exit: the reason is the last line on stderr and stands in last-exit in the data folder, and the next process there logs it. A panic in one of the two threads that a directory node can't go on without ends the process; before, it went on as one that answers nothing.

--- a/directory/src/driver/start.rs
+++ b/directory/src/driver/start.rs
@@ -13,6 +13,7 @@
 use residency::State;
 use std::sync::mpsc::sync_channel;
 use std::sync::Arc;
+use telemetry::exit;
 use telemetry::metrics::Metrics;
 use tokio::sync::watch;
 use transport::now;
@@ -84,7 +85,7 @@
 fn spawn(name: &'static str, work: impl FnOnce() + Send + 'static) -> Result<(), DriverStartError> {
     std::thread::Builder::new()
         .name(name.into())
-        .spawn(work)
+        .spawn(move || exit::run_vital("directory", name, work))
         .map_err(|source| DriverStartError::Thread { name, source })?;
     Ok(())
 }
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -4,6 +4,7 @@
 use directory::{Extensions, RuntimeFlavor, Settings};
 use settings::{setting, Setting, SettingsReader};
 use std::time::Duration;
+use telemetry::exit::{self, ExitCause};
 
 const SETTINGS: &[Setting] = &[
     setting(
@@ -103,10 +104,10 @@
     reader.exit_if_invalid();
     let run = || -> anyhow::Result<()> {
         telemetry::logging::init("directory", &settings.name, &level)?;
+        exit::keep_reason_in(&settings.data_path);
         Ok(directory::run(settings, Extensions::default())?)
     };
     if let Err(error) = run() {
-        eprintln!("directory: {error:#}");
-        std::process::exit(1);
+        exit::end("directory", ExitCause::Failed, &format!("{error:#}"));
     }
 }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -5,6 +5,7 @@
 use router::{Extensions, Settings, ENGINE_SLOT_WAIT_MS};
 use settings::{setting, Setting, SettingsReader};
 use std::time::Duration;
+use telemetry::exit::{self, ExitCause};
 
 /// How often it sends a heartbeat to its directory node.
 const HEARTBEAT_INTERVAL_MS: u64 = 350;
@@ -101,8 +102,7 @@
 fn main() {
     let (settings, log_level) = read_settings();
     if let Err(error) = run(settings, &log_level) {
-        eprintln!("router: {error:#}");
-        std::process::exit(1);
+        exit::end("router", ExitCause::Failed, &format!("{error:#}"));
     }
 }
 
--- a/telemetry/src/lib.rs
+++ b/telemetry/src/lib.rs
@@ -1,6 +1,7 @@
-//! What a process tells of itself: logs, counters, violated invariants, and the traffic of
-//! its framed links.
+//! What a process tells of itself: logs, counters, violated invariants, the traffic of its
+//! framed links, and why it ended.
 
+pub mod exit;
 pub mod invariants;
 pub mod logging;
 pub mod metrics;
