--- a/testbed/tests/forwarding.rs
+++ b/testbed/tests/forwarding.rs
@@ -304,7 +304,8 @@
 }
 
 impl Site {
-    async fn start() -> Site {
+    /// A router at an address of its own for each test.
+    async fn start(test: u8) -> Site {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let seed = listener.local_addr().expect("bound");
         let node = Arc::new(Node {
@@ -320,7 +321,7 @@
         let process = std::process::id();
         let ip = [
             127,
-            190,
+            190 + test,
             (process / 250 % 250) as u8,
             (process % 250) as u8 + 1,
         ];
@@ -441,7 +442,7 @@
 /// broken off; and the next request gets its own answer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_conversation_that_breaks_anywhere() {
-    let site = Site::start().await;
+    let site = Site::start(0).await;
     let troubles = [
         Trouble::Reset,
         Trouble::Close,
@@ -505,7 +506,7 @@
 /// node that the test plays.
 #[tokio::test]
 async fn an_answer_that_falls_silent_is_broken_off() {
-    let site = Site::start().await;
+    let site = Site::start(1).await;
     for place in [Stage::AnswerBegun, Stage::HalfAnswered, Stage::AllButTheEnd] {
         *site.node.script.lock() = Some((place, Trouble::LongSilence));
         let id = format!("quiet-{place:?}");
