--- a/consensus/tests/catching_up/main.rs
+++ b/consensus/tests/catching_up/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod harness;
 mod leadership;
+mod slow_links;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/consensus/tests/support/cluster/effects.rs
+++ b/consensus/tests/support/cluster/effects.rs
@@ -1,6 +1,7 @@
 //! Steps of a node, what they cause, and the properties that are checked meanwhile.
 
 use super::super::state::Applied;
+use super::super::traffic::size;
 use super::{Cluster, Event, ADD_LEARNER};
 use consensus::node::{Effect, Input, Role, Token};
 use consensus::{Entry, Message, MessageBody};
@@ -114,7 +115,19 @@
         };
         for _ in 0..copies {
             let delay = self.conditions.link_ms + self.draw(self.conditions.jitter_ms + 1);
+            let delay = delay + self.transmit(from, to, &message);
             self.schedule(delay, Event::Deliver(message.clone()));
         }
     }
+
+    /// How long a message takes to be put on its link, behind all that was sent before it.
+    fn transmit(&mut self, from: usize, to: usize, message: &Message) -> u64 {
+        let Some(bytes_per_s) = self.conditions.link_bytes_per_s else {
+            return 0;
+        };
+        let free_at_ms = self.link_free_at_ms.entry((from, to)).or_default();
+        let begin_ms = self.now.max(*free_at_ms);
+        *free_at_ms = begin_ms + size(message) * 1_000 / bytes_per_s;
+        *free_at_ms - self.now
+    }
 }
--- a/consensus/tests/support/cluster/mod.rs
+++ b/consensus/tests/support/cluster/mod.rs
@@ -32,6 +32,9 @@
 #[derive(Clone)]
 pub struct Conditions {
     pub link_ms: u64,
+    /// What each link carries a second, one message after the other; `None`: any amount
+    /// at once.
+    pub link_bytes_per_s: Option<u64>,
     /// A message takes up to this much longer, so that messages overtake each other.
     pub jitter_ms: u64,
     /// Messages lost, of a thousand.
@@ -49,6 +52,7 @@
     fn default() -> Conditions {
         Conditions {
             link_ms: 55,
+            link_bytes_per_s: None,
             jitter_ms: 0,
             lost_permille: 0,
             duplicated_permille: 0,
@@ -95,6 +99,8 @@
     pub machines: Vec<Machine>,
     /// Links that carry nothing, by sender and receiver.
     pub cut_links: BTreeSet<(usize, usize)>,
+    /// When each link has carried all that was sent over it, by sender and receiver.
+    link_free_at_ms: BTreeMap<(usize, usize), u64>,
     /// How many of the next snapshots sent are lost.
     pub snapshots_to_lose: u64,
     /// What each machine was sent.
@@ -156,6 +162,7 @@
             now: 1_000,
             machines: (0..nodes).map(machine).collect(),
             cut_links: BTreeSet::new(),
+            link_free_at_ms: BTreeMap::new(),
             snapshots_to_lose: 0,
             traffic: vec![Traffic::default(); nodes],
             acknowledged: 0,
--- a/directory/src/peer_connections.rs
+++ b/directory/src/peer_connections.rs
@@ -3,14 +3,15 @@
 use crate::pending_requests::PendingRequests;
 use consensus::{Member, NodeId};
 use parking_lot::Mutex;
-use protocol::{ConnectionKind, Frame};
+use protocol::{ConnectionKind, EncodedFrame, Frame};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use transport::{link, now};
+use transport::{link, link::LinkError, now};
 
 /// Frames that wait for one peer, at the most. A full queue drops the frame, as a slow
 /// network would; what matters is sent again.
@@ -21,6 +22,9 @@
 const DIAL_RETRY_MS: u64 = 30;
 /// After a connection ended, plus jitter.
 const RECONNECT_DELAY_MS: u64 = 60;
+/// A piece of a frame that the other side does not accept for so long ends the connection.
+/// A snapshot may take longer than that as a whole.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// After the other side refused this node.
 const REFUSED_DELAY: Duration = Duration::from_secs(2);
 
@@ -143,14 +147,14 @@
         first: Frame,
         frames: &mut mpsc::Receiver<Frame>,
     ) -> anyhow::Result<()> {
-        link::send(&mut stream, &Frame::Introduce(self.local_member.clone())).await?;
-        link::send(&mut stream, &first).await?;
         let (mut reader, mut writer) = stream.split();
+        send(&mut writer, &Frame::Introduce(self.local_member.clone())).await?;
+        send(&mut writer, &first).await?;
         loop {
             tokio::select! {
                 frame = frames.recv() => {
                     let Some(frame) = frame else { return Ok(()) };
-                    tokio::time::timeout(link::HANDSHAKE_TIMEOUT, link::send(&mut writer, &frame)).await??;
+                    send(&mut writer, &frame).await?;
                 }
                 back = link::receive(&mut reader, protocol::MAX_HELLO_BYTES) => {
                     match back? {
@@ -167,6 +171,10 @@
     }
 }
 
+async fn send(to: &mut (impl AsyncWrite + Unpin), frame: &Frame) -> Result<(), LinkError> {
+    link::send_steadily(to, &EncodedFrame::new(frame), WRITE_TIMEOUT).await
+}
+
 /// The newest frame that waits; it is sent as soon as the other side is there, unless it
 /// is stale by then. Older ones are dropped.
 fn newest_unsent(first: (Frame, u64), frames: &mut mpsc::Receiver<Frame>) -> Option<(Frame, u64)> {
