Look-ups: routers without a lease are named after those that serve

Cause: a router that heartbeats to a node without a majority was named for as long as it came there, and refused its clients. Its report now says what it does with new requests (ready, draining, without a lease); the byte was the draining flag, so recorded frames read as before. A router that gets a lease again says so at once. The session of a router is a type with a method for each direction.

--- a/directory/src/operator_api/status.rs
+++ b/directory/src/operator_api/status.rs
@@ -116,7 +116,7 @@
         "door": router.client_address.clone(),
         "epoch": router.epoch,
         "age_ms": router.age_ms,
-        "leaving": router.is_draining,
+        "leaving": router.is_draining(),
     })
 }
 
--- a/directory/src/router_registry.rs
+++ b/directory/src/router_registry.rs
@@ -157,7 +157,7 @@
             let draining_before_ms = known.and_then(|known| known.draining_since_ms);
             let router = KnownRouter {
                 draining_since_ms: report
-                    .is_draining
+                    .is_draining()
                     .then_some(draining_before_ms.unwrap_or(reported_at_ms)),
                 report,
                 reported_at_ms,
--- a/placement/src/router_membership.rs
+++ b/placement/src/router_membership.rs
@@ -18,9 +18,9 @@
 }
 
 /// Whether two reports of a router say the same to the other routers. They depend neither on
-/// the report's age nor on the router's epoch, only on whether it has one.
+/// the report's age nor on its lease, nor on the router's epoch, only on whether it has one.
 pub fn is_same_to_peers(one: &RouterStatus, other: &RouterStatus) -> bool {
-    let availability = |status: &RouterStatus| (status.is_draining, status.epoch > 0);
+    let availability = |status: &RouterStatus| (status.is_draining(), status.epoch > 0);
     availability(one) == availability(other)
         && one.peer_address == other.peer_address
         && one.client_address == other.client_address
--- a/placement/src/router_selection.rs
+++ b/placement/src/router_selection.rs
@@ -5,7 +5,7 @@
 //! none of these has a router to name, no router is named, and the client keeps what it has
 //! or asks again.
 
-use protocol::RouterStatus;
+use protocol::{RouterAvailability, RouterStatus};
 use std::collections::BTreeSet;
 
 /// A router whose last heartbeat is older than this is not named.
@@ -56,14 +56,14 @@
 pub struct RouterSelection<'a> {
     /// Where they were found; `None` if there are none.
     pub scope: Option<SelectionScope>,
-    /// They are draining: no router that the client may use is ready.
-    pub is_draining: bool,
+    /// All of them are this available: the client may use none that is more so.
+    pub availability: RouterAvailability,
     /// The routers, in the order of the argument.
     pub routers: Vec<&'a RouterStatus>,
 }
 
-/// The routers for a client: those that are ready, else those that have just begun to drain;
-/// of these the ones of its zone, else of its region, else of the host's home regions, or of
+/// The routers for a client: those that are ready, else those that have just begun to drain,
+/// else those that had no lease; of these the ones of its zone, else of its region, else of the host's home regions, or of
 /// any region if the host has no homes.
 pub fn select_routers<'a>(
     routers: &'a [ObservedRouter],
@@ -74,11 +74,15 @@
         SelectionScope::Region,
         client.widest_scope(),
     ];
-    for is_draining in [false, true] {
+    for availability in [
+        RouterAvailability::Ready,
+        RouterAvailability::Draining,
+        RouterAvailability::WithoutLease,
+    ] {
         for scope in scopes {
             let selected: Vec<&RouterStatus> = routers
                 .iter()
-                .filter(|router| router.may_be_named(is_draining))
+                .filter(|router| router.named_availability() == Some(availability))
                 .map(|router| &router.status)
                 .filter(|status| client.may_use_region(&status.region))
                 .filter(|status| client.is_in_scope(status, scope))
@@ -87,7 +91,7 @@
             if !selected.is_empty() {
                 return RouterSelection {
                     scope: Some(scope),
-                    is_draining,
+                    availability,
                     routers: selected,
                 };
             }
@@ -95,20 +99,19 @@
     }
     RouterSelection {
         scope: None,
-        is_draining: false,
+        availability: RouterAvailability::Ready,
         routers: Vec::new(),
     }
 }
 
 impl ObservedRouter {
-    /// Whether the router serves, and is ready or (`as_draining`) has just begun to drain.
-    fn may_be_named(&self, as_draining: bool) -> bool {
-        let serves = self.status.epoch > 0 && self.status.age_ms < MAX_HEARTBEAT_AGE_MS;
-        let is_in_state = match self.draining_for_ms {
-            None => !as_draining,
-            Some(draining_for_ms) => as_draining && draining_for_ms < MAX_NAMED_DRAINING_MS,
-        };
-        serves && is_in_state
+    /// What it does with new requests; `None` where no look-up may name it.
+    fn named_availability(&self) -> Option<RouterAvailability> {
+        let is_heard = self.status.epoch > 0 && self.status.age_ms < MAX_HEARTBEAT_AGE_MS;
+        let has_drained = self
+            .draining_for_ms
+            .is_some_and(|draining_for_ms| draining_for_ms >= MAX_NAMED_DRAINING_MS);
+        (is_heard && !has_drained).then_some(self.status.availability)
     }
 }
 
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -45,6 +45,7 @@
 pub use lookup::LookupResponse;
 pub use peers::{PeerRequest, PeerResponse, RouterGrants, Validity};
 pub use router_session::{
-    QuotaDemand, QuotaGrant, RegistryUpdate, RouterDemand, RouterStatus, LEASE_MS, RECENT_SPANS_MS,
+    QuotaDemand, QuotaGrant, RegistryUpdate, RouterAvailability, RouterDemand, RouterStatus,
+    LEASE_MS, RECENT_SPANS_MS,
 };
 pub use state_watch::StateReport;
--- a/protocol/src/router_session.rs
+++ b/protocol/src/router_session.rs
@@ -49,10 +49,28 @@
     pub epoch: Epoch,
     /// Age of this report in milliseconds, when it was sent on.
     pub age_ms: u64,
-    /// It is shutting down and takes no new requests.
-    #[br(parse_with = read_flag)]
-    #[bw(write_with = write_flag)]
-    pub is_draining: bool,
+    /// What it does with new requests.
+    pub availability: RouterAvailability,
+}
+
+impl RouterStatus {
+    /// Whether it is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.availability == RouterAvailability::Draining
+    }
+}
+
+/// What a router does with new requests. In the order in which look-ups prefer them.
+#[binrw]
+#[brw(repr = u8)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouterAvailability {
+    /// It accepts them.
+    Ready = 0,
+    /// It shuts down: it accepts them for a little longer.
+    Draining = 1,
+    /// It has no lease and refuses them; it accepts them as soon as it gets one.
+    WithoutLease = 2,
 }
 
 /// Changes of the list of routers and directory nodes, since the session's last update.
--- a/router/src/membership.rs
+++ b/router/src/membership.rs
@@ -77,7 +77,7 @@
 
     /// Other routers of the region that share its cache: those that don't drain.
     pub fn cache_peers(&self) -> impl Iterator<Item = &RouterStatus> {
-        self.regional_peers().filter(|router| !router.is_draining)
+        self.regional_peers().filter(|router| !router.is_draining())
     }
 
     /// The known directory nodes.
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -11,6 +11,7 @@
 use dispatch::{Dispatcher, ReadAheadBudget};
 use parking_lot::{Mutex, RwLock};
 use placement::{Drain, ReplicaPosition};
+use protocol::RouterAvailability;
 use residency::View;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, OnceLock};
@@ -60,8 +61,17 @@
         self.drain.get().is_some()
     }
 
+    /// What it does with new requests, as others are told.
+    pub(crate) fn availability(&self) -> RouterAvailability {
+        match self.is_draining() {
+            true => RouterAvailability::Draining,
+            false if self.lease.check().is_ok() => RouterAvailability::Ready,
+            false => RouterAvailability::WithoutLease,
+        }
+    }
+
     /// Whether clients are to be sent here.
     pub fn is_ready(&self) -> bool {
-        self.view.borrow().epoch > 0 && !self.is_draining() && self.lease.check().is_ok()
+        self.view.borrow().epoch > 0 && self.availability() == RouterAvailability::Ready
     }
 }
--- a/router/src/router_lookup.rs
+++ b/router/src/router_lookup.rs
@@ -80,7 +80,7 @@
         terms.homes.iter().map(|home| home.0.as_str()).collect()
     });
     let mut candidates: Vec<Candidate> = routers
-        .filter(|router| !router.is_draining && !view.evacuated.contains(&router.zone))
+        .filter(|router| !router.is_draining() && !view.evacuated.contains(&router.zone))
         .filter_map(|router| {
             let home = homes.iter().position(|home| *home == router.region);
             let is_allowed = homes.is_empty() || home.is_some() || router.region == region;
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -8,7 +8,8 @@
 use crate::router::Router;
 use crate::session_reader::SessionReader;
 use placement::{ReplicaPosition, ReplicaUpdate, ReplicaView};
-use protocol::{ConnectionKind, Frame, RouterStatus};
+use protocol::{ConnectionKind, Frame, QuotaGrant, RouterStatus};
+use residency::Epoch;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,63 +93,126 @@
     state: &mut SessionState,
     node: SocketAddr,
 ) -> Result<(), ConversationError> {
-    let settings = &router.settings;
-    state.replica.begin_session();
-    let stream = link::dial(
-        settings.peer_listen_address,
-        node,
-        ConnectionKind::RouterSession,
-        &settings.name,
-    )
-    .await?;
-    let (reader, mut writer) = stream.into_split();
-    let ReplicaPosition { cluster, epoch } = state.replica.position();
-    let subscribe = Frame::Subscribe { cluster, epoch };
-    send(&mut writer, &subscribe).await?;
-    let (queue, mut outgoing) = mpsc::channel(OUTGOING_FRAMES);
-    router.pending_lookups.connect(node, queue);
-    router.metrics.increment("sessions");
-    let mut incoming = SessionReader::start(reader);
-    let mut interval = tokio::time::interval(Duration::from_millis(settings.heartbeat_interval_ms));
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut lease_renewed_ms = now();
-    let mut last_heartbeat_ms = 0;
+    let mut session = Session::begin(router, state, node).await?;
     loop {
+        session.step().await?;
+    }
+}
+
+/// A session that has begun.
+struct Session<'a> {
+    router: &'a Arc<Router>,
+    state: &'a mut SessionState,
+    writer: OwnedWriteHalf,
+    incoming: SessionReader,
+    /// Look-ups of this router's requests.
+    outgoing: mpsc::Receiver<Frame>,
+    interval: tokio::time::Interval,
+    lease_renewed_ms: u64,
+    last_heartbeat_ms: u64,
+}
+
+impl<'a> Session<'a> {
+    /// Connects, and asks for what the replica lacks.
+    async fn begin(
+        router: &'a Arc<Router>,
+        state: &'a mut SessionState,
+        node: SocketAddr,
+    ) -> Result<Session<'a>, ConversationError> {
+        let settings = &router.settings;
+        state.replica.begin_session();
+        let stream = link::dial(
+            settings.peer_listen_address,
+            node,
+            ConnectionKind::RouterSession,
+            &settings.name,
+        )
+        .await?;
+        let (reader, mut writer) = stream.into_split();
+        let ReplicaPosition { cluster, epoch } = state.replica.position();
+        send(&mut writer, &Frame::Subscribe { cluster, epoch }).await?;
+        let (queue, outgoing) = mpsc::channel(OUTGOING_FRAMES);
+        router.pending_lookups.connect(node, queue);
+        router.metrics.increment("sessions");
+        let heartbeat_interval = Duration::from_millis(settings.heartbeat_interval_ms);
+        let mut interval = tokio::time::interval(heartbeat_interval);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        Ok(Session {
+            router,
+            state,
+            writer,
+            incoming: SessionReader::start(reader),
+            outgoing,
+            interval,
+            lease_renewed_ms: now(),
+            last_heartbeat_ms: 0,
+        })
+    }
+
+    /// Sends or receives one frame.
+    async fn step(&mut self) -> Result<(), ConversationError> {
         tokio::select! {
-            () = next_heartbeat(&mut interval, router, last_heartbeat_ms) => {
-                last_heartbeat_ms = now();
-                let progress_ms = lease_renewed_ms.max(incoming.long_frame_seen_ms());
-                let silence_ms = now().saturating_sub(progress_ms);
-                if silence_ms >= LEASE_TIMEOUT_MS {
-                    return Err(ConversationError::NoLease { silence_ms });
-                }
-                send(&mut writer, &heartbeat(router, state)).await?;
+            () = next_heartbeat(&mut self.interval, self.router, self.last_heartbeat_ms) => {
+                self.send_heartbeat().await
             }
-            frame = outgoing.recv() => {
+            frame = self.outgoing.recv() => {
                 let frame = frame.ok_or(ConversationError::QueueClosed)?;
-                send(&mut writer, &frame).await?;
+                send(&mut self.writer, &frame).await
             }
-            frame = incoming.next() => {
-                match frame? {
-                    Some(Frame::Lease { heartbeat, epoch, grants }) => {
-                        if let Some(until_ms) = state.replica.renew_lease(heartbeat, epoch) {
-                            lease_renewed_ms = now();
-                            router.lease.renew(state.replica.lease_expires_at());
-                            router.quota.apply_grants(heartbeat, until_ms, &grants);
-                        }
-                    }
-                    Some(frame) => {
-                        let is_snapshot = matches!(frame, Frame::Snapshot { .. });
-                        apply(router, &mut state.replica, frame)?;
-                        if is_snapshot {
-                            // A lease that came ahead of it was refused.
-                            interval.reset_immediately();
-                        }
-                    }
-                    None => return Err(ConversationError::Closed),
+            frame = self.incoming.next() => {
+                let frame = frame?.ok_or(ConversationError::Closed)?;
+                self.receive(frame)
+            }
+        }
+    }
+
+    /// Sends a heartbeat, unless the node has renewed no lease for too long.
+    async fn send_heartbeat(&mut self) -> Result<(), ConversationError> {
+        self.last_heartbeat_ms = now();
+        let progress_ms = self
+            .lease_renewed_ms
+            .max(self.incoming.long_frame_seen_ms());
+        let silence_ms = now().saturating_sub(progress_ms);
+        if silence_ms >= LEASE_TIMEOUT_MS {
+            return Err(ConversationError::NoLease { silence_ms });
+        }
+        let heartbeat = heartbeat(self.router, self.state);
+        send(&mut self.writer, &heartbeat).await
+    }
+
+    fn receive(&mut self, frame: Frame) -> Result<(), ConversationError> {
+        match frame {
+            Frame::Lease {
+                heartbeat,
+                epoch,
+                grants,
+            } => self.renew_lease(heartbeat, epoch, &grants),
+            frame => {
+                let is_snapshot = matches!(frame, Frame::Snapshot { .. });
+                apply(self.router, &mut self.state.replica, frame)?;
+                if is_snapshot {
+                    // A lease that came ahead of it was refused.
+                    self.interval.reset_immediately();
                 }
             }
         }
+        Ok(())
+    }
+
+    fn renew_lease(&mut self, heartbeat: u64, epoch: Epoch, grants: &[QuotaGrant]) {
+        let Some(until_ms) = self.state.replica.renew_lease(heartbeat, epoch) else {
+            return;
+        };
+        let had_lease = self.router.lease.check().is_ok();
+        self.lease_renewed_ms = now();
+        self.router
+            .lease
+            .renew(self.state.replica.lease_expires_at());
+        self.router.quota.apply_grants(heartbeat, until_ms, grants);
+        if !had_lease {
+            // Look-ups are to name this router again.
+            self.interval.reset_immediately();
+        }
     }
 }
 
@@ -180,7 +244,7 @@
         peer_address: settings.peer_address.to_string(),
         epoch: router.view.borrow().epoch,
         age_ms: 0,
-        is_draining: router.is_draining(),
+        availability: router.availability(),
     };
     let demand = router.quota.lease_demands(&settings.name, number);
     Frame::Heartbeat {
--- a/telemetry/src/exit.rs
+++ b/telemetry/src/exit.rs
@@ -49,13 +49,16 @@
     drop(REASON_FILE.set(file));
 }
 
-/// Ends the process, with the reason on stderr and in the folder's file.
+/// Ends the process, with the reason on stderr and in the folder's file. A reason may have
+/// several lines.
 pub fn end(program: &str, cause: ExitCause, reason: &str) -> ! {
     if let Some(file) = REASON_FILE.get() {
         // Without the file stderr has it all the same.
         drop(write_reason(file, cause, reason));
     }
-    eprintln!("{program}: {reason}");
+    for line in reason.lines() {
+        eprintln!("{program}: {line}");
+    }
     std::process::exit(cause.status())
 }
 
--- a/testbed/src/simulated_router/router.rs
+++ b/testbed/src/simulated_router/router.rs
@@ -4,7 +4,7 @@
 use dispatch::quota::QuotaLimiter;
 use nix::time::{clock_gettime, ClockId};
 use placement::{QuotaTolerance, ReplicaPosition, ReplicaView, RouterMembership};
-use protocol::{Frame, RouterStatus};
+use protocol::{Frame, RouterAvailability, RouterStatus};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -100,7 +100,7 @@
             peer_address: self.source.to_string(),
             epoch: self.replica.view().epoch,
             age_ms: 0,
-            is_draining: false,
+            availability: RouterAvailability::Ready,
         }
     }
 
