Quotas: in a large fleet one router of each region owns a tenant's lease

Clients of the large deployments saw requests within their tenant's quota refused from the first second on (429), and from some seconds later all requests refused (503); changes that were acknowledged did not come into force, and the configuration could not be read back.

Cause: every router leased each tenant's quota for itself. With 291 routers a router's own part of a quota is no whole request, so the first ones were refused; and every router reported every tenant of the last minute with each heartbeat. All reports went to the one leader, which weighed each against all routers of the tenant: work that grows with tenants times routers squared. The leader fell behind, and leases, reads and changes waited behind the quotas. Class of fault: shared work of a control plane whose size is not bounded by what it decides, in one queue with what must not wait.

Change: with more than 16 routers, one router of each region owns a tenant's lease, by rendezvous hashing. The others ask it for each request, over the connections that they have; if it has no lease or is silent, the owners of other regions. Owners lease as the routers of a small fleet do, also before the first request, so that the bound on windows rests on what holds today. The leader gets one demand a tenant and region in each interval, whatever the number of routers.

--- a/dispatch/src/quota.rs
+++ b/dispatch/src/quota.rs
@@ -9,7 +9,8 @@
     AdmissionDecision, LeaseRateLimiter, QueueTicket, QueueingRateLimiter, QuotaTolerance,
     RateLimit,
 };
-use protocol::{QuotaGrant, RouterDemand};
+use protocol::{QuotaDecision, QuotaGrant, RouterDemand};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::sync::Notify;
 use transport::now;
@@ -134,6 +135,48 @@
         }
     }
 
+    /// Whether quotas are leased from pools, so that no request waits.
+    pub fn leases_from_pools(&self) -> bool {
+        matches!(self.limiter, Limiter::Leased(_))
+    }
+
+    /// Decides on a request of any router, as the owner of the tenant's lease. `routers` is
+    /// how many are known.
+    pub fn admit_as_owner(&self, tenant: &str, limit: RateLimit, routers: usize) -> QuotaDecision {
+        if limit.requests_per_s == 0 {
+            return QuotaDecision::Admitted;
+        }
+        let Limiter::Leased(limiter) = &self.limiter else {
+            return QuotaDecision::NoLease;
+        };
+        let decision = limiter.lock().admit_as_owner(now(), tenant, limit, routers);
+        if decision == QuotaDecision::NoLease {
+            self.urgent.notify_one();
+        }
+        decision
+    }
+
+    /// Sets which tenants' leases this process owns, and asks for them with the next
+    /// heartbeat. Changes nothing where requests wait for grants.
+    pub fn set_owned_tenants(
+        &self,
+        owned: &BTreeSet<String>,
+        routers: usize,
+        limit_of: impl Fn(&str) -> RateLimit,
+    ) {
+        if let Limiter::Leased(limiter) = &self.limiter {
+            let mut limiter = limiter.lock();
+            limiter.set_owned_tenants(now(), owned, routers, limit_of);
+        }
+    }
+
+    /// This process leases for the requests that it receives itself.
+    pub fn lease_for_own_requests(&self) {
+        if let Limiter::Leased(limiter) = &self.limiter {
+            limiter.lock().lease_for_own_requests();
+        }
+    }
+
     async fn wait_for_grant(
         &self,
         limiter: &Mutex<QueueingRateLimiter>,
@@ -187,7 +230,8 @@
     }
 }
 
-fn over_quota(tenant: &str, limit: RateLimit) -> Rejection {
+/// The rejection of a request whose tenant is past its quota.
+pub fn over_quota(tenant: &str, limit: RateLimit) -> Rejection {
     let rate = limit.requests_per_s;
     let text = format!("{tenant} is past its quota of {rate} requests a second");
     Rejection::not_run(429, "quota", text)
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -50,8 +50,9 @@
 pub use lease_grace::LeaseGrace;
 pub use load::{EngineLoadEstimator, EngineLoadStatus, LoadUpdate, PrefillEstimate, ProbeTarget};
 pub use quota::{
-    AdmissionDecision, LeaseRateLimiter, QueueTicket, QueueingRateLimiter, QuotaLeaseAllocator,
-    QuotaTolerance, RateLimit, TokenAllocator, QUOTA_LEASE_MS, STARTUP_RESERVE_RATIO,
+    has_quota_owners, AdmissionDecision, LeaseRateLimiter, QueueTicket, QueueingRateLimiter,
+    QuotaLeaseAllocator, QuotaOwner, QuotaOwners, QuotaTolerance, RateLimit, TokenAllocator,
+    QUOTA_LEASE_MS, STARTUP_RESERVE_RATIO,
 };
 pub use rendezvous::rank;
 pub use replica_view::{ReplicaPosition, ReplicaUpdate, ReplicaView, ReplicaViewError};
--- a/placement/src/quota/lease_limiter.rs
+++ b/placement/src/quota/lease_limiter.rs
@@ -8,10 +8,10 @@
 //! as far as it is known not to be used in the window.
 
 use super::rate_limit::RateLimit;
-use super::tenant_lease::{RouterContext, TenantLease, QUOTA_LEASE_MS};
+use super::tenant_lease::{RouterContext, TenantLease, Tenure, QUOTA_LEASE_MS};
 use super::tolerance::QuotaTolerance;
-use protocol::{QuotaGrant, RouterDemand};
-use std::collections::BTreeMap;
+use protocol::{QuotaDecision, QuotaGrant, RouterDemand};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The most routers that were known in one period of `QUOTA_LEASE_MS`.
 #[derive(Clone, Copy)]
@@ -131,6 +131,60 @@
             .admit(&context, split, limit, routers, self.heartbeat)
     }
 
+    /// Decides on a request of any router, as the owner of the tenant's lease.
+    pub fn admit_as_owner(
+        &mut self,
+        now: u64,
+        tenant: &str,
+        limit: RateLimit,
+        routers: usize,
+    ) -> QuotaDecision {
+        if self.admit(now, tenant, limit, routers) {
+            return QuotaDecision::Admitted;
+        }
+        let lease = self.tenants.get(tenant);
+        match lease.is_some_and(|lease| lease.is_leased(now)) && !self.is_closed {
+            true => QuotaDecision::OverQuota,
+            false => QuotaDecision::NoLease,
+        }
+    }
+
+    /// Sets which tenants this router owns. It asks for a lease of each, and gives back those
+    /// of all others that it owned before. `limit_of` gives a tenant's quota, `routers` is how
+    /// many routers are known.
+    pub fn set_owned_tenants(
+        &mut self,
+        now: u64,
+        owned: &BTreeSet<String>,
+        routers: usize,
+        limit_of: impl Fn(&str) -> RateLimit,
+    ) {
+        let routers = self.routers.record(now, routers).max(1);
+        for (tenant, lease) in &mut self.tenants {
+            if !owned.contains(tenant) {
+                lease.set_tenure(Tenure::FormerOwner);
+            }
+        }
+        let context = self.context(now);
+        for tenant in owned {
+            let limit = limit_of(tenant);
+            let split = self.tolerance.split(limit, routers);
+            let lease = self
+                .tenants
+                .entry(tenant.clone())
+                .or_insert_with(|| TenantLease::new(&context, split, limit));
+            lease.update_limit(now, split, limit, routers, self.heartbeat);
+            lease.set_tenure(Tenure::Owner);
+        }
+    }
+
+    /// This router leases for the requests that it receives itself, as in a small fleet.
+    pub fn lease_for_own_requests(&mut self) {
+        for lease in self.tenants.values_mut() {
+            lease.set_tenure(Tenure::ForItself);
+        }
+    }
+
     /// What to report to the leader with the heartbeat of this number: the tenants with
     /// requests lately, and those of which the leader may not know that they have none.
     pub fn demand(&mut self, now: u64, router: &str, heartbeat: u64) -> RouterDemand {
@@ -142,7 +196,7 @@
         let reported = self
             .tenants
             .iter_mut()
-            .filter(|(_, lease)| lease.is_reported());
+            .filter(|(_, lease)| lease.is_reported(now));
         let report = |(tenant, lease): (&String, &mut TenantLease)| match is_closed {
             true => lease.close(now, tenant, heartbeat),
             false => lease.demand(now, tenant, heartbeat),
--- a/placement/src/quota/lease_pool.rs
+++ b/placement/src/quota/lease_pool.rs
@@ -1,7 +1,7 @@
 //! One tenant's pool at the leader: what it lends to which router.
 
 use super::lease_account::LeaseAccount;
-use super::tolerance::{half_window_limit, refill, window_limit_of_half, QuotaSplit};
+use super::tolerance::{refill, window_limit_of_half, QuotaSplit};
 use protocol::{QuotaDemand, RouterDemand};
 use std::collections::BTreeMap;
 
@@ -222,9 +222,8 @@
         let mut claims = Claims {
             reserved: own_reserved,
             unused: own_unused,
-            // Parts that move within half a window would exceed its limit otherwise. Each
-            // account's limit is rounded up, hence one more request for each.
-            half_window_left: half_window_limit(self.split.total) + known_accounts,
+            // Parts that move within half a window would exceed its limit otherwise.
+            half_window_left: self.split.half_window_total(known_accounts),
             outstanding: 0,
             weights: weight(own.wanted()),
         };
@@ -233,7 +232,7 @@
             let in_half = if other.is_returned() {
                 0
             } else {
-                half_window_limit(parts.floor + reserved)
+                self.split.half_window_limit(parts.floor + reserved)
             };
             let floor = if other.wanted() > 0 { parts.floor } else { 0 };
             claims.reserved += reserved;
--- a/placement/src/quota/mod.rs
+++ b/placement/src/quota/mod.rs
@@ -5,7 +5,11 @@
 //! (`queueing_limiter`, `token_allocator`) a request that has no token yet waits until the
 //! leader has given one.
 //!
-//! In both, router and leader exchange counts since the router's process started, never
+//! In a small fleet each router leases for the requests that it receives. In a larger one a
+//! tenant's requests are spread over so many routers that none could be lent a whole one: there
+//! one router of each region owns the tenant's lease, and the others ask it (`ownership`).
+//!
+//! In both ways, router and leader exchange counts since the router's process started, never
 //! differences, so that a heartbeat or an answer that is lost, late or repeated changes
 //! nothing.
 
@@ -14,6 +18,7 @@
 mod lease_allocator;
 mod lease_limiter;
 mod lease_pool;
+mod ownership;
 mod queueing_limiter;
 mod rate_limit;
 mod tenant_lease;
@@ -25,9 +30,10 @@
 
 pub use lease_allocator::QuotaLeaseAllocator;
 pub use lease_limiter::LeaseRateLimiter;
+pub use ownership::{QuotaOwner, QuotaOwners};
 pub use queueing_limiter::QueueingRateLimiter;
 pub use rate_limit::RateLimit;
 pub use tenant_lease::QUOTA_LEASE_MS;
 pub use tenant_queue::{AdmissionDecision, QueueTicket};
 pub use token_allocator::TokenAllocator;
-pub use tolerance::{QuotaTolerance, STARTUP_RESERVE_RATIO};
+pub use tolerance::{has_quota_owners, QuotaTolerance, STARTUP_RESERVE_RATIO};
--- a/placement/src/quota/tenant_lease.rs
+++ b/placement/src/quota/tenant_lease.rs
@@ -2,16 +2,22 @@
 
 use super::admission_history::AdmissionHistory;
 use super::rate_limit::RateLimit;
-use super::tolerance::{half_window_limit, refill, QuotaSplit};
+use super::tolerance::{refill, QuotaSplit};
 use protocol::{QuotaDemand, QuotaGrant, LEASE_MS, RECENT_SPANS_MS};
 
 /// How long a router keeps what the leader lent it without a new answer, counted from the
 /// heartbeat that was answered last. The leader keeps it reserved for as long, and a window.
 pub const QUOTA_LEASE_MS: u64 = 60_000;
-/// A tenant without requests for this long gives back what was lent. Invariant: longer than
-/// the longest of `RECENT_SPANS_MS`, so that a tenant that a router does not report has
-/// admitted nothing there lately.
+/// A tenant without requests for this long gives back what was lent.
 const IDLE_MS: u64 = 60_000;
+/// The same where another router owns the tenant now.
+const FORMER_OWNER_IDLE_MS: u64 = 1_000;
+/// A tenant is reported for this long after its last request, also where its lease was given
+/// back before: a new leader learns from reports alone what was admitted lately. Invariant:
+/// longer than the longest of `RECENT_SPANS_MS`.
+const REPORTED_MS: u64 = 10_000;
+/// What an owner asks for a tenant without requests, so that the first ones find a lease.
+const STANDBY_REQUESTS: u64 = 1;
 /// The time constant over which a tenant's demand is smoothed.
 const DEMAND_SMOOTHING_MS: f64 = 10_000.0;
 /// A demand that began less than this ago is not extrapolated further.
@@ -36,6 +42,8 @@
     split: QuotaSplit,
     requests_per_s: u64,
     last_request_at_ms: u64,
+    /// How this router holds the tenant's lease.
+    tenure: Tenure,
     /// Requests received, admitted or not, decaying; since when, and when it decayed last.
     demand: f64,
     first_request_at_ms: u64,
@@ -47,6 +55,17 @@
     history: AdmissionHistory,
 }
 
+/// How a router holds a tenant's lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Tenure {
+    /// For the requests that it receives itself, while there are any.
+    ForItself,
+    /// As the tenant's owner, whether there are requests or not.
+    Owner,
+    /// It was the owner, and another router is now.
+    FormerOwner,
+}
+
 /// What the router knows of itself when it decides.
 #[derive(Clone, Copy)]
 pub(super) struct RouterContext {
@@ -91,6 +110,7 @@
             split,
             requests_per_s: limit.requests_per_s,
             last_request_at_ms: context.now,
+            tenure: Tenure::ForItself,
             demand: 0.0,
             first_request_at_ms: context.now,
             decayed_at_ms: context.now,
@@ -110,11 +130,7 @@
         heartbeat: u64,
     ) -> bool {
         let now = context.now;
-        self.refill(now, routers);
-        if self.requests_per_s != limit.requests_per_s || self.split != split {
-            self.resize(split, heartbeat);
-            self.requests_per_s = limit.requests_per_s;
-        }
+        self.update_limit(now, split, limit, routers, heartbeat);
         self.record_request(now);
         let is_lent = self.admitted < self.limit;
         // A starting router's floor is small enough to be admitted at once.
@@ -132,17 +148,60 @@
         true
     }
 
+    /// Takes the quota in force, and its split among so many routers.
+    pub(super) fn update_limit(
+        &mut self,
+        now: u64,
+        split: QuotaSplit,
+        limit: RateLimit,
+        routers: usize,
+        heartbeat: u64,
+    ) {
+        self.refill(now, routers);
+        if self.requests_per_s != limit.requests_per_s || self.split != split {
+            self.resize(split, heartbeat);
+            self.requests_per_s = limit.requests_per_s;
+        }
+    }
+
     fn refill(&mut self, now: u64, routers: usize) {
         if now >= self.valid_until_ms {
             self.return_lease();
         }
         let elapsed_ms = now.saturating_sub(self.refilled_at_ms);
-        let gained = refill(elapsed_ms, self.requests_per_s) / routers as f64;
         let capacity = (self.split.floor + self.window_part) as f64;
+        let share = match self.split.is_pooled {
+            true => capacity / self.split.total.max(1) as f64,
+            false => 1.0 / routers as f64,
+        };
+        let gained = refill(elapsed_ms, self.requests_per_s) * share;
         self.own_tokens = (self.own_tokens + gained).min(capacity);
         self.refilled_at_ms = self.refilled_at_ms.max(now);
     }
 
+    /// Records how the router holds the lease from now on.
+    pub(super) fn set_tenure(&mut self, tenure: Tenure) {
+        if self.tenure == tenure {
+            return;
+        }
+        self.tenure = tenure;
+        // The leader does not know it yet.
+        (self.idle_heartbeat, self.is_idle_acknowledged) = (None, false);
+    }
+
+    /// Whether the leader has leased anything that has not lapsed, be it used up.
+    pub(super) fn is_leased(&self, now: u64) -> bool {
+        now < self.valid_until_ms
+    }
+
+    fn is_idle(&self, now: u64) -> bool {
+        match self.tenure {
+            Tenure::ForItself => now >= self.last_request_at_ms + IDLE_MS,
+            Tenure::Owner => false,
+            Tenure::FormerOwner => now >= self.last_request_at_ms + FORMER_OWNER_IDLE_MS,
+        }
+    }
+
     fn return_lease(&mut self) {
         (self.window_part, self.limit) = (0, self.limit.min(self.admitted));
     }
@@ -186,12 +245,13 @@
         let most = self.window_part + context.floor(&self.split);
         let in_half = self.history.count_since(context.ago(window_ms / 2));
         self.history.count_since(context.ago(window_ms)) >= most
-            || !context.is_starting() && in_half >= half_window_limit(most)
+            || !context.is_starting() && in_half >= self.split.half_window_limit(most)
     }
 
-    /// Whether the leader may not know that there is nothing to report.
-    pub(super) fn is_reported(&self) -> bool {
-        !self.is_idle_acknowledged
+    /// Whether the tenant was admitted lately, or the leader may not know that its lease was
+    /// given back.
+    pub(super) fn is_reported(&self, now: u64) -> bool {
+        !self.is_idle_acknowledged || now < self.last_request_at_ms + REPORTED_MS
     }
 
     /// Gives the lease back for good: the router admits nothing any more, and applies no
@@ -210,7 +270,7 @@
     /// has lapsed, gives its lease back.
     pub(super) fn demand(&mut self, now: u64, tenant: &str, heartbeat: u64) -> QuotaDemand {
         self.decay_demand(now);
-        let is_idle = now >= self.last_request_at_ms + IDLE_MS;
+        let is_idle = self.is_idle(now);
         if is_idle || now >= self.valid_until_ms {
             self.return_lease();
         }
@@ -224,10 +284,10 @@
             limit: self.limit,
             grant_floor: self.grant_floor,
             queued: self.window_part,
-            wanted: if is_idle {
-                0
-            } else {
-                self.expected_requests(now)
+            wanted: match self.tenure {
+                _ if is_idle => 0,
+                Tenure::Owner => self.expected_requests(now).max(STANDBY_REQUESTS),
+                Tenure::ForItself | Tenure::FormerOwner => self.expected_requests(now),
             },
             recently_admitted: self.history.report(now),
         }
--- a/placement/tests/quota_leases/main.rs
+++ b/placement/tests/quota_leases/main.rs
@@ -6,7 +6,7 @@
 mod simulation;
 
 use placement::{LeaseRateLimiter, QuotaLeaseAllocator, STARTUP_RESERVE_RATIO};
-use plan::{quota, DisabledGuard, Faults, Plan, Traffic, HEARTBEAT_MS, TOLERANCE};
+use plan::{quota, Decider, DisabledGuard, Faults, Plan, Traffic, HEARTBEAT_MS, TOLERANCE};
 use protocol::{RouterDemand, LEASE_MS};
 use simulation::run;
 
@@ -33,6 +33,7 @@
     let (lowered_at_ms, disabled, heartbeat_ms) = (None, DisabledGuard::None, HEARTBEAT_MS);
     Plan {
         routers,
+        decider: Decider::Receiver,
         rate,
         traffic,
         faults,
@@ -138,6 +139,43 @@
     }
 }
 
+fn owners_plan(routers: usize, rate: u64, traffic: Traffic, faults: Faults, seed: u64) -> Plan {
+    Plan {
+        decider: Decider::Owner,
+        ..plan(routers, rate, traffic, faults, seed)
+    }
+}
+
+/// Guards: nor where owners decide for a large fleet, while ownership passes on.
+#[test]
+fn owners_stay_within_the_tolerance() {
+    for (traffic, faults) in TRAFFIC.iter().flat_map(|t| FAULTS.map(|f| (*t, f))) {
+        for rate in [2, 10, 100] {
+            sweep((0..2).map(|seed| owners_plan(60, rate, traffic, faults, seed)));
+        }
+    }
+}
+
+/// Run by hand, as `figures`.
+#[test]
+#[ignore = "a sweep, run by hand"]
+fn figures_of_owners() {
+    for (routers, seeds) in [(30, 4), (291, 2)] {
+        for (traffic, faults) in TRAFFIC.iter().flat_map(|t| FAULTS.map(|f| (*t, f))) {
+            let figures = [2, 5, 10, 40, 100].map(|rate| {
+                let plans =
+                    (0..seeds).map(|seed| owners_plan(routers, rate, traffic, faults, seed));
+                let (most, rejected) = sweep(plans);
+                format!("{rate}/s {most:.3} {rejected:.1}")
+            });
+            println!(
+                "{routers} routers, {traffic:?} {faults:?}: {}",
+                figures.join(" | ")
+            );
+        }
+    }
+}
+
 /// Guards: a rate that is lowered is in force in the first window after three seconds.
 #[test]
 fn a_lowered_quota_is_in_force_after_three_seconds() {
--- a/placement/tests/quota_leases/plan.rs
+++ b/placement/tests/quota_leases/plan.rs
@@ -54,9 +54,19 @@
     ReportedParts,
 }
 
+/// Who decides on a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decider {
+    /// The router that received it.
+    Receiver,
+    /// The owner of the tenant's lease, one router in each of three regions.
+    Owner,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
     pub routers: usize,
+    pub decider: Decider,
     pub rate: u64,
     pub traffic: Traffic,
     pub faults: Faults,
--- a/placement/tests/quota_leases/simulation.rs
+++ b/placement/tests/quota_leases/simulation.rs
@@ -1,14 +1,21 @@
 //! A fleet of routers and a leader in virtual time, with traffic and faults from a seed.
 
 use super::common::{draws, take_where, InFlight};
-use super::plan::{quota, DisabledGuard, Faults, Plan, Traffic, TOLERANCE};
-use placement::{LeaseRateLimiter, QuotaLeaseAllocator};
-use protocol::{RouterDemand, RouterGrants, LEASE_MS};
+use super::plan::{quota, Decider, DisabledGuard, Faults, Plan, Traffic, TOLERANCE};
+use placement::{rank, LeaseRateLimiter, QuotaLeaseAllocator};
+use protocol::{QuotaDecision, RouterDemand, RouterGrants, LEASE_MS};
+use std::collections::{BTreeSet, VecDeque};
 
 const STEP_MS: u64 = 5;
 /// Traffic begins once a fleet that was started all at once has settled.
 const BEGIN_MS: u64 = 30_000;
 const END_MS: u64 = 90_000;
+const TENANT: &str = "t";
+const REGIONS: usize = 3;
+/// A paused router is listed for so long.
+const LISTED_MS: u64 = 3_000;
+/// A change of the list is known to all routers after so long, to some of them earlier.
+const LIST_DELAY_MS: u64 = 1_500;
 
 /// One fault.
 enum Fault {
@@ -33,12 +40,22 @@
     limiter: LeaseRateLimiter,
     heartbeat: u64,
     next_heartbeat_at_ms: u64,
+    paused_since_ms: u64,
     paused_until_ms: u64,
     partitioned_until_ms: u64,
     /// Requests that were received and not decided on.
     pending: u64,
 }
 
+impl SimulatedRouter {
+    fn pause(&mut self, now: u64, until_ms: u64) {
+        if now >= self.paused_until_ms {
+            self.paused_since_ms = now;
+        }
+        self.paused_until_ms = until_ms;
+    }
+}
+
 struct Simulation<D> {
     plan: Plan,
     draw: D,
@@ -53,6 +70,8 @@
     weights: Vec<u64>,
     next_arrival_at_ms: f64,
     next_fault_at_ms: u64,
+    /// The owners of each region, and since when, the newest last.
+    owners: VecDeque<(u64, Vec<usize>)>,
     result: RunResult,
 }
 
@@ -70,6 +89,7 @@
             limiter: LeaseRateLimiter::new(0, at as u64 + 1, TOLERANCE),
             heartbeat: 0,
             next_heartbeat_at_ms: draw(plan.heartbeat_ms),
+            paused_since_ms: 0,
             paused_until_ms: 0,
             partitioned_until_ms: 0,
             pending: 0,
@@ -95,6 +115,7 @@
             weights,
             next_arrival_at_ms: BEGIN_MS as f64,
             next_fault_at_ms: BEGIN_MS + 2_000,
+            owners: VecDeque::from([(0, Vec::new())]),
             result: RunResult::default(),
         }
     }
@@ -107,6 +128,7 @@
         if self.allocator.is_none() && now >= self.next_leader_at_ms {
             self.allocator = Some(QuotaLeaseAllocator::new(now, TOLERANCE));
         }
+        self.list_owners();
         self.send_heartbeats();
         self.answer_heartbeats();
         self.deliver_answers();
@@ -114,6 +136,68 @@
         self.decide_requests();
     }
 
+    /// Records who owns the tenant's lease in each region by the list of routers.
+    fn list_owners(&mut self) {
+        let listed = |at: &usize| {
+            let router = &self.routers[*at];
+            self.now >= router.paused_until_ms || self.now < router.paused_since_ms + LISTED_MS
+        };
+        let owner = |region: usize| {
+            (region..self.routers.len())
+                .step_by(REGIONS)
+                .filter(listed)
+                .max_by_key(|at| rank(7, *at as u64))
+        };
+        let owners: Vec<usize> = (0..REGIONS).filter_map(owner).collect();
+        if self.owners.back().is_some_and(|(_, last)| *last != owners) {
+            self.owners.push_back((self.now, owners));
+        }
+    }
+
+    /// The owners as a router knows them: that of its own region first.
+    fn known_owners(&self, at: usize) -> Vec<usize> {
+        let delay_ms = LIST_DELAY_MS * at as u64 / self.routers.len() as u64;
+        let is_known = |(since_ms, _): &&(u64, Vec<usize>)| since_ms + delay_ms <= self.now;
+        let known = self.owners.iter().rev().find(is_known);
+        let mut owners = known.map_or(Vec::new(), |(_, owners)| owners.clone());
+        owners.sort_by_key(|owner| owner % REGIONS != at % REGIONS);
+        owners
+    }
+
+    /// Tells a router's limiter, before its heartbeat, whether it owns the tenant's lease.
+    fn update_ownership(&mut self, at: usize) {
+        if self.plan.decider == Decider::Receiver {
+            return;
+        }
+        let is_owner = self.known_owners(at).first() == Some(&at);
+        let owned: BTreeSet<String> = is_owner.then(|| TENANT.to_string()).into_iter().collect();
+        let (now, count, limit) = (self.now, self.routers.len(), quota(self.known_rate(at)));
+        let limiter = &mut self.routers[at].limiter;
+        limiter.set_owned_tenants(now, &owned, count, |_| limit);
+    }
+
+    /// Whether a request that a router received is admitted.
+    fn is_admitted(&mut self, at: usize) -> bool {
+        let (now, count) = (self.now, self.routers.len());
+        if self.plan.decider == Decider::Receiver {
+            let limit = quota(self.known_rate(at));
+            return self.routers[at].limiter.admit(now, TENANT, limit, count);
+        }
+        for owner in self.known_owners(at) {
+            if now < self.routers[owner].paused_until_ms {
+                continue;
+            }
+            let limit = quota(self.known_rate(owner));
+            let limiter = &mut self.routers[owner].limiter;
+            match limiter.admit_as_owner(now, TENANT, limit, count) {
+                QuotaDecision::Admitted => return true,
+                QuotaDecision::OverQuota => return false,
+                QuotaDecision::NoLease => {}
+            }
+        }
+        false
+    }
+
     /// Causes a fault, if there are to be any, and draws the time of the next one.
     fn schedule_fault(&mut self) {
         let interval_ms = match self.plan.faults {
@@ -155,7 +239,7 @@
                 let most = 1 + (self.draw)(count as u64) as usize;
                 third
                     .take(most)
-                    .for_each(|at| self.routers[at].paused_until_ms = until_ms);
+                    .for_each(|at| self.routers[at].pause(now, until_ms));
             }
             Fault::Partition => {
                 third.for_each(|at| self.routers[at].partitioned_until_ms = now + 6_000)
@@ -170,7 +254,7 @@
             }
             Fault::PauseAll => {
                 for router in &mut self.routers {
-                    router.paused_until_ms = now + 1_000 + (self.draw)(2_000);
+                    router.pause(now, now + 1_000 + (self.draw)(2_000));
                 }
             }
             Fault::TotalLoss => {
@@ -206,10 +290,13 @@
 
     fn send_heartbeats(&mut self) {
         let now = self.now;
-        for (at, router) in self.routers.iter_mut().enumerate() {
+        for at in 0..self.routers.len() {
+            let router = &self.routers[at];
             if now < router.next_heartbeat_at_ms || now < router.paused_until_ms {
                 continue;
             }
+            self.update_ownership(at);
+            let router = &mut self.routers[at];
             router.heartbeat += 1;
             router.next_heartbeat_at_ms = now + self.plan.heartbeat_ms;
             let name = format!("router-{at}");
@@ -346,15 +433,13 @@
     }
 
     fn decide_requests(&mut self) {
-        let (now, count) = (self.now, self.routers.len());
-        for at in 0..count {
+        let now = self.now;
+        for at in 0..self.routers.len() {
             if now < self.routers[at].paused_until_ms {
                 continue;
             }
-            let limit = quota(self.known_rate(at));
-            let router = &mut self.routers[at];
-            for _ in 0..std::mem::take(&mut router.pending) {
-                match router.limiter.admit(now, "t", limit, count) {
+            for _ in 0..std::mem::take(&mut self.routers[at].pending) {
+                match self.is_admitted(at) {
                     true => self.result.admitted.push(now),
                     false if now < BEGIN_MS + 10_000 => self.result.rejected_at_start += 1,
                     false => self.result.rejected += 1,
--- a/protocol/src/codec.rs
+++ b/protocol/src/codec.rs
@@ -163,6 +163,8 @@
         27..=28 => "subscribe",
         30..=39 => "job",
         40..=42 => "cache",
+        43 => "load_gossip",
+        44..=45 => "quota_admission",
         50..=51 => "state",
         _ => "unknown",
     }
--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -6,6 +6,7 @@
 use crate::handshake::ConnectionKind;
 use crate::lookup::LookupResponse;
 use crate::peers::{PeerRequest, PeerResponse, Validity};
+use crate::quota_admission::QuotaDecision;
 use crate::router_session::{QuotaGrant, RegistryUpdate, RouterDemand, RouterStatus};
 use crate::state_watch::StateReport;
 use binrw::binrw;
@@ -310,4 +311,22 @@
         #[bw(write_with = write_list)]
         cached_prefixes: Vec<CachedPrefix>,
     },
+    /// Asks the owner of a tenant's quota lease to admit a request.
+    #[brw(magic = 44u8)]
+    QuotaRequest {
+        /// Unique on its connection.
+        request_id: u64,
+        /// The tenant.
+        #[br(parse_with = read_string)]
+        #[bw(write_with = write_string)]
+        tenant: String,
+    },
+    /// The response to `QuotaRequest`.
+    #[brw(magic = 45u8)]
+    QuotaResponse {
+        /// The request's id.
+        request_id: u64,
+        /// What the owner decided.
+        decision: QuotaDecision,
+    },
 }
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`lookup`] | on a router's session: where a tenant's service may run |
 //! | [`forwarding`] | a router and a directory node: one request and its response |
 //! | [`cache_sharing`] | routers of a region: cached lookups, load gossip |
+//! | [`quota_admission`] | routers: admission by the owner of a quota lease |
 //!
 //! [`VERSION`] is raised with every change of a layout; both ends refuse another one.
 //! `tests/fixtures` holds frames that an earlier build encoded.
@@ -33,6 +34,7 @@
 pub mod handshake;
 pub mod lookup;
 pub mod peers;
+pub mod quota_admission;
 pub mod router_session;
 pub mod state_watch;
 
@@ -44,6 +46,7 @@
 pub use handshake::{check_version, ConnectionKind, MAX_HELLO_BYTES, VERSION};
 pub use lookup::LookupResponse;
 pub use peers::{PeerRequest, PeerResponse, RouterGrants, Validity};
+pub use quota_admission::QuotaDecision;
 pub use router_session::{
     QuotaDemand, QuotaGrant, RegistryUpdate, RouterAvailability, RouterDemand, RouterStatus,
     LEASE_MS, RECENT_SPANS_MS,
--- a/router/src/ingress/admit.rs
+++ b/router/src/ingress/admit.rs
@@ -1,16 +1,14 @@
-//! Admission: whether this router takes a request now, and whether its tenant is
-//! within its quota.
+//! Admission: whether this router takes a request now. Whether its tenant is within its
+//! quota: `quota_admission.rs`.
 
 use super::body::IncomingBody;
 use super::Ingress;
 use crate::in_flight::{LateRequest, LateRequestGuard};
 use crate::rejection::RouterRejection;
-use placement::RateLimit;
 use residency::View;
 use std::sync::atomic::Ordering;
 use tokio::time::Instant;
 use transport::now;
-use transport::rejection::Rejection;
 
 impl Ingress {
     /// The longest body that is accepted, by the settings and the rules in force.
@@ -88,30 +86,4 @@
             })
         }))
     }
-
-    /// Takes the request if its tenant is within its quota, or will be in time.
-    ///
-    /// # Errors
-    /// Status 429, code `quota`: the tenant is past its rate; not run, come back
-    /// after a second. Status 503, code `no-leader`: no directory node grants quota
-    /// now. Both are built in `dispatch::quota`.
-    pub(super) async fn admit_by_quota(&self, view: &View, tenant: &str) -> Result<(), Rejection> {
-        let router = &self.router;
-        let limit = view
-            .tenants
-            .get(tenant)
-            .map_or(RateLimit::default(), |limits| RateLimit {
-                requests_per_s: limits.requests_per_s,
-                burst: limits.burst,
-            });
-        let routers = match view.router_count as usize {
-            0 => 0,
-            known => known.max(router.membership.read().router_count()),
-        };
-        let admitted = router
-            .quota
-            .admit(tenant, limit, routers, router.settings.quota_wait)
-            .await;
-        admitted.inspect_err(|_| router.metrics.increment("refused-quota"))
-    }
 }
--- a/router/src/ingress/mod.rs
+++ b/router/src/ingress/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::extensions::{ClientAdapter, RetryPolicy};
 use crate::in_flight::{InFlightGuard, LateRequestGuard};
+use crate::quota_admission;
 use crate::rejection::RouterRejection;
 use crate::router::Router;
 use body::IncomingBody;
@@ -146,7 +147,9 @@
                 .forward_without_key(identified.state, &outgoing, &mut body, tenant)
                 .await;
         };
-        self.admit_by_quota(&view, &routing_key.tenant).await?;
+        quota_admission::admit(&self.router, &view, &routing_key.tenant)
+            .await
+            .inspect_err(|_| self.router.metrics.increment("refused-quota"))?;
         log::info!(job = id; "admitted");
         guard.is_handed_on = true;
         self.look_up_and_dispatch(identified.state, &outgoing, body, &routing_key)
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -12,6 +12,7 @@
 //!   (`forwarding/`).
 //! - `membership.rs`, `peer_links.rs`, `peer_server.rs` and `load_gossip.rs` connect
 //!   the routers with each other.
+//! - `quota_admission.rs` admits requests by their tenant's quota.
 //! - `rejection.rs` lists every rejection of this package and what the client gets.
 
 mod cache_tiers;
@@ -28,6 +29,7 @@
 mod peer_links;
 mod peer_server;
 mod pending_lookups;
+mod quota_admission;
 mod regional_cache;
 mod rejection;
 mod router;
--- a/router/src/membership.rs
+++ b/router/src/membership.rs
@@ -2,7 +2,9 @@
 //! session. Soft state: it is lost on restart and comes back with a session.
 
 use consensus::Member;
+use placement::QuotaOwners;
 use protocol::{RegistryUpdate, RouterStatus};
+use std::sync::Arc;
 use transport::now;
 
 /// Another router may not know of one that was not listed for so long, nor the
@@ -17,6 +19,10 @@
     known: placement::RouterMembership,
     /// Rendezvous keys of the routers that may begin work at engines that warm up.
     router_ranks: Vec<u64>,
+    /// Which of the routers own tenants' quota leases.
+    quota_owners: Arc<QuotaOwners>,
+    /// Rises when routers came, left or changed.
+    version: u64,
     /// When the latest update came, on this process's clock; 0 before the first.
     updated_ms: u64,
     /// Since when updates have listed this router without a gap.
@@ -31,6 +37,8 @@
             region: region.into(),
             known: placement::RouterMembership::default(),
             router_ranks: Vec::new(),
+            quota_owners: Arc::default(),
+            version: 0,
             updated_ms: 0,
             listed_since_ms: None,
         }
@@ -56,6 +64,8 @@
             self.router_ranks = std::iter::once(own)
                 .chain(ranks.filter(|rank| *rank != own))
                 .collect();
+            self.quota_owners = Arc::new(QuotaOwners::new(self.known.routers()));
+            self.version += 1;
         }
     }
 
@@ -80,6 +90,16 @@
         self.regional_peers().filter(|router| !router.is_draining())
     }
 
+    /// Which of the routers own tenants' quota leases.
+    pub fn quota_owners(&self) -> Arc<QuotaOwners> {
+        Arc::clone(&self.quota_owners)
+    }
+
+    /// The version of the list of routers: it rises when one came, left or changed.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// The known directory nodes.
     pub fn directories(&self) -> &[Member] {
         self.known.directory_nodes()
--- a/router/src/peer_links.rs
+++ b/router/src/peer_links.rs
@@ -1,9 +1,9 @@
-//! Outgoing connections to other routers: cache lookups with their responses, and
-//! frames that need none. Opened on first use, one for each router.
+//! Outgoing connections to other routers: requests with their responses, and frames that
+//! need none. Opened on first use, one for each router.
 
 use crate::conversation_error::ConversationError;
 use parking_lot::Mutex;
-use protocol::{ConnectionKind, Frame};
+use protocol::{ConnectionKind, Frame, QuotaDecision};
 use residency::Mapping;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,8 +17,16 @@
 /// The longest frame that a router accepts from another one.
 pub const PEER_FRAME_CAP_BYTES: usize = 1 << 20;
 
-/// Cache lookups without a response yet, by their number.
-type OpenLookups = Arc<Mutex<HashMap<u64, oneshot::Sender<Option<Mapping>>>>>;
+/// The response to a request.
+enum PeerResponse {
+    /// What the other router's part of the cache has.
+    Cached(Option<Mapping>),
+    /// Whether a request is admitted.
+    Quota(QuotaDecision),
+}
+
+/// Requests without a response yet, by their number.
+type OpenRequests = Arc<Mutex<HashMap<u64, oneshot::Sender<PeerResponse>>>>;
 
 /// The other router did not respond in time, or can't be reached.
 #[derive(Debug, thiserror::Error)]
@@ -29,7 +37,7 @@
 #[derive(Clone)]
 struct PeerLink {
     queue: mpsc::Sender<Frame>,
-    open_lookups: OpenLookups,
+    open_requests: OpenRequests,
 }
 
 /// The connections, by address.
@@ -68,21 +76,56 @@
         epoch: u64,
         timeout: Duration,
     ) -> Result<Option<Mapping>, PeerSilent> {
+        let request = |request_id| Frame::CacheLookup {
+            request_id,
+            key: key.into(),
+            epoch,
+        };
+        match self.request(to, timeout, request).await? {
+            PeerResponse::Cached(mapping) => Ok(mapping),
+            PeerResponse::Quota(_) => Err(PeerSilent),
+        }
+    }
+
+    /// Has the owner of a tenant's quota lease decide on a request.
+    ///
+    /// # Errors
+    /// No response within `timeout`: the request may or may not be counted.
+    pub async fn admit(
+        &self,
+        to: SocketAddr,
+        tenant: &str,
+        timeout: Duration,
+    ) -> Result<QuotaDecision, PeerSilent> {
+        let request = |request_id| Frame::QuotaRequest {
+            request_id,
+            tenant: tenant.into(),
+        };
+        match self.request(to, timeout, request).await? {
+            PeerResponse::Quota(decision) => Ok(decision),
+            PeerResponse::Cached(_) => Err(PeerSilent),
+        }
+    }
+
+    async fn request(
+        &self,
+        to: SocketAddr,
+        timeout: Duration,
+        request: impl Fn(u64) -> Frame,
+    ) -> Result<PeerResponse, PeerSilent> {
         let link = self.link(to);
         let number = rand::random();
         let (sender, receiver) = oneshot::channel();
-        link.open_lookups.lock().insert(number, sender);
-        // Where the queue is full, the lookup times out.
-        drop(link.queue.try_send(Frame::CacheLookup {
-            request_id: number,
-            key: key.into(),
-            epoch,
-        }));
-        let response = tokio::time::timeout(timeout, receiver).await;
-        link.open_lookups.lock().remove(&number);
+        link.open_requests.lock().insert(number, sender);
+        let is_queued = link.queue.try_send(request(number)).is_ok();
+        let response = match is_queued {
+            true => tokio::time::timeout(timeout, receiver).await.ok(),
+            false => None,
+        };
+        link.open_requests.lock().remove(&number);
         match response {
-            Ok(Ok(mapping)) => Ok(mapping),
-            Ok(Err(_)) | Err(_) => Err(PeerSilent),
+            Some(Ok(response)) => Ok(response),
+            Some(Err(_)) | None => Err(PeerSilent),
         }
     }
 
@@ -95,7 +138,7 @@
         let (sender, queue) = mpsc::channel(QUEUE_FRAMES);
         let link = PeerLink {
             queue: sender,
-            open_lookups: OpenLookups::default(),
+            open_requests: OpenRequests::default(),
         };
         links.insert(to, link.clone());
         let connection = Connection {
@@ -103,10 +146,14 @@
             source: self.source,
             to,
             queue,
-            open_lookups: Arc::clone(&link.open_lookups),
+            open_requests: Arc::clone(&link.open_requests),
         };
+        let open_requests = Arc::clone(&link.open_requests);
         tokio::spawn(async move {
-            if let Err(error) = connection.run().await {
+            let result = connection.run().await;
+            // No response comes any more; those who wait for one are told so.
+            open_requests.lock().clear();
+            if let Err(error) = result {
                 log::debug!(peer = to.to_string(); "the connection to a router ended: {error}");
             }
         });
@@ -120,7 +167,7 @@
     source: SocketAddr,
     to: SocketAddr,
     queue: mpsc::Receiver<Frame>,
-    open_lookups: OpenLookups,
+    open_requests: OpenRequests,
 }
 
 impl Connection {
@@ -140,11 +187,12 @@
                     link::send(&mut writer, &frame).await?;
                 }
                 frame = link::receive(&mut reader, PEER_FRAME_CAP_BYTES) => match frame? {
-                    Some(Frame::CacheResult { request_id: number, mapping }) => {
-                        // Answers that are late or repeated are passed over.
-                        if let Some(sender) = self.open_lookups.lock().remove(&number) {
-                            drop(sender.send(mapping.into_iter().next()));
-                        }
+                    Some(Frame::CacheResult { request_id, mapping }) => {
+                        let mapping = mapping.into_iter().next();
+                        self.respond(request_id, PeerResponse::Cached(mapping));
+                    }
+                    Some(Frame::QuotaResponse { request_id, decision }) => {
+                        self.respond(request_id, PeerResponse::Quota(decision));
                     }
                     Some(other) => return Err(ConversationError::unexpected(other)),
                     None => return Err(ConversationError::Closed),
@@ -152,4 +200,10 @@
             }
         }
     }
+    /// Passes a response on. One that is late or repeated is passed over.
+    fn respond(&self, request_id: u64, response: PeerResponse) {
+        if let Some(sender) = self.open_requests.lock().remove(&request_id) {
+            drop(sender.send(response));
+        }
+    }
 }
--- a/router/src/peer_server.rs
+++ b/router/src/peer_server.rs
@@ -1,9 +1,10 @@
-//! The listener for other routers: lookups and inserts of the region's cache, and
-//! load gossip.
+//! The listener for other routers: lookups and inserts of the region's cache, load
+//! gossip, and requests to admit by a quota lease that this router owns.
 
 use crate::conversation_error::ConversationError;
 use crate::load_gossip;
 use crate::peer_links::PEER_FRAME_CAP_BYTES;
+use crate::quota_admission;
 use crate::router::Router;
 use placement::{CacheLookup, LoadUpdate};
 use protocol::{ConnectionKind, Frame};
@@ -56,6 +57,14 @@
                 };
                 load_gossip::receive(&router, &from, is_relayed, &update);
             }
+            Frame::QuotaRequest { request_id, tenant } => {
+                let decision = quota_admission::decide_as_owner(&router, &tenant);
+                let response = Frame::QuotaResponse {
+                    request_id,
+                    decision,
+                };
+                link::send(&mut stream, &response).await?;
+            }
             other => return Err(ConversationError::unexpected(other)),
         }
     }
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -6,6 +6,7 @@
 use crate::membership::Membership;
 use crate::peer_links::PeerLinks;
 use crate::pending_lookups::PendingLookups;
+use crate::quota_admission::OwnershipBasis;
 use crate::settings::Settings;
 use dispatch::quota::QuotaLimiter;
 use dispatch::{Dispatcher, ReadAheadBudget};
@@ -37,6 +38,8 @@
     pub(crate) cache_tiers: CacheTiers,
     pub(crate) pending_lookups: PendingLookups,
     pub(crate) quota: QuotaLimiter,
+    /// What the tenants were worked out from whose quota leases this router owns.
+    pub(crate) ownership_basis: Mutex<OwnershipBasis>,
     pub(crate) dispatcher: Dispatcher,
     /// For bodies of requests that are being looked up.
     pub(crate) read_ahead: ReadAheadBudget,
--- a/router/src/session.rs
+++ b/router/src/session.rs
@@ -5,6 +5,7 @@
 //! lease for [`LEASE_TIMEOUT_MS`] is left for the next one.
 
 use crate::conversation_error::ConversationError;
+use crate::quota_admission;
 use crate::router::Router;
 use crate::session_reader::SessionReader;
 use placement::{ReplicaPosition, ReplicaUpdate, ReplicaView};
@@ -246,6 +247,7 @@
         age_ms: 0,
         availability: router.availability(),
     };
+    quota_admission::update_owned_tenants(router);
     let demand = router.quota.lease_demands(&settings.name, number);
     Frame::Heartbeat {
         router: report,
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -116,6 +116,7 @@
             ),
             pending_lookups: PendingLookups::default(),
             quota: quota_margin.map_or_else(QuotaLimiter::default, QuotaLimiter::without_queue),
+            ownership_basis: Mutex::default(),
             dispatcher,
             read_ahead: ReadAheadBudget::new(MAX_READ_AHEAD_BYTES),
             metrics,
