Engine discovery: log how old a list was when its change was committed

A breach of draining could not be told apart: the list was read late, its change was committed late, or routers went on with an old view.

--- a/directory/src/engine_discovery.rs
+++ b/directory/src/engine_discovery.rs
@@ -1,6 +1,7 @@
 //! A list of engines that is kept elsewhere: the leader fetches it and submits what
 //! changed. Nothing of it is kept here; engines are in the replicated state.
 
+use crate::command_result::CommandError;
 use crate::control_plane::ControlPlane;
 use consensus::Term;
 use residency::{Command, Engine, Name, Proposal, View};
@@ -24,6 +25,9 @@
 
 /// A list that took longer, also because this process was paused, is void.
 const MAX_LIST_AGE_MS: u64 = 2_500;
+/// A change that is committed so long after its list was asked for is logged as late: as
+/// much as the interval at which a list is usually fetched.
+const LATE_COMMIT_MS: u64 = 1_000;
 /// How long one submission is tried for.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -38,6 +42,8 @@
     Fetch(anyhow::Error),
     #[error("it came too late to be of use")]
     Stale,
+    #[error("its change was not committed: {0}")]
+    NotCommitted(#[from] CommandError),
 }
 
 /// What a list changes, as one command; `None` where it changes nothing. Of an
@@ -121,12 +127,17 @@
         base_epoch: base,
         command,
     };
-    match control
-        .submit_as_leader(proposal, term, SUBMIT_TIMEOUT)
-        .await
-    {
-        Ok(committed) => log::info!(epoch = committed.epoch; "The list of engines changed"),
-        Err(error) => log::info!("A change of the list of engines was not applied: {error}"),
-    }
+    let submitted = control.submit_as_leader(proposal, term, SUBMIT_TIMEOUT);
+    let committed = submitted.await?;
+    log_commit(committed.epoch, now() - asked_at_ms);
     Ok(())
 }
+
+/// Routers get a change of the list that much after the list was asked for.
+fn log_commit(epoch: u64, age_ms: u64) {
+    if age_ms > LATE_COMMIT_MS {
+        return log::warn!(epoch = epoch, age_ms = age_ms;
+            "A change of the list of engines was committed late");
+    }
+    log::info!(epoch = epoch, age_ms = age_ms; "The list of engines changed");
+}
