Lease: silence of directory nodes is no longer taken for a partition

Cause: a router took a query that was unanswered for 1.5 s on a standing connection as evidence that it is cut off. Overloaded directory nodes answer late or not at all, and go on to acknowledge changes; routers then went on with an old view for up to the grace for partitions, 15 s on the platform.

Change: only what the node's machine does counts. The standing connections have TCP_USER_TIMEOUT: one on which the node had answered and that ends since its machine acknowledged nothing for 1.5 s shows that the machine is out of reach. That counts for 2 s, is confirmed by attempts to connect that time out (they show nothing by themselves, since a full queue drops connections too) and ends as soon as anything comes from the machine: a connection, a refusal, or one at the port for operators, whose queue routers do not fill. Refusals count as before. After a suspension of the router everything is to be seen anew. An extension past the grace is logged and counted with its reason.

Before: voters_that_hold_the_connection_and_do_not_answer_are_no_partition failed at 2500 ms with Some(3100). After: placement/tests/directory_observer.rs passes (17), and router/tests/lease_extension (7), where a socket filter cuts a node off from the kernel's view. Seen failing: a_router_goes_on_while_a_majority_is_cut_off without TCP_USER_TIMEOUT; a_connection_that_nobody_ever_answered_shows_no_partition when connections without an answer count.

Tests of the silence are replaced: the same numbers of voters, learners, refusals and suspensions are tested with the new evidence, and a_router_goes_on_while_a_majority_is_silent is split into one majority that is cut off and one that is silent. Without it voters of which two answered and two were silent counted as cut off by a silent third; the test of the lost disk now needs the replaced third one for it.

--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -40,7 +40,10 @@
 
 pub use cache::{Cache, CacheEntry, CacheLookup};
 pub use connection_reuse::{ConnectionDemand, ConnectionReuse, ReuseMode};
-pub use directory_observer::DirectoryObserver;
+pub use directory_observer::{
+    DirectoryObserver, ExtensionReason, LeaseExtension, VotersOutOfReach,
+    ACKNOWLEDGEMENT_TIMEOUT_MS,
+};
 pub use drain::{Drain, DrainPlan};
 pub use engine::{
     may_serve, select_engine, Candidate, EngineHealthStatus, EngineHealthTracker, EngineListChange,
--- a/placement/tests/directory_observer.rs
+++ b/placement/tests/directory_observer.rs
@@ -2,14 +2,14 @@
 
 use consensus::quorum_read::LogReport;
 use consensus::{Member, NodeId};
-use placement::DirectoryObserver;
+use placement::{DirectoryObserver, ExtensionReason, VotersOutOfReach, ACKNOWLEDGEMENT_TIMEOUT_MS};
 use protocol::{StateReport, LEASE_MS};
 
 const CLUSTER: u64 = 77;
 /// The epoch of the router's view.
 const EPOCH: u64 = 20;
-/// A query that is not answered for so long shows that its node is out of reach.
-const SILENCE_MS: u64 = 1_500;
+/// That a machine was found out of reach counts for so long, unless it is found so again.
+const OUT_OF_REACH_MS: u64 = 2_000;
 /// How long one observation of being cut off counts.
 const CUT_OFF_MS: u64 = 600;
 
@@ -68,9 +68,23 @@
         self.observer.record_report(&address(node), report);
     }
 
+    /// The connections to these nodes end, since their machines acknowledged nothing.
+    fn unacknowledged(&mut self, now: u64, nodes: &[NodeId]) {
+        for node in nodes {
+            self.observer.record_unacknowledged(now, &address(*node));
+        }
+    }
+
+    /// An attempt to connect to a node times out.
+    fn attempt_times_out(&mut self, began_at_ms: u64, now: u64, node: NodeId) {
+        self.observer
+            .record_attempt_timeout(now, &address(node), began_at_ms);
+    }
+
     fn extended_until(&self, now: u64) -> Option<u64> {
         self.observer
-            .extends_lease_until_ms(now, CLUSTER, EPOCH, &self.members)
+            .lease_extension(now, CLUSTER, EPOCH, &self.members)
+            .map(|extension| extension.until_ms)
     }
 }
 
@@ -146,15 +160,16 @@
 #[test]
 fn at_most_half_of_the_voters_are_within_reach() {
     for (node_count, needed) in [(1, 1), (2, 1), (3, 2), (4, 2), (5, 3)] {
-        for silent in 0..=node_count {
+        for unacknowledged in 0..=node_count {
             let mut fixture = Fixture::new(members(node_count));
-            let nodes: Vec<NodeId> = (1..=silent).collect();
+            let nodes: Vec<NodeId> = (1..=unacknowledged).collect();
             fixture.ask(1_000, &nodes);
-            let now = 1_000 + SILENCE_MS;
-            assert_eq!(fixture.extended_until(now - 1), None, "not silent yet");
-            let expected = (silent >= needed).then_some(now + CUT_OFF_MS);
+            let now = 1_000 + ACKNOWLEDGEMENT_TIMEOUT_MS;
+            assert_eq!(fixture.extended_until(now), None, "not unacknowledged yet");
+            fixture.unacknowledged(now, &nodes);
+            let expected = (unacknowledged >= needed).then_some(now + CUT_OFF_MS);
             let extended_until = fixture.extended_until(now);
-            assert_eq!(extended_until, expected, "{silent} of {node_count}");
+            assert_eq!(extended_until, expected, "{unacknowledged} of {node_count}");
         }
     }
     let fixture = Fixture::new(Vec::new());
@@ -169,32 +184,54 @@
     fixture.answer(number, 1, EPOCH + 1);
     // Three more that are no voters.
     fixture.members = members(6);
-    fixture.ask(1_100, &[4, 5, 6]);
+    fixture.unacknowledged(3_000, &[4, 5, 6]);
     assert_eq!(fixture.extended_until(3_000), None);
-    fixture.ask(1_200, &[2, 3]);
+    fixture.unacknowledged(3_000, &[2, 3]);
     assert_eq!(fixture.extended_until(3_000), Some(3_000 + CUT_OFF_MS));
 }
 
 #[test]
-fn a_node_that_answers_again_ends_it_at_once() {
+fn a_connection_that_comes_up_ends_it_at_once() {
     let mut fixture = Fixture::new(members(5));
-    fixture.ask(1_000, &[1, 2, 3]);
-    let number = fixture.ask(2_400, &[1, 2, 3]);
-    assert!(fixture.extended_until(3_000).is_some());
-    fixture.answer(number, 2, EPOCH + 1);
-    assert_eq!(fixture.extended_until(3_000), None);
+    fixture.unacknowledged(3_000, &[1, 2, 3]);
+    assert!(fixture.extended_until(3_100).is_some());
+    fixture.observer.record_sign_of_machine(&address(2));
+    assert_eq!(fixture.extended_until(3_100), None);
+    // Attempts that time out from then on show nothing: its queue of connections is full.
+    fixture.attempt_times_out(3_200, 3_650, 2);
+    assert_eq!(fixture.extended_until(3_650), None);
 }
 
-/// Guards: a connection that ends says that its node, or the machine, is there.
+/// Guards: a node whose queue of connections is full drops new ones without a word.
 #[test]
-fn a_silence_counts_only_on_a_connection_that_stands() {
+fn attempts_to_connect_that_time_out_show_nothing_by_themselves() {
     let mut fixture = Fixture::new(members(3));
     fixture.ask(1_000, &[1, 2, 3]);
-    assert!(fixture.extended_until(3_000).is_some());
-    fixture.observer.record_connection_end(&address(1));
-    assert!(fixture.extended_until(3_000).is_some(), "two of three");
-    fixture.observer.record_connection_end(&address(2));
-    assert_eq!(fixture.extended_until(3_000), None);
+    for node in [1, 2, 3] {
+        fixture.observer.record_connection_end(&address(node));
+    }
+    for now in (1_450..9_000).step_by(450) {
+        for node in [1, 2, 3] {
+            fixture.attempt_times_out(now - 450, now, node);
+        }
+        assert_eq!(fixture.extended_until(now), None, "at {now}");
+    }
+}
+
+/// Guards: a partition lasts longer than one observation of it counts.
+#[test]
+fn attempts_to_connect_that_time_out_confirm_that_a_machine_is_out_of_reach() {
+    let mut fixture = Fixture::new(members(3));
+    fixture.unacknowledged(1_000, &[1, 2]);
+    for now in (1_650..9_000).step_by(650) {
+        for node in [1, 2] {
+            fixture.attempt_times_out(now - 450, now, node);
+        }
+        assert_eq!(fixture.extended_until(now), Some(now + CUT_OFF_MS));
+        let last = now + OUT_OF_REACH_MS - 1;
+        assert!(fixture.extended_until(last).is_some(), "at {last}");
+        assert_eq!(fixture.extended_until(last + 1), None, "nobody looks");
+    }
 }
 
 #[test]
@@ -203,8 +240,8 @@
     for node in [1, 2] {
         fixture.observer.record_refusal(1_000, &address(node));
     }
-    fixture.ask(1_000, &[3]);
     assert_eq!(fixture.extended_until(1_500), None, "two of five");
+    fixture.unacknowledged(1_500, &[3]);
     fixture.observer.record_refusal(1_500, &address(1));
     fixture.observer.record_refusal(1_600, &address(2));
     let extended_until = fixture.extended_until(2_500);
@@ -213,6 +250,44 @@
     assert_eq!(fixture.extended_until(2_500), Some(2_500 + CUT_OFF_MS));
 }
 
+/// Guards: a machine that refuses is within reach; only its process is missing.
+#[test]
+fn a_refusal_ends_that_a_machine_is_out_of_reach() {
+    let mut fixture = Fixture::new(members(3));
+    fixture.unacknowledged(1_000, &[1, 2]);
+    fixture.observer.record_refusal(1_100, &address(1));
+    assert!(fixture.extended_until(1_200).is_some(), "no process");
+    fixture.attempt_times_out(1_650, 2_100, 1);
+    assert_eq!(fixture.extended_until(2_100), None, "its queue may be full");
+}
+
+#[test]
+fn an_extension_states_what_allows_it() {
+    let mut fixture = Fixture::new(members(5));
+    fixture.unacknowledged(1_000, &[1, 2]);
+    fixture.observer.record_refusal(1_000, &address(3));
+    let reason = |fixture: &Fixture, now| {
+        let members = &fixture.members;
+        let extension = fixture
+            .observer
+            .lease_extension(now, CLUSTER, EPOCH, members);
+        extension.map(|extension| extension.reason)
+    };
+    let out_of_reach = VotersOutOfReach {
+        unacknowledged: 2,
+        refusing: 1,
+        replaced: 0,
+    };
+    let expected = Some(ExtensionReason::CutOff(out_of_reach));
+    assert_eq!(reason(&fixture, 1_100), expected);
+    let number = fixture.ask(1_100, &[3, 4, 5]);
+    for node in [3, 4, 5] {
+        fixture.answer(number, node, EPOCH);
+    }
+    let expected = Some(ExtensionReason::ConfirmedByMajority);
+    assert_eq!(reason(&fixture, 1_200), expected, "it lasts longer");
+}
+
 /// Guards: a voter whose address another node has can't be acting. That node lost the
 /// voter's disk, and says so by its identity.
 #[test]
@@ -221,13 +296,10 @@
     let number = fixture.ask(1_000, &[1, 2, 3]);
     fixture.answer(number, 1, EPOCH);
     fixture.answer(number, 2, EPOCH);
-    fixture.ask(1_100, &[4, 5]);
-    let now = 1_100 + SILENCE_MS;
-    assert_eq!(
-        fixture.extended_until(now),
-        Some(now + CUT_OFF_MS),
-        "3, 4, 5"
-    );
+    // Past what the first two confirm.
+    let now = 1_000 + LEASE_MS;
+    fixture.unacknowledged(now, &[4, 5]);
+    assert_eq!(fixture.extended_until(now), None, "3 may be acting");
     let blank = LogReport {
         identity: 99,
         cluster: 0,
@@ -254,18 +326,42 @@
     );
 }
 
-/// Guards: a process that was suspended knows nothing when it resumes: the answers may
-/// wait in its sockets.
+/// Guards: a process that was suspended knows nothing when it resumes: the partition may
+/// have ended.
 #[test]
 fn a_process_that_was_suspended_knows_nothing_when_it_resumes() {
     let mut fixture = Fixture::new(members(3));
-    fixture.ask(1_000, &[1, 2]);
+    fixture.unacknowledged(8_800, &[1, 2]);
     fixture.observer.record_refusal(8_900, &address(3));
+    assert!(fixture.extended_until(8_950).is_some());
     fixture.observer.record_resumption(9_000);
     assert_eq!(fixture.extended_until(9_000), None);
-    assert_eq!(fixture.extended_until(9_000 + SILENCE_MS - 1), None);
-    let extended_until = fixture.extended_until(9_000 + SILENCE_MS);
-    assert!(extended_until.is_some(), "they are silent all the same");
+    // Attempts that began before may have timed out before.
+    for node in [1, 2] {
+        fixture.attempt_times_out(8_999, 9_100, node);
+    }
+    assert_eq!(fixture.extended_until(9_100), None);
+    for node in [1, 2] {
+        fixture.attempt_times_out(9_200, 9_650, node);
+    }
+    let extended_until = fixture.extended_until(9_650);
+    assert!(
+        extended_until.is_some(),
+        "they are out of reach all the same"
+    );
+}
+
+/// Guards: a connection's time goes on while the machine of this process is suspended; it
+/// then ends although the other machine was never asked again.
+#[test]
+fn a_connection_that_ends_over_a_suspension_shows_nothing() {
+    let mut fixture = Fixture::new(members(3));
+    fixture.observer.record_resumption(9_000);
+    let covered_until_ms = 9_000 + ACKNOWLEDGEMENT_TIMEOUT_MS;
+    fixture.unacknowledged(covered_until_ms - 1, &[1, 2]);
+    assert_eq!(fixture.extended_until(covered_until_ms - 1), None);
+    fixture.unacknowledged(covered_until_ms, &[1, 2]);
+    assert!(fixture.extended_until(covered_until_ms).is_some());
 }
 
 #[test]
@@ -279,3 +375,21 @@
     fixture.observer.retain(|address| address != left);
     assert_eq!(fixture.extended_until(1_100), None);
 }
+
+/// Guards: overloaded voters, which hold the connection and answer late or not at all, were
+/// taken for a partition, and the router went on with an old view for the whole grace.
+#[test]
+fn voters_that_hold_the_connection_and_do_not_answer_are_no_partition() {
+    let mut fixture = Fixture::new(members(5));
+    let all: Vec<NodeId> = (1..=5).collect();
+    let first = fixture.ask(1_000, &all);
+    for now in (1_300..9_000).step_by(300) {
+        fixture.ask(now, &all);
+        assert_eq!(fixture.extended_until(now), None, "at {now}");
+        if now == 3_100 {
+            // Two of them answer, after 2 s, that there is a newer change.
+            fixture.answer(first, 1, EPOCH + 1);
+            fixture.answer(first, 2, EPOCH + 1);
+        }
+    }
+}
--- a/router/src/directory_watch.rs
+++ b/router/src/directory_watch.rs
@@ -1,12 +1,15 @@
 //! Watches the directory nodes on a connection to each, and extends the lease by what they
-//! say, or by their silence, while no session renews it ([`placement::DirectoryObserver`]).
+//! say, or by what shows that they are out of reach, while no session renews it
+//! ([`placement::DirectoryObserver`]).
 //!
 //! The connections are made in calm times and stand: when a router needs them, a node that
 //! is overloaded accepts no new ones.
 
+use crate::extension_log::ExtensionLog;
 use crate::router::Router;
+use consensus::Member;
 use parking_lot::Mutex;
-use placement::DirectoryObserver;
+use placement::{DirectoryObserver, ACKNOWLEDGEMENT_TIMEOUT_MS};
 use protocol::{ConnectionKind, Frame};
 use std::collections::HashMap;
 use std::io;
@@ -14,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use transport::link::{self, LinkError};
 use transport::{now, AbortOnDrop};
 
@@ -24,8 +27,8 @@
 const CALM_CHECK_INTERVAL_MS: u64 = 900;
 /// A check that comes so late shows that this process was suspended.
 const SUSPENDED_MS: u64 = 500;
-/// Nodes are asked from this long before the lease ends, so that a silence has lasted long
-/// enough when its grace is over.
+/// Nodes are asked from this long before the lease ends, so that one whose machine does not
+/// acknowledge it is found out of reach by the time that the grace is over.
 const BEFORE_END_MS: u64 = 1_300;
 /// How often nodes are asked while no lease comes.
 const QUERY_INTERVAL_MS: u64 = 300;
@@ -53,6 +56,7 @@
     });
     let mut tasks: HashMap<String, AbortOnDrop> = HashMap::new();
     let mut asked_at_ms = 0;
+    let mut extension_log = ExtensionLog::default();
     loop {
         let due_ms = directory_watch.next_check_ms(now());
         tokio::time::sleep(Duration::from_millis(due_ms.saturating_sub(now()))).await;
@@ -65,7 +69,7 @@
             asked_at_ms = now_ms;
             directory_watch.query.send_modify(|number| *number += 1);
         }
-        directory_watch.extend_lease(now_ms);
+        directory_watch.extend_lease(now_ms, &mut extension_log);
     }
 }
 
@@ -112,108 +116,179 @@
         tasks.retain(|address, _| is_member(address));
         self.observer.lock().retain(is_member);
         for member in members {
-            let Ok(to) = member.address.parse::<SocketAddr>() else {
+            let Some(node) = WatchedNode::new(member) else {
                 continue;
             };
-            tasks.entry(member.address.clone()).or_insert_with(|| {
-                let watching = Arc::clone(self).watch_node(member.address.clone(), to);
+            tasks.entry(node.name.clone()).or_insert_with(|| {
+                let watching = Arc::clone(self).watch_node(node);
                 AbortOnDrop(tokio::spawn(watching).abort_handle())
             });
         }
     }
 
-    fn extend_lease(&self, now_ms: u64) {
+    fn extend_lease(&self, now_ms: u64, extension_log: &mut ExtensionLog) {
         if self.is_calm(now_ms) {
             return self.router.lease.extend(None);
         }
         let position = *self.router.view_position.lock();
         let membership = self.router.membership.read();
-        let until_ms = self.observer.lock().extends_lease_until_ms(
+        let extension = self.observer.lock().lease_extension(
             now_ms,
             position.cluster,
             position.epoch,
             membership.directories(),
         );
+        let until_ms = extension.map(|extension| extension.until_ms);
         self.router.lease.extend(until_ms);
+        if let Some(extension) = extension {
+            extension_log.record(&self.router, now_ms, extension.reason);
+        }
     }
 
     /// Holds a connection to a node, one after the other, for as long as it is a member.
-    async fn watch_node(self: Arc<DirectoryWatch>, address: String, to: SocketAddr) {
+    async fn watch_node(self: Arc<DirectoryWatch>, node: WatchedNode) {
         loop {
-            let mut next = Some(self.connect(&address, to).await);
-            while let Some(stream) = next {
-                next = self.ask(&address, to, stream).await;
+            let stream = self.connect(&node).await;
+            let mut is_established = false;
+            let ended = self.ask(&node.name, stream, &mut is_established).await;
+            let mut observer = self.observer.lock();
+            match ended {
+                Err(error) if is_established && is_unacknowledged(&error) => {
+                    self.router.metrics.increment("directories_unacknowledged");
+                    observer.record_unacknowledged(now(), &node.name);
+                }
+                _ => observer.record_connection_end(&node.name),
             }
-            self.observer.lock().record_connection_end(&address);
         }
     }
 
     /// Connects to a node, as often as it takes.
-    async fn connect(&self, address: &str, to: SocketAddr) -> TcpStream {
+    async fn connect(&self, node: &WatchedNode) -> TcpStream {
         let settings = &self.router.settings;
+        let source = settings.peer_listen_address;
         loop {
             let retry_ms = match self.is_calm(now()) {
                 true => CALM_RETRY_MS,
                 false => RETRY_MS,
             };
             tokio::time::sleep(transport::jitter(retry_ms)).await;
-            let source = settings.peer_listen_address;
-            match link::dial(source, to, ConnectionKind::StateWatch, &settings.name).await {
-                Ok(stream) => return stream,
-                Err(error) if is_refusal(&error) => {
-                    self.observer.lock().record_refusal(now(), address);
+            let began_at_ms = now();
+            let kind = ConnectionKind::StateWatch;
+            match link::dial(source, node.address, kind, &settings.name).await {
+                Ok(stream) => {
+                    self.observer.lock().record_sign_of_machine(&node.name);
+                    limit_unacknowledged(&stream);
+                    return stream;
+                }
+                Err(LinkError::Connect { cause, .. }) if is_refusal(&cause) => {
+                    self.observer.lock().record_refusal(now(), &node.name);
                 }
-                Err(_) => {}
+                Err(_) => self.look_for_machine(node, began_at_ms).await,
             }
         }
     }
 
-    /// Asks a node whenever it is time and takes its answers. Returns when the connection
-    /// has ended; with another one, if the node had fallen silent on this one.
-    async fn ask(&self, address: &str, to: SocketAddr, stream: TcpStream) -> Option<TcpStream> {
+    /// After an attempt to connect that failed without a word: looks whether a machine that
+    /// was found out of reach is back. Where the node drops new connections, since too many
+    /// wait, another port of its machine shows it.
+    async fn look_for_machine(&self, node: &WatchedNode, began_at_ms: u64) {
+        if !self.observer.lock().is_unacknowledged(&node.name) {
+            return;
+        }
+        let source = self.router.settings.peer_listen_address;
+        let connected = match node.operator_address {
+            Some(address) => link::connect(source, address).await.map(drop),
+            None => Err(io::ErrorKind::TimedOut.into()),
+        };
+        let mut observer = self.observer.lock();
+        match connected {
+            Err(error) if is_unreachable(&error) => {
+                observer.record_attempt_timeout(now(), &node.name, began_at_ms);
+            }
+            _ => observer.record_sign_of_machine(&node.name),
+        }
+    }
+
+    /// Asks a node at once and whenever it is time, and takes its answers, until the
+    /// connection ends. `is_established` is set with the first answer: a machine whose queue
+    /// of new connections overflows may answer the opening packet and then acknowledge
+    /// nothing, though it is well.
+    async fn ask(
+        &self,
+        address: &str,
+        stream: TcpStream,
+        is_established: &mut bool,
+    ) -> Result<(), LinkError> {
         let (mut reader, mut writer) = stream.into_split();
         let mut queries = self.query.subscribe();
-        let silence = Notify::new();
+        queries.mark_changed();
         let asking = async {
             while queries.changed().await.is_ok() {
                 let number = *queries.borrow_and_update();
                 self.observer.lock().record_query(now(), address, number);
                 let query = Frame::StateQuery { number };
                 link::send(&mut writer, &query).await?;
-                if self.observer.lock().is_silent(now(), address) {
-                    silence.notify_one();
-                }
             }
-            Ok::<_, LinkError>(())
+            Ok(())
         };
         let answering = async {
             while let Some(frame) = link::receive(&mut reader, protocol::MAX_HELLO_BYTES).await? {
                 if let Frame::StateReport(report) = frame {
+                    *is_established = true;
                     self.observer.lock().record_report(address, report);
                 }
             }
-            Ok::<_, LinkError>(())
+            Ok(())
         };
         tokio::select! {
-            _ = asking => None,
-            _ = answering => None,
-            stream = self.reconnect_after(&silence, address, to) => Some(stream),
+            ended = asking => ended,
+            ended = answering => ended,
         }
     }
+}
+
+/// A directory node as it is watched.
+struct WatchedNode {
+    /// Its address as the membership states it.
+    name: String,
+    address: SocketAddr,
+    operator_address: Option<SocketAddr>,
+}
 
-    /// Connects anew once a node is silent: one that lost power does not know the
-    /// connection when it is back. The silence goes on until an answer comes on either, for
-    /// the kernel accepts connections for a process that stands still.
-    async fn reconnect_after(&self, silence: &Notify, address: &str, to: SocketAddr) -> TcpStream {
-        silence.notified().await;
-        self.connect(address, to).await
+impl WatchedNode {
+    fn new(member: &Member) -> Option<WatchedNode> {
+        Some(WatchedNode {
+            name: member.address.clone(),
+            address: member.address.parse().ok()?,
+            operator_address: member.operator_address.parse().ok(),
+        })
     }
 }
 
-/// Whether the other machine said that no process listens.
-fn is_refusal(error: &LinkError) -> bool {
-    match error {
-        LinkError::Connect { cause, .. } => cause.kind() == io::ErrorKind::ConnectionRefused,
-        _ => false,
+/// Has a connection end when the other machine does not acknowledge what is sent on it.
+fn limit_unacknowledged(stream: &TcpStream) {
+    let timeout = Duration::from_millis(ACKNOWLEDGEMENT_TIMEOUT_MS);
+    if let Err(error) = link::set_acknowledgement_timeout(stream, timeout) {
+        log::warn!("a partition will not be noticed: TCP_USER_TIMEOUT was not set: {error}");
     }
 }
+
+/// Whether a standing connection ended since its machine acknowledged nothing.
+fn is_unacknowledged(error: &LinkError) -> bool {
+    matches!(error, LinkError::Io(cause) if is_unreachable(cause))
+}
+
+/// Whether nothing came from the other machine.
+fn is_unreachable(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+    )
+}
+
+/// Whether the other machine said that no process listens.
+fn is_refusal(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -17,6 +17,7 @@
 mod cache_tiers;
 mod conversation_error;
 mod directory_watch;
+mod extension_log;
 mod extensions;
 mod forwarding;
 mod in_flight;
--- a/router/tests/lease_extension/main.rs
+++ b/router/tests/lease_extension/main.rs
@@ -87,6 +87,18 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
+
+    /// The router refuses work until it has asked a node so often.
+    async fn refuses_for_many_queries(&self, asked: &Node) {
+        let mut queried = std::pin::pin!(asked.queried(QUERIES_PAST_THE_LEASE));
+        loop {
+            tokio::select! {
+                () = &mut queried => return,
+                accepts_work = self.accepts_work() => assert!(!accepts_work),
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
 }
 
 async fn start_router(test: u8, nodes: &[Arc<Node>], extension_ms: u64) -> SocketAddr {
@@ -186,22 +198,49 @@
 /// Guards: a router that is cut off from a majority goes on; it refuses as soon as enough
 /// nodes answer again and don't renew its lease.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_router_goes_on_while_a_majority_is_silent() {
+async fn a_router_goes_on_while_a_majority_is_cut_off() {
     let site = Site::start(2, EXTENSION_MS).await;
-    let silent = Behaviour {
-        answers_queries: false,
-        ..LEADERLESS
-    };
-    let newer = Behaviour {
+    site.all_behave(Behaviour {
         newest_change: EPOCH + 1,
         ..LEADERLESS
-    };
-    site.nodes[0].behave(newer);
-    site.nodes[1].behave(silent);
-    site.nodes[2].behave(silent);
+    });
+    site.nodes[1].cut_off();
+    site.nodes[2].cut_off();
     site.goes_on_past_the_lease(&site.nodes[0]).await;
-    site.nodes[2].behave(newer);
+    site.nodes[2].reconnect();
+    site.wait_for(false).await;
+}
+
+/// Guards: nodes that are overloaded, whose machines acknowledge queries that nobody answers,
+/// were taken for a partition, and the router went on by an old view.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_refuses_while_a_majority_is_silent_on_connections_that_stand() {
+    let site = Site::start(5, EXTENSION_MS).await;
+    site.all_behave(Behaviour {
+        answers_queries: false,
+        ..LEADERLESS
+    });
+    site.wait_for(false).await;
+    site.refuses_for_many_queries(&site.nodes[0]).await;
+}
+
+/// Guards: a machine whose queue of new connections overflows lets a connection come up and
+/// acknowledges nothing on it. Only one on which the node has answered shows a partition.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_that_nobody_ever_answered_shows_no_partition() {
+    let site = Site::start(6, EXTENSION_MS).await;
+    site.all_behave(Behaviour {
+        answers_queries: false,
+        ..LEADERLESS
+    });
+    for node in &site.nodes[1..] {
+        node.kill().await;
+        node.restart();
+        node.queried(1).await;
+        node.cut_off();
+    }
     site.wait_for(false).await;
+    site.refuses_for_many_queries(&site.nodes[0]).await;
 }
 
 /// Guards: the same where the machines refuse connections, since no process runs there.
@@ -213,8 +252,8 @@
         ..LEADERLESS
     };
     site.all_behave(newer);
-    site.nodes[1].kill();
-    site.nodes[2].kill();
+    site.nodes[1].kill().await;
+    site.nodes[2].kill().await;
     site.goes_on_past_the_lease(&site.nodes[0]).await;
     site.nodes[1].restart();
     site.wait_for(false).await;
--- a/router/tests/lease_extension/nodes.rs
+++ b/router/tests/lease_extension/nodes.rs
@@ -5,6 +5,7 @@
 use consensus::Member;
 use parking_lot::Mutex;
 use protocol::{ConnectionKind, Frame, RegistryUpdate, StateReport};
+use socket2::{SockFilter, SockRef, Socket};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -17,6 +18,8 @@
 pub const EPOCH: u64 = 9;
 /// Connections that the kernel takes for a node which accepts none.
 const BACKLOG: u32 = 1;
+/// The program of a socket filter that keeps nothing of any packet: `BPF_RET | BPF_K`, 0.
+const DROP_ALL: SockFilter = SockFilter::new(0x06, 0, 0, 0);
 
 /// What a node does now.
 #[derive(Clone, Copy)]
@@ -50,6 +53,8 @@
     tasks: Mutex<JoinSet<()>>,
     /// Notified when the kernel's queue of new connections is to be filled.
     stopped_accepting: Notify,
+    /// All sockets of its process.
+    sockets: Mutex<Vec<Socket>>,
 }
 
 impl Node {
@@ -63,6 +68,7 @@
             queries: watch::Sender::new(0),
             tasks: Mutex::default(),
             stopped_accepting: Notify::new(),
+            sockets: Mutex::default(),
         });
         let accepting = Arc::clone(&node).accept(listener);
         node.tasks.lock().spawn(accepting);
@@ -70,8 +76,27 @@
     }
 
     /// Its process ends: connections are closed, new ones refused.
-    pub fn kill(&self) {
-        *self.tasks.lock() = JoinSet::new();
+    pub async fn kill(&self) {
+        // Twice: it may have been accepting a connection.
+        for _ in 0..2 {
+            let mut tasks = std::mem::take(&mut *self.tasks.lock());
+            tasks.shutdown().await;
+        }
+        self.sockets.lock().clear();
+    }
+
+    /// Its machine gets no packets from now on: its kernel acknowledges nothing.
+    pub fn cut_off(&self) {
+        for socket in self.sockets.lock().iter() {
+            socket.attach_filter(&[DROP_ALL]).expect("a filter");
+        }
+    }
+
+    /// Its machine gets packets again.
+    pub fn reconnect(&self) {
+        for socket in self.sockets.lock().iter() {
+            socket.detach_filter().expect("it has a filter");
+        }
     }
 
     /// It starts again at its address.
@@ -105,6 +130,7 @@
     }
 
     async fn accept(self: Arc<Node>, listener: TcpListener) {
+        self.keep_socket(SockRef::from(&listener));
         let mut behaviour = self.behaviour.subscribe();
         loop {
             if !behaviour.borrow_and_update().accepts {
@@ -124,7 +150,13 @@
         }
     }
 
+    fn keep_socket(&self, socket: SockRef<'_>) {
+        let socket = socket.try_clone().expect("a descriptor");
+        self.sockets.lock().push(socket);
+    }
+
     async fn serve(self: Arc<Node>, mut stream: TcpStream) -> anyhow::Result<()> {
+        self.keep_socket(SockRef::from(&stream));
         match link::accept_handshake(&mut stream).await? {
             (ConnectionKind::RouterSession, _) => self.session(stream).await,
             (ConnectionKind::StateWatch, _) => self.state_watch(stream).await,
--- a/simulator/src/quorum_readers.rs
+++ b/simulator/src/quorum_readers.rs
@@ -234,14 +234,13 @@
         let checked = &self.quorum_readers.readers[reader];
         let ReplicaPosition { cluster, epoch } = checked.copy;
         // Without members it is never taken for cut off: the majority's word alone.
-        let extended_until_ms =
-            checked
-                .observer
-                .extends_lease_until_ms(self.now_ms, cluster, epoch, &[]);
-        let Some(extended_until_ms) = extended_until_ms else {
+        let extension = checked
+            .observer
+            .lease_extension(self.now_ms, cluster, epoch, &[]);
+        let Some(extension) = extension else {
             return Ok(());
         };
-        let asked_at_ms = extended_until_ms - LEASE_MS;
+        let asked_at_ms = extension.until_ms - LEASE_MS;
         let acknowledged = self.quorum_readers.acknowledged_at(asked_at_ms);
         if epoch < acknowledged {
             return self.fail(Violation::StaleQuorumRead {
--- a/transport/src/link.rs
+++ b/transport/src/link.rs
@@ -2,6 +2,7 @@
 
 use protocol::codec::{decode_length, LENGTH_BYTES};
 use protocol::{ConnectionKind, EncodedFrame, Frame, FrameError};
+use socket2::SockRef;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -110,6 +111,16 @@
     Ok(stream)
 }
 
+/// Ends a connection with `TimedOut` once the other machine has acknowledged nothing of what
+/// was sent for this long (TCP_USER_TIMEOUT). The machine's kernel acknowledges it: a
+/// process that is overloaded or suspended does not end a connection in this way.
+///
+/// # Errors
+/// What the system says.
+pub fn set_acknowledgement_timeout(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(timeout))
+}
+
 /// Sends one frame.
 ///
 /// # Errors
