--- a/placement/src/lease_grace.rs
+++ b/placement/src/lease_grace.rs
@@ -5,8 +5,8 @@
 pub struct LeaseGrace {
     /// For whatever reason no lease comes.
     pub unconditional_ms: u64,
-    /// At most so long while the directory nodes' own words, or their silence, allow it
-    /// ([`crate::DirectoryObserver`]).
+    /// At most so long while the directory nodes' own words, or that they are out of reach,
+    /// allow it ([`crate::DirectoryObserver`]).
     pub partition_ms: u64,
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -6,7 +6,7 @@
 //! - `ingress/` is the way of a request, one file for each phase.
 //! - `session.rs` keeps the replicated state and the lease up to date; `lease.rs`
 //!   says whether work may be accepted by it, and `directory_watch.rs` whether what the
-//!   directory nodes say, or their silence, extends it.
+//!   directory nodes say, or that they are out of reach, extends it.
 //! - `cache_tiers.rs` and `regional_cache.rs` hold mappings; on a miss a directory
 //!   node resolves the key (`pending_lookups.rs`) or takes the whole request
 //!   (`forwarding/`).
