Membership: a leader answers requests without an entry only while a majority confirms it

Cause: a refusal of a change of membership, the confirmation of a member that is known already, and the permission to stop were given by what the leader knew. A leader that was cut off, or paused until another one was elected, gave them for up to an election time-out (after a pause until its first look at the clock). A node that stops on such a permission may take a copy with it that counts at the new leader.

Change: these answers are reads. They are given once a majority has answered a heartbeat round that began after the request; whoever asked a leader that steps down meanwhile hears NotLeader. Whether a member may stop is looked at when the read is confirmed, not when it was asked, so that entries that were committed in between count.

Callers: a node that asks to join gets no answer for at most an election time-out, then "not the leader" through its seed, and asks again after 0.1 s (2 s where it has a cluster); the wait of 3 s for one seed's response covers it. A node that leaves asks again, as it did for NotReplaced. Operators get 503 instead of 409.

--- a/consensus/src/node/membership.rs
+++ b/consensus/src/node/membership.rs
@@ -1,7 +1,7 @@
 //! Changes of membership: one server at a time, each committed before the next (Raft
 //! thesis §4).
 
-use super::{Effect, MembershipChangeError, Node, RequestError, Role, Token};
+use super::{MembershipChangeError, Node, RequestError, Role, Token};
 use crate::repair::{self, MemberHealth, NoChange, RepairPolicy};
 use crate::{
     ClusterId, Entry, EntryPayload, HardState, LogIndex, Member, Membership, MembershipChange,
@@ -50,14 +50,13 @@
             return self.reject(token, RequestError::NotLeader);
         }
         if self.members().get(member.identity) == Some(&member) {
-            let ready = Effect::ReadReady(token, self.log.commit_index);
-            return self.effects.push(ready);
+            return self.read_index(token);
         }
         if !self.can_change_membership() {
-            return self.reject(token, MembershipChangeError::ChangeInProgress);
+            return self.refuse_change(token, MembershipChangeError::ChangeInProgress);
         }
         if self.members().retired.contains(&member.identity) {
-            return self.reject(token, MembershipChangeError::RetiredIdentity);
+            return self.refuse_change(token, MembershipChangeError::RetiredIdentity);
         }
         let mut members = self.members().clone();
         let mut known = members.voters.iter_mut().chain(&mut members.learners);
@@ -70,7 +69,7 @@
         let namesake = members.all().find(|known| known.name == member.name);
         if let Some(old) = namesake.map(|known| known.identity) {
             if self.is_alive(old) {
-                return self.reject(token, MembershipChangeError::NameInUse(member.name));
+                return self.refuse_change(token, MembershipChangeError::NameInUse(member.name));
             }
             return self.remove_member(token, old);
         }
@@ -91,13 +90,13 @@
             return self.reject(token, RequestError::NotLeader);
         }
         if !self.can_change_membership() {
-            return self.reject(token, MembershipChangeError::ChangeInProgress);
+            return self.refuse_change(token, MembershipChangeError::ChangeInProgress);
         }
         if self.members().get(id).is_none() {
-            return self.reject(token, MembershipChangeError::UnknownMember);
+            return self.refuse_change(token, MembershipChangeError::UnknownMember);
         }
         if id == self.identity {
-            return self.reject(token, MembershipChangeError::RemovesLeader);
+            return self.refuse_change(token, MembershipChangeError::RemovesLeader);
         }
         let mut members = self.members().clone();
         members.voters.retain(|member| member.identity != id);
@@ -182,19 +181,16 @@
             return self.reject(token, RequestError::NotLeader);
         }
         if id == self.identity {
-            return self.reject(token, MembershipChangeError::LeaderLeaves);
+            return self.refuse_change(token, MembershipChangeError::LeaderLeaves);
         }
         if let Some(progress) = self.replication.get_mut(id) {
             progress.leaving_at_ms = Some(self.now);
         }
-        if !self.may_leave(id) {
-            return self.reject(token, MembershipChangeError::NotReplaced);
-        }
-        let ready = Effect::ReadReady(token, self.log.commit_index);
-        self.effects.push(ready);
+        self.confirm_departure(token, id);
     }
 
-    fn may_leave(&self, id: NodeId) -> bool {
+    /// Whether a member may stop without a loss, as this leader knows it.
+    pub(super) fn may_leave(&self, id: NodeId) -> bool {
         if !self.members().is_voter(id) {
             return self.can_change_membership();
         }
--- a/consensus/tests/partition/cluster.rs
+++ b/consensus/tests/partition/cluster.rs
@@ -3,7 +3,7 @@
 
 use crate::support::members::{member, membership};
 use crate::support::persisted::apply_write;
-use consensus::node::{Effect, Input, Node, PersistedState, Role, Timing, Token};
+use consensus::node::{Effect, Input, Node, PersistedState, RequestError, Role, Timing, Token};
 use consensus::{Entry, EntryPayload, HardState, LogIndex, Message, Term};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -78,6 +78,8 @@
     /// Tokens of requests that completed, and of those that were rejected.
     pub completed: BTreeSet<Token>,
     pub rejected: BTreeSet<Token>,
+    /// Why requests were rejected.
+    pub rejections: BTreeMap<Token, RequestError>,
 }
 
 impl Cluster {
@@ -114,6 +116,7 @@
             leaders: BTreeMap::new(),
             completed: BTreeSet::new(),
             rejected: BTreeSet::new(),
+            rejections: BTreeMap::new(),
         };
         for identity in 1..=count {
             cluster.begin(identity, disk.clone());
@@ -189,8 +192,9 @@
                     Effect::Send(message) => self.send(message),
                     Effect::Apply(entry, token) => self.apply(entry, token),
                     Effect::ReadReady(token, index) => self.read_ready(token, index),
-                    Effect::Rejected(token, _) => {
+                    Effect::Rejected(token, error) => {
                         self.rejected.insert(token);
+                        self.rejections.insert(token, error);
                     }
                     Effect::Restore(_) => {}
                 }
--- a/consensus/tests/partition/main.rs
+++ b/consensus/tests/partition/main.rs
@@ -3,6 +3,7 @@
 //! of the partition throughout.
 
 mod cluster;
+mod membership_requests;
 #[path = "../support/mod.rs"]
 mod support;
 
