Splits: the request's id chooses the service, not the prompt's prefix

Cause: on a route whose requests list the parts of their prompts (the platform's streaming routes) a split chose by the hash of the parts that requests share. All requests with the same beginning went to one service, so the shares followed how popular each beginning is, not the weights.

Change: the hash of the request's id chooses on every route, as it did on routes without a prefix. The price: the shared beginning is read at engines of both services, as any split demands.

Seen failing before: policy/tests/policy/split.rs, "/parts/a: 0 of the requests" where 0.3 is the share.

--- a/policy/src/extract.rs
+++ b/policy/src/extract.rs
@@ -81,26 +81,16 @@
         };
         ExtractedKey {
             tenant: read_field(&ingress.tenant_source, head, &body),
-            service: read_service(route, ingress, prefix_hash, head, &body),
+            service: read_service(route, ingress, head, &body),
             prefix_hash,
         }
     }
 }
 
-fn read_service(
-    route: &Route,
-    ingress: &Ingress,
-    prefix_hash: Option<u64>,
-    head: &RequestHead,
-    body: &Body,
-) -> KeyField {
+fn read_service(route: &Route, ingress: &Ingress, head: &RequestHead, body: &Body) -> KeyField {
     match (&route.target, &ingress.model_source) {
         (Target::Service(name), _) => KeyField::Known(name.clone()),
-        (Target::Split(services), _) => match prefix_hash {
-            Some(0) => KeyField::Known(choose_service(services, head.split_seed)),
-            Some(prefix_hash) => KeyField::Known(choose_service(services, prefix_hash)),
-            None => KeyField::Pending,
-        },
+        (Target::Split(services), _) => KeyField::Known(choose_service(services, head.split_seed)),
         (Target::Model, Some(source)) => read_field(source, head, body),
         (Target::Model, None) => KeyField::Missing,
     }
--- a/policy/src/program.rs
+++ b/policy/src/program.rs
@@ -175,8 +175,8 @@
     pub query: &'a str,
     /// Looks a header up by its lower-case name.
     pub header: &'a dyn Fn(&str) -> Option<String>,
-    /// A hash of the request's id, by which a split without a prompt prefix chooses: a
-    /// retry under the same id gets the same service.
+    /// A hash of the request's id, by which a split chooses: a retry under the same id gets
+    /// the same service.
     pub split_seed: u64,
 }
 
--- a/policy/tests/policy/main.rs
+++ b/policy/tests/policy/main.rs
@@ -5,3 +5,4 @@
 mod host_homes;
 mod json_field;
 mod rules;
+mod split;
