Metrics: a page in the Prometheus text format at each operator API

Cause: operators' tools read the Prometheus text format; a process told its counters and the traffic of its links in JSON alone.

Change: GET /metrics at the operator API of routers and directory nodes: all counters, those of violated invariants among them, frames and bytes by kind of frame, and gauges that are read when the page is asked for. The text is made on request; nothing is kept or counted for it. The JSON pages are as they were.

Not done: the deploy file's entry for the page. It wants a port, and ours are counted from the first of a range that differs between deployments (docs/questions.md).

--- a/directory/src/operator_api/mod.rs
+++ b/directory/src/operator_api/mod.rs
@@ -43,6 +43,7 @@
     match (request.method().as_str(), path.as_str()) {
         ("GET", "/vitals") => Ok(status::health(control)),
         ("GET", "/counters") => Ok(http_server::json(200, &control.metrics.to_json())),
+        ("GET", "/metrics") => Ok(status::metrics(control)),
         ("GET", "/traffic") => Ok(http_server::json(200, &telemetry::traffic::to_json())),
         ("GET", "/status") => Ok(status::status(control).await),
         ("GET", "/book") => status::topology(control).await,
--- a/directory/src/operator_api/status.rs
+++ b/directory/src/operator_api/status.rs
@@ -5,11 +5,13 @@
 use crate::control_plane::ControlPlane;
 use crate::driver::{ClusterStatus, MembershipReport};
 use consensus::Member;
+use http::header::{HeaderValue, CONTENT_TYPE};
 use protocol::RouterStatus;
 use residency::{DrainTarget, State};
 use simd_json::{json, OwnedValue};
 use std::time::Duration;
-use transport::http_server::{self, Response};
+use telemetry::prometheus::{self, Gauge};
+use transport::http_server::{self, Body, Response};
 
 /// How long a majority is waited for before the topology is read.
 const READ_BARRIER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -30,6 +32,30 @@
     http_server::json(if is_healthy { 200 } else { 503 }, &value)
 }
 
+/// This node's figures in the Prometheus text format.
+pub(super) fn metrics(control: &ControlPlane) -> Response {
+    let cluster_status = control.driver.cluster_status.borrow().clone();
+    let gauges = [
+        ("epoch", control.driver.view.borrow().epoch),
+        ("lease_valid", u64::from(control.driver.lease_valid())),
+        ("leads", u64::from(cluster_status.is_leader)),
+        ("disk_stalled", u64::from(cluster_status.is_disk_stalled)),
+        ("term", cluster_status.term),
+        ("log_commit_index", cluster_status.commit_index),
+        ("log_applied_index", cluster_status.applied_index),
+        ("log_last_index", cluster_status.last_index),
+        ("voters", cluster_status.members.voters.len() as u64),
+        ("learners", cluster_status.members.learners.len() as u64),
+        ("routers", control.routers.list().len() as u64),
+    ];
+    let gauges = gauges.map(|(name, value)| Gauge { name, value });
+    let text = prometheus::to_text(&control.metrics, &gauges);
+    let mut response = Response::new(Body::with_content(text));
+    let content_type = HeaderValue::from_static(prometheus::CONTENT_TYPE);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
 /// The status of this node and its cluster, and what is registered in the state.
 pub(super) async fn status(control: &ControlPlane) -> Response {
     let report = control.driver.membership().await;
--- a/directory/tests/operator_api.rs
+++ b/directory/tests/operator_api.rs
@@ -185,6 +185,16 @@
         let (status, value) = node.request("GET", page, "").await;
         assert!(status == 200 && value.is_object(), "{page}: {status}");
     }
+    let (status, text) = send_request(node.address, "GET", "/metrics", &[], Vec::new(), TIMEOUT)
+        .await
+        .expect("it responds");
+    let text = String::from_utf8(text).expect("UTF-8");
+    let has_line = |wanted| text.lines().any(|line| line == wanted);
+    assert!(
+        status == 200 && has_line("rushport_leads 1"),
+        "{status}: {text}"
+    );
+    assert!(has_line("rushport_voters 1"), "{text}");
 }
 
 #[tokio::test]
--- a/router/src/operator_api.rs
+++ b/router/src/operator_api.rs
@@ -1,8 +1,10 @@
-//! The pages for operators: health, counters, traffic.
+//! The pages for operators: health, counters, metrics, traffic.
 
 use crate::router::Router;
+use http::header::{HeaderValue, CONTENT_TYPE};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use telemetry::prometheus::{self, Gauge};
 use transport::{http_server, now};
 
 /// Requests of operators have no bodies; this is the cap.
@@ -27,6 +29,7 @@
     match (request.method().as_str(), request.uri().path()) {
         ("GET", "/vitals") => health(router),
         ("GET", "/counters") => http_server::json(200, &router.metrics.to_json()),
+        ("GET", "/metrics") => metrics(router),
         ("GET", "/traffic") => http_server::json(200, &telemetry::traffic::to_json()),
         (_, path) => {
             let text = format!("there is no {path} for this method");
@@ -58,3 +61,24 @@
     });
     http_server::json(if is_well { 200 } else { 503 }, &value)
 }
+
+/// This router's figures in the Prometheus text format.
+fn metrics(router: &Router) -> http_server::Response {
+    let sizes = router.cache_tiers.sizes();
+    let gauges = [
+        ("epoch", router.view.borrow().epoch),
+        (
+            "lease_remaining_milliseconds",
+            router.lease.until_ms().saturating_sub(now()),
+        ),
+        ("requests_in_flight", router.in_flight.count() as u64),
+        ("mappings_cached", sizes.local as u64),
+        ("mappings_cached_for_the_region", sizes.regional as u64),
+    ];
+    let gauges = gauges.map(|(name, value)| Gauge { name, value });
+    let text = prometheus::to_text(&router.metrics, &gauges);
+    let mut response = http_server::Response::new(http_server::Body::with_content(text));
+    let content_type = HeaderValue::from_static(prometheus::CONTENT_TYPE);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- a/telemetry/src/lib.rs
+++ b/telemetry/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod invariants;
 pub mod logging;
 pub mod metrics;
+pub mod prometheus;
 pub mod traffic;
--- a/telemetry/src/metrics.rs
+++ b/telemetry/src/metrics.rs
@@ -27,12 +27,16 @@
     /// All counters by name, those of violated invariants among them.
     pub fn to_json(&self) -> OwnedValue {
         let mut object = simd_json::owned::Object::default();
-        for (name, count) in self.0.lock().iter() {
-            object.insert((*name).to_string(), OwnedValue::from(*count));
-        }
-        for (name, count) in crate::invariants::counters() {
+        for (name, count) in self.counters() {
             object.insert(name.to_string(), OwnedValue::from(count));
         }
         OwnedValue::from(object)
     }
+
+    /// All counters and their values, those of violated invariants among them.
+    pub(crate) fn counters(&self) -> Vec<(&'static str, u64)> {
+        let own = self.0.lock();
+        let own = own.iter().map(|(name, count)| (*name, *count));
+        own.chain(crate::invariants::counters()).collect()
+    }
 }
--- a/telemetry/src/traffic.rs
+++ b/telemetry/src/traffic.rs
@@ -37,10 +37,18 @@
     }
 }
 
+/// Frames and their bytes.
 #[derive(Clone, Copy, Default)]
-struct Total {
-    frames: u64,
-    bytes: u64,
+pub(crate) struct Total {
+    pub(crate) frames: u64,
+    pub(crate) bytes: u64,
+}
+
+/// What this process's links carried of one kind of frame.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct KindTotals {
+    pub(crate) sent: Total,
+    pub(crate) received: Total,
 }
 
 impl Total {
@@ -65,24 +73,29 @@
     RECEIVED.count(kind, body.len() + LENGTH_BYTES);
 }
 
+/// What this process's links carried since its start, by the name of the kind. Kinds that
+/// did not occur are left out.
+pub(crate) fn totals() -> BTreeMap<&'static str, KindTotals> {
+    let mut totals: BTreeMap<&'static str, KindTotals> = BTreeMap::new();
+    for kind in 0..KINDS {
+        let of_kind = totals.entry(protocol::kind_name(kind as u8)).or_default();
+        of_kind.sent.add(SENT.total(kind));
+        of_kind.received.add(RECEIVED.total(kind));
+    }
+    totals.retain(|_, of_kind| of_kind.sent.frames + of_kind.received.frames > 0);
+    totals
+}
+
 /// All that this process's links carried since its start, by the name of the kind. Kinds
 /// that did not occur are left out.
 pub fn to_json() -> OwnedValue {
-    let mut totals: BTreeMap<&'static str, (Total, Total)> = BTreeMap::new();
-    for kind in 0..KINDS {
-        let (sent, received) = totals.entry(protocol::kind_name(kind as u8)).or_default();
-        sent.add(SENT.total(kind));
-        received.add(RECEIVED.total(kind));
-    }
     let mut object = simd_json::owned::Object::default();
-    for (name, (sent, received)) in totals {
-        if sent.frames + received.frames > 0 {
-            let value = json!({
-                "frames_out": sent.frames, "bytes_out": sent.bytes,
-                "frames_in": received.frames, "bytes_in": received.bytes,
-            });
-            object.insert(name.to_string(), value);
-        }
+    for (name, KindTotals { sent, received }) in totals() {
+        let value = json!({
+            "frames_out": sent.frames, "bytes_out": sent.bytes,
+            "frames_in": received.frames, "bytes_in": received.bytes,
+        });
+        object.insert(name.to_string(), value);
     }
     OwnedValue::from(object)
 }
