Directory: waits in the queues of peers and sessions, renewals and confirmed reads are measured

Cause: when a change was not in force in time on a large site, nothing told where a node's renewals and reads waited: the counters say how many there were, the traffic how many bytes. Now `telemetry::queues` keeps count, total, longest and dropped of each queue, and GET /queues of a directory node's operator API shows them. A session's queue is a type of its own, which stamps each frame.

--- a/directory/src/control_plane.rs
+++ b/directory/src/control_plane.rs
@@ -17,7 +17,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::metrics::Metrics;
+use telemetry::queues::{self, Queue};
 use tokio::sync::Semaphore;
+use transport::now;
 
 /// Between two attempts at a read barrier, in milliseconds, plus jitter.
 const READ_BARRIER_RETRY_MS: u64 = 60;
@@ -82,7 +84,10 @@
                 tokio::time::sleep(transport::jitter(READ_BARRIER_RETRY_MS)).await;
             }
         };
-        tokio::time::timeout(timeout, attempts).await.ok()
+        let began_at_ms = now();
+        let value = tokio::time::timeout(timeout, attempts).await.ok();
+        queues::record_wait(Queue::ConfirmedReads, now().saturating_sub(began_at_ms));
+        value
     }
 
     /// The same, repeated until it succeeds or the time-out ends; false then.
--- a/directory/src/driver/command.rs
+++ b/directory/src/driver/command.rs
@@ -1,13 +1,14 @@
 //! What the consensus driver's thread can be sent, and the length of its queues.
 
 use super::status::MembershipReport;
+use crate::session_queue::SessionSender;
 use consensus::node::{PersistedState, Write};
 use consensus::quorum_read::LogReport;
 use consensus::{ClusterId, Member, Message, NodeId, Term};
-use protocol::{EncodedFrame, PeerRequest, PeerResponse, Validity};
+use protocol::{PeerRequest, PeerResponse, Validity};
 use residency::Epoch;
 use std::sync::mpsc::SyncSender;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 /// Commands that wait for the driver's thread, and write batches that wait for the disk
 /// thread, at the most. A sender that finds the queue full fails at once; only the disk
@@ -58,7 +59,7 @@
 /// A router that is to get the changes of the state.
 pub(crate) struct Subscription {
     /// The frames of its session.
-    pub(crate) sender: mpsc::Sender<EncodedFrame>,
+    pub(crate) sender: SessionSender,
     /// The cluster that its view is of; 0 where it holds none.
     pub(crate) cluster: ClusterId,
     /// The epoch of its view.
--- a/directory/src/driver/thread/driver_thread.rs
+++ b/directory/src/driver/thread/driver_thread.rs
@@ -9,6 +9,7 @@
 use crate::driver::status::ClusterStatus;
 use crate::leader_clock::LeaderClock;
 use crate::peer_connections::PeerConnections;
+use crate::session_queue::SessionSender;
 use consensus::node::Node;
 use parking_lot::RwLock;
 use protocol::EncodedFrame;
@@ -17,7 +18,7 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
 use telemetry::metrics::Metrics;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 /// What the thread publishes for the rest of the process; the other ends are in the
 /// `ConsensusDriver`.
@@ -42,7 +43,7 @@
     pub(super) published: Published,
     /// Routers that get each change. One whose queue is full is dropped, which ends its
     /// session; it connects again for a snapshot.
-    pub(super) subscribers: Vec<mpsc::Sender<EncodedFrame>>,
+    pub(super) subscribers: Vec<SessionSender>,
     /// What a router gets whose session begins anew.
     pub(super) history: ChangeHistory,
     /// The snapshot that routers get which hold no view, of the epoch that it was made at;
--- a/directory/src/driver/thread/effects.rs
+++ b/directory/src/driver/thread/effects.rs
@@ -88,7 +88,7 @@
             events,
         });
         self.subscribers
-            .retain(|subscriber| subscriber.try_send(frame.clone()).is_ok());
+            .retain(|subscriber| subscriber.try_send(frame.clone()));
         self.history.push(base_epoch, frame);
     }
 
--- a/directory/src/driver/thread/run_loop.rs
+++ b/directory/src/driver/thread/run_loop.rs
@@ -137,7 +137,7 @@
         };
         let missing = missing.unwrap_or_else(|| vec![self.snapshot_frame()]);
         let mut frames = std::iter::once(subscribed).chain(missing);
-        if frames.all(|frame| sender.try_send(frame).is_ok()) {
+        if frames.all(|frame| sender.try_send(frame)) {
             self.subscribers.push(sender);
         }
     }
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod pending_requests;
 mod router_count;
 mod router_registry;
+mod session_queue;
 mod settings;
 mod state_watch;
 mod subscriptions;
--- a/directory/src/operator_api/mod.rs
+++ b/directory/src/operator_api/mod.rs
@@ -44,6 +44,7 @@
         ("GET", "/vitals") => Ok(status::health(control)),
         ("GET", "/counters") => Ok(http_server::json(200, &control.metrics.to_json())),
         ("GET", "/traffic") => Ok(http_server::json(200, &telemetry::traffic::to_json())),
+        ("GET", "/queues") => Ok(http_server::json(200, &telemetry::queues::to_json())),
         ("GET", "/status") => Ok(status::status(control).await),
         ("GET", "/book") => status::topology(control).await,
         ("GET", "/explain") => explain::explain(control, &request),
--- a/directory/src/peer_connections.rs
+++ b/directory/src/peer_connections.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use telemetry::queues::{self, Queue};
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -28,6 +29,12 @@
 /// After the other side refused this node.
 const REFUSED_DELAY: Duration = Duration::from_secs(2);
 
+/// A frame that waits for its connection.
+struct QueuedFrame {
+    frame: Frame,
+    queued_at_ms: u64,
+}
+
 /// The outgoing connections to peers. Invariant: a frame is sent once or dropped; a
 /// requester that needs a response retries.
 ///
@@ -39,7 +46,7 @@
     source: SocketAddr,
     /// The driver's thread sends, too, and is not one of the runtime's.
     runtime: tokio::runtime::Handle,
-    queues: Mutex<HashMap<String, mpsc::Sender<Frame>>>,
+    queues: Mutex<HashMap<String, mpsc::Sender<QueuedFrame>>>,
     /// Where those who introduced themselves are reached.
     addresses: Mutex<HashMap<NodeId, String>>,
     /// Which request was sent where.
@@ -86,7 +93,13 @@
             self.runtime.spawn(connection);
             sender
         });
-        drop(queue.try_send(frame));
+        let queued = QueuedFrame {
+            frame,
+            queued_at_ms: now(),
+        };
+        if queue.try_send(queued).is_err() {
+            queues::record_dropped(Queue::PeerFrames);
+        }
     }
 
     /// Whether a response to this request is awaited from `peer`. Not so for one
@@ -101,16 +114,16 @@
     async fn run_connection(
         self: Arc<PeerConnections>,
         address: String,
-        mut frames: mpsc::Receiver<Frame>,
+        mut frames: mpsc::Receiver<QueuedFrame>,
     ) {
         let Ok(to) = address.parse() else { return };
-        // A frame that waits for the other side to come up, and since when.
-        let mut unsent: Option<(Frame, u64)> = None;
+        // A frame that waits for the other side to come up.
+        let mut unsent: Option<QueuedFrame> = None;
         loop {
-            let (first, queued_at_ms) = match unsent.take() {
+            let first = match unsent.take() {
                 Some(unsent) => unsent,
                 None => match frames.recv().await {
-                    Some(frame) => (frame, now()),
+                    Some(frame) => frame,
                     None => return,
                 },
             };
@@ -133,7 +146,7 @@
                 Err(error) => {
                     log::debug!(peer = address.as_str(); "A peer can't be reached: {error:#}");
                     tokio::time::sleep(transport::jitter(DIAL_RETRY_MS)).await;
-                    unsent = newest_unsent((first, queued_at_ms), &mut frames);
+                    unsent = newest_unsent(first, &mut frames);
                 }
             }
         }
@@ -144,17 +157,17 @@
         &self,
         to: SocketAddr,
         mut stream: TcpStream,
-        first: Frame,
-        frames: &mut mpsc::Receiver<Frame>,
+        first: QueuedFrame,
+        frames: &mut mpsc::Receiver<QueuedFrame>,
     ) -> anyhow::Result<()> {
         let (mut reader, mut writer) = stream.split();
         send(&mut writer, &Frame::Introduce(self.local_member.clone())).await?;
-        send(&mut writer, &first).await?;
+        send_queued(&mut writer, &first).await?;
         loop {
             tokio::select! {
                 frame = frames.recv() => {
                     let Some(frame) = frame else { return Ok(()) };
-                    send(&mut writer, &frame).await?;
+                    send_queued(&mut writer, &frame).await?;
                 }
                 back = link::receive(&mut reader, protocol::MAX_HELLO_BYTES) => {
                     match back? {
@@ -171,16 +184,28 @@
     }
 }
 
+async fn send_queued(
+    to: &mut (impl AsyncWrite + Unpin),
+    queued: &QueuedFrame,
+) -> Result<(), LinkError> {
+    let waited_ms = now().saturating_sub(queued.queued_at_ms);
+    queues::record_wait(Queue::PeerFrames, waited_ms);
+    send(to, &queued.frame).await
+}
+
 async fn send(to: &mut (impl AsyncWrite + Unpin), frame: &Frame) -> Result<(), LinkError> {
     link::send_steadily(to, &EncodedFrame::new(frame), WRITE_TIMEOUT).await
 }
 
 /// The newest frame that waits; it is sent as soon as the other side is there, unless it
 /// is stale by then. Older ones are dropped.
-fn newest_unsent(first: (Frame, u64), frames: &mut mpsc::Receiver<Frame>) -> Option<(Frame, u64)> {
+fn newest_unsent(
+    first: QueuedFrame,
+    frames: &mut mpsc::Receiver<QueuedFrame>,
+) -> Option<QueuedFrame> {
     let mut newest = first;
     while let Ok(newer) = frames.try_recv() {
-        newest = (newer, now());
+        newest = newer;
     }
-    Some(newest).filter(|(_, queued_at_ms)| now() < queued_at_ms + MAX_UNSENT_AGE_MS)
+    Some(newest).filter(|queued| now() < queued.queued_at_ms + MAX_UNSENT_AGE_MS)
 }
--- a/directory/src/router_registry.rs
+++ b/directory/src/router_registry.rs
@@ -1,13 +1,14 @@
 //! The routers known here, in memory alone: from their heartbeats, and from what the
 //! other nodes report of theirs.
 
+use crate::session_queue::SessionSender;
 use parking_lot::Mutex;
 use placement::{is_same_to_peers, ObservedRouter};
-use protocol::{EncodedFrame, RouterDemand, RouterStatus};
+use protocol::{RouterDemand, RouterStatus};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{watch, Notify};
 use transport::now;
 
 /// A router that was not heard of for this long is not counted as there.
@@ -15,7 +16,7 @@
 
 /// A router's heartbeat that waits for the leader's confirmation.
 pub(crate) struct WaitingHeartbeat {
-    pub(crate) sender: mpsc::Sender<EncodedFrame>,
+    pub(crate) sender: SessionSender,
     pub(crate) received_at_ms: u64,
     pub(crate) demand: RouterDemand,
 }
--- a/directory/src/subscriptions/leases.rs
+++ b/directory/src/subscriptions/leases.rs
@@ -12,6 +12,7 @@
 };
 use std::sync::Arc;
 use std::time::Duration;
+use telemetry::queues::{self, Queue};
 use transport::now;
 
 /// How long a renewal is put off for more heartbeats to come along.
@@ -66,7 +67,9 @@
     let request = PeerRequest::ReadIndex {
         demands: demands.collect(),
     };
-    match control.driver.request(request).await {
+    let response = control.driver.request(request).await;
+    queues::record_wait(Queue::LeaseRenewals, now().saturating_sub(asked_at_ms));
+    match response {
         PeerResponse::ReadIndex { index, grants } => {
             let own_grants = grants_for(&own_demand, &grants);
             control
@@ -78,7 +81,7 @@
                     epoch: index,
                     grants: grants_for(&heartbeat.demand, &grants),
                 };
-                drop(heartbeat.sender.try_send(EncodedFrame::new(&lease)));
+                heartbeat.sender.try_send(EncodedFrame::new(&lease));
             }
         }
         _ => {
--- a/directory/src/subscriptions/router_list.rs
+++ b/directory/src/subscriptions/router_list.rs
@@ -1,21 +1,18 @@
 //! Tells one router which other routers and directory nodes there are.
 
 use crate::control_plane::ControlPlane;
+use crate::session_queue::WeakSessionSender;
 use consensus::Member;
 use placement::RouterMembership;
 use protocol::{EncodedFrame, Frame};
 use std::sync::Arc;
-use tokio::sync::mpsc;
 
 /// Changes of the list are sent at once, and this often in any case an update, also
 /// where nothing changed: a router goes by when it got the last one.
 const ROUTER_LIST_INTERVAL_MS: u64 = 900;
 
 /// Sends the list, then its changes. Ends with the session, whose `sender` is then gone.
-pub(super) async fn send_updates(
-    control: Arc<ControlPlane>,
-    sender: mpsc::WeakSender<EncodedFrame>,
-) {
+pub(super) async fn send_updates(control: Arc<ControlPlane>, sender: WeakSessionSender) {
     let mut versions = control.routers.versions();
     let (mut known, mut known_version) = (RouterMembership::default(), None);
     while let Some(sender) = sender.upgrade() {
@@ -29,7 +26,7 @@
         // An update that finds the queue full is part of the next one.
         known_version = None;
         let frame = EncodedFrame::new(&Frame::RegistryUpdate(update.clone()));
-        if sender.try_send(frame).is_ok() {
+        if sender.try_send(frame) {
             known.apply(&update);
             known_version = Some(version);
         }
--- a/directory/src/subscriptions/session.rs
+++ b/directory/src/subscriptions/session.rs
@@ -4,6 +4,7 @@
 use crate::control_plane::ControlPlane;
 use crate::driver::{DriverCommand, ResolveError, Subscription, MAX_SILENCE_MS};
 use crate::router_registry::WaitingHeartbeat;
+use crate::session_queue::{session_queue, SessionReceiver, WeakSessionSender};
 use consensus::ClusterId;
 use protocol::{EncodedFrame, Frame, LookupResponse};
 use residency::Epoch;
@@ -11,7 +12,6 @@
 use std::time::Duration;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use transport::AbortOnDrop;
 use transport::{link, now};
 
@@ -46,7 +46,7 @@
     router: String,
 ) -> anyhow::Result<()> {
     let (mut reader, mut writer) = stream.into_split();
-    let (sender, queue) = mpsc::channel::<EncodedFrame>(QUEUE_LEN);
+    let (sender, queue) = session_queue(QUEUE_LEN);
     if let Some(text) = refusal(&control) {
         let text = text.into();
         return Ok(link::send(&mut writer, &Frame::Refused { text }).await?);
@@ -111,7 +111,7 @@
 }
 
 async fn write_frames(
-    mut queue: mpsc::Receiver<EncodedFrame>,
+    mut queue: SessionReceiver,
     mut writer: OwnedWriteHalf,
 ) -> anyhow::Result<()> {
     while let Some(frame) = queue.recv().await {
@@ -123,7 +123,7 @@
 async fn read_frames(
     control: &ControlPlane,
     mut reader: OwnedReadHalf,
-    weak_sender: mpsc::WeakSender<EncodedFrame>,
+    weak_sender: WeakSessionSender,
 ) -> anyhow::Result<()> {
     let mut received_at_ms = now();
     while let Some(frame) = link::receive(&mut reader, MAX_FRAME_BYTES).await? {
@@ -153,10 +153,11 @@
             } => {
                 control.metrics.increment("resolves");
                 let response = resolve(control, &tenant, &service, &region);
-                drop(sender.try_send(EncodedFrame::new(&Frame::LookupResponse {
+                let response = Frame::LookupResponse {
                     request_id,
                     response,
-                })));
+                };
+                sender.try_send(EncodedFrame::new(&response));
             }
             other => return Err(SessionError::UnexpectedFrame(Box::new(other)).into()),
         }
