Consensus thread: its queue is bounded by priority, consensus messages come first, long waits are logged

Cause: consensus messages, writes that were synced and the leader's responses waited in one queue behind requests of any kind, and requests that filled it kept them out. The node sent heartbeats, and so began a round for reads, only after up to 256 commands, however long those took. Nothing said that commands waited. Now a queue with two priorities of their own room (`prioritized_queue`, without a clock or a lock); at most 20 ms of commands between two ticks; waits by kind of command in GET /queues, and a warning, at most once a second, with the kind that waited longest and how many wait. The disk thread never waits for room any more: one command of its own stands for each batch. Taken out: with requests first both tests of the queue fail, with one bound for both priorities both, without a bound the second.

--- a/directory/src/driver/command.rs
+++ b/directory/src/driver/command.rs
@@ -10,9 +10,8 @@
 use std::sync::mpsc::SyncSender;
 use tokio::sync::oneshot;
 
-/// Commands that wait for the driver's thread, and write batches that wait for the disk
-/// thread, at the most. A sender that finds the queue full fails at once; only the disk
-/// thread waits for room.
+/// Commands of one priority that wait for the driver's thread, and write batches that wait
+/// for the disk thread, at the most. A sender that finds the queue full fails at once.
 pub(super) const COMMAND_QUEUE_LEN: usize = 4096;
 
 /// Writes of one step of the node, in their order.
--- a/directory/src/driver/disk.rs
+++ b/directory/src/driver/disk.rs
@@ -1,9 +1,10 @@
 //! The disk thread: the only one that writes the log, the hard state and snapshots.
 
 use super::command::{DriverCommand, WriteBatch, COMMAND_QUEUE_LEN};
+use super::command_queue::CommandQueue;
 use consensus::node::PersistedState;
 use consensus::wal::{DiskStorage, WriteAheadLog};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::mpsc::{sync_channel, Receiver};
 use std::time::Duration;
 
 /// How often a disk that failed is tried again.
@@ -15,7 +16,7 @@
 pub(super) fn run(
     mut wal: WriteAheadLog<DiskStorage>,
     mut batches: Receiver<WriteBatch>,
-    commands: &SyncSender<DriverCommand>,
+    commands: &CommandQueue,
 ) {
     while let Ok(WriteBatch {
         mut ticket,
@@ -30,9 +31,7 @@
             Ok(()) => DriverCommand::WritesSynced(ticket),
             Err(error) => {
                 log::error!("The disk failed; nothing more is written until it recovers: {error}");
-                if commands.send(DriverCommand::DiskFailed).is_err() {
-                    return;
-                }
+                commands.send_from_disk(DriverCommand::DiskFailed);
                 let persisted;
                 (wal, persisted) = reopen(&mut wal, &batches);
                 let sender;
@@ -40,9 +39,7 @@
                 DriverCommand::DiskRecovered(persisted, sender)
             }
         };
-        if commands.send(command).is_err() {
-            return;
-        }
+        commands.send_from_disk(command);
     }
 }
 
--- a/directory/src/driver/handle.rs
+++ b/directory/src/driver/handle.rs
@@ -1,6 +1,7 @@
 //! The handle of the consensus driver, as the other parts of the node use it.
 
 use super::command::{BootstrapError, DriverCommand, LocalRequest};
+use super::command_queue::CommandQueue;
 use super::lease::Lease;
 use super::pause_detector::PauseDetector;
 use super::status::{ClusterStatus, MembershipReport};
@@ -10,7 +11,6 @@
 use protocol::{PeerRequest, PeerResponse};
 use residency::{Mapping, Proposal, State, View};
 use std::sync::atomic::AtomicUsize;
-use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -32,7 +32,7 @@
 /// and the status are in memory; the log, the hard state and snapshots on disk belong
 /// to the disk thread.
 pub(crate) struct ConsensusDriver {
-    pub(super) commands: SyncSender<DriverCommand>,
+    pub(super) commands: CommandQueue,
     /// The replicated state as it is applied here; written by the driver's thread alone.
     pub(crate) state: Arc<RwLock<State>>,
     /// What of it the request path needs, replaced by each change.
@@ -55,7 +55,7 @@
 impl ConsensusDriver {
     /// Sends a command to the driver's thread; false where its queue is full.
     pub(crate) fn send(&self, command: DriverCommand) -> bool {
-        self.commands.try_send(command).is_ok()
+        self.commands.try_send(command)
     }
 
     /// Sends a request to the leader, here or elsewhere, and waits for the response.
--- a/directory/src/driver/mod.rs
+++ b/directory/src/driver/mod.rs
@@ -4,9 +4,9 @@
 //! them:
 //!
 //! * `consensus` (`thread/`) owns the consensus node and the replicated state, both in
-//!   memory, and is the only one to change them. Its queue holds `COMMAND_QUEUE_LEN`
-//!   commands; senders never wait: a command that finds the queue full is dropped, and
-//!   its sender retries.
+//!   memory, and is the only one to change them. Its queue (`command_queue.rs`) holds
+//!   `COMMAND_QUEUE_LEN` commands of each priority; senders never wait: a command that finds
+//!   the queue full is dropped, and its sender retries.
 //! * `disk` (`disk.rs`) owns the log, the hard state and the snapshots on disk. Its
 //!   queue holds as many write batches; a full one counts as a failed disk.
 //!
@@ -14,6 +14,7 @@
 
 mod change_history;
 mod command;
+mod command_queue;
 mod disk;
 mod handle;
 mod lease;
--- a/directory/src/driver/start.rs
+++ b/directory/src/driver/start.rs
@@ -1,6 +1,7 @@
 //! Starts the two threads of the consensus driver from what the disk holds.
 
 use super::command::{DriverSettings, COMMAND_QUEUE_LEN};
+use super::command_queue::CommandQueue;
 use super::disk;
 use super::handle::ConsensusDriver;
 use super::pause_detector::PauseDetector;
@@ -54,12 +55,12 @@
         State::restore(&node.snapshot().state).map_err(|error| DriverStartError::Snapshot {
             text: error.to_string(),
         })?;
-    let (command_sender, commands) = sync_channel(COMMAND_QUEUE_LEN);
+    let commands = CommandQueue::new();
     let (disk_sender, batches) = sync_channel(COMMAND_QUEUE_LEN);
     let (view_sender, view) = watch::channel(Arc::new(state.view.clone()));
     let (status_sender, cluster_status) = watch::channel(ClusterStatus::default());
     let driver = Arc::new(ConsensusDriver {
-        commands: command_sender.clone(),
+        commands: commands.clone(),
         state: Arc::new(RwLock::new(state)),
         view,
         cluster_status,
@@ -67,7 +68,8 @@
         router_count: Arc::default(),
         pause_detector: Arc::new(PauseDetector::new()),
     });
-    spawn("disk", move || disk::run(wal, batches, &command_sender))?;
+    let disk_commands = commands.clone();
+    spawn("disk", move || disk::run(wal, batches, &disk_commands))?;
     let published = Published {
         state: Arc::clone(&driver.state),
         view: view_sender,
--- a/directory/src/driver/thread/driver_thread.rs
+++ b/directory/src/driver/thread/driver_thread.rs
@@ -1,5 +1,6 @@
 //! What the consensus thread owns.
 
+use super::queue_watch::QueueWatch;
 use super::quota_grants::QuotaGrants;
 use super::request_table::RequestTable;
 use crate::driver::change_history::ChangeHistory;
@@ -54,6 +55,7 @@
     pub(super) leader_clock: LeaderClock,
     pub(super) grants: QuotaGrants,
     pub(super) lease_log: LeaseLog,
+    pub(super) queue_watch: QueueWatch,
 }
 
 impl DriverThread {
@@ -80,6 +82,7 @@
             leader_clock: LeaderClock::default(),
             grants,
             lease_log: LeaseLog::default(),
+            queue_watch: QueueWatch::default(),
         }
     }
 }
--- a/directory/src/driver/thread/mod.rs
+++ b/directory/src/driver/thread/mod.rs
@@ -5,6 +5,7 @@
 
 mod driver_thread;
 mod effects;
+mod queue_watch;
 mod quota_grants;
 mod request_table;
 mod requests;
--- a/directory/src/driver/thread/run_loop.rs
+++ b/directory/src/driver/thread/run_loop.rs
@@ -3,16 +3,20 @@
 use super::driver_thread::DriverThread;
 use super::request_table::{ConfirmedRead, Waiter};
 use crate::driver::command::{BootstrapError, DriverCommand, Subscription, WriteBatch};
+use crate::driver::command_queue::CommandQueue;
+use crate::prioritized_queue::Queued;
 use consensus::node::{Input, Node, PersistedState, SnapshotPolicy};
 use protocol::{EncodedFrame, Frame, PeerResponse};
 use residency::State;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
+use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
 use std::time::Duration;
 use transport::now;
 
 /// Commands that are handled before the node ticks again, at the most.
 const MAX_COMMANDS_PER_TICK: usize = 256;
+/// Nor are commands handled for longer than this before the node ticks again.
+const MAX_TICK_DELAY_MS: u64 = 20;
 
 /// The thread ticks at least this often.
 const MAX_WAIT_MS: u64 = 500;
@@ -22,18 +26,13 @@
 const MAX_LOG_BYTES_PAST_SNAPSHOT: usize = 8 << 20;
 
 impl DriverThread {
-    /// Runs until all senders of commands are gone.
-    pub(in crate::driver) fn run(&mut self, commands: &Receiver<DriverCommand>) {
+    /// Runs until the process ends.
+    pub(in crate::driver) fn run(&mut self, commands: &CommandQueue) {
         loop {
-            let next = commands.recv_timeout(self.time_to_next_event());
+            let next = commands.receive(self.time_to_next_event());
             self.published.pause_detector.tick();
-            match next {
-                Ok(command) => {
-                    self.handle(command);
-                    self.handle_queued(commands);
-                }
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+            if let Some(command) = next {
+                self.handle_batch(command, commands);
             }
             self.step(Input::Tick);
             let now_ms = now();
@@ -45,13 +44,23 @@
     }
 
     /// Commands that wait together are written and synced together.
-    fn handle_queued(&mut self, commands: &Receiver<DriverCommand>) {
+    fn handle_batch(&mut self, first: Queued<DriverCommand>, commands: &CommandQueue) {
+        let began_at_ms = now();
+        let mut next = Some(first);
         for _ in 0..MAX_COMMANDS_PER_TICK {
-            match commands.try_recv() {
-                Ok(command) => self.handle(command),
-                Err(_) => break,
+            let Some(Queued { item, queued_at_ms }) = next else {
+                break;
+            };
+            let now_ms = now();
+            self.queue_watch
+                .record(item.queue(), now_ms.saturating_sub(queued_at_ms));
+            self.handle(item);
+            if now() >= began_at_ms + MAX_TICK_DELAY_MS {
+                break;
             }
+            next = commands.receive(Duration::ZERO);
         }
+        self.queue_watch.warn_if_overloaded(now(), commands.len());
     }
 
     /// How long the thread may sleep where no command comes.
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -27,6 +27,7 @@
 mod peer_connections;
 mod peers;
 pub mod pending_requests;
+pub mod prioritized_queue;
 mod router_count;
 mod router_registry;
 mod session_queue;
