Leader: leases and confirmed reads come before quotas

Cause: a leader weighed all demands for quota that came with a renewal before it handled anything else, also of askers that had given up waiting and asked again. Now `QuotaWorkLimit` (placement, without a clock) bounds the work: a demand is not weighed where its request waited 250 ms in the queue or was sent 500 ms ago, nor past 100 ms at a stretch and half of the time. The read index is confirmed all the same; to quotas it is as if the heartbeat had been lost. A demand that gives leases back is always weighed. Counted as `quota_demands_shed`.

--- a/directory/src/driver/handle.rs
+++ b/directory/src/driver/handle.rs
@@ -18,7 +18,7 @@
 use transport::rejection::Rejection;
 
 /// How long one request to the leader is waited for.
-const REQUEST_TIMEOUT_MS: u64 = 1_500;
+pub(super) const REQUEST_TIMEOUT_MS: u64 = 1_500;
 /// Between two attempts to submit a proposal, plus jitter.
 const SUBMIT_RETRY_MS: u64 = 120;
 /// Between two questions whether this node may stop, plus jitter.
--- a/directory/src/driver/thread/quota_grants.rs
+++ b/directory/src/driver/thread/quota_grants.rs
@@ -2,6 +2,7 @@
 //! new leader starts without knowledge of what the one before it granted.
 
 use consensus::Term;
+use placement::quota_work_limit::{DemandTiming, QuotaWorkLimit};
 use placement::{QuotaLeaseAllocator, QuotaTolerance, RateLimit, TokenAllocator};
 use protocol::{RouterDemand, RouterGrants};
 use residency::View;
@@ -28,6 +29,14 @@
     margin: Option<QuotaTolerance>,
     term: Term,
     granter: Granter,
+    work_limit: QuotaWorkLimit,
+}
+
+/// What a node's routers were granted.
+pub(super) struct GrantedDemands {
+    pub(super) grants: Vec<RouterGrants>,
+    /// Routers whose demands were not weighed, since this node is behind.
+    pub(super) shed: u64,
 }
 
 impl QuotaGrants {
@@ -36,6 +45,7 @@
             margin,
             term: 0,
             granter: Granter::new(margin),
+            work_limit: QuotaWorkLimit::default(),
         }
     }
 
@@ -47,13 +57,14 @@
         }
     }
 
-    /// Shares of the tenants' quotas, one for each demand.
+    /// Shares of the tenants' quotas, one for each demand that is weighed.
     pub(super) fn grant(
         &mut self,
         demands: &[RouterDemand],
         view: &View,
         known_routers: usize,
-    ) -> Vec<RouterGrants> {
+        timing: DemandTiming,
+    ) -> GrantedDemands {
         let limits = |tenant: &str| {
             let limits = view.tenants.get(tenant);
             limits.map(|limits| RateLimit {
@@ -62,10 +73,24 @@
             })
         };
         let routers = known_routers.max(view.router_count as usize);
-        let answer = |demand| match &mut self.granter {
-            Granter::Tokens(allocator) => allocator.allocate(now(), demand, limits),
-            Granter::Leases(allocator) => allocator.allocate(now(), demand, routers, limits),
+        let mut granted = GrantedDemands {
+            grants: Vec::with_capacity(demands.len()),
+            shed: 0,
         };
-        demands.iter().map(answer).collect()
+        for demand in demands {
+            let started_at_ms = now();
+            if !self.work_limit.is_weighed(started_at_ms, timing, demand) {
+                granted.shed += 1;
+                continue;
+            }
+            granted.grants.push(match &mut self.granter {
+                Granter::Tokens(allocator) => allocator.allocate(started_at_ms, demand, limits),
+                Granter::Leases(allocator) => {
+                    allocator.allocate(started_at_ms, demand, routers, limits)
+                }
+            });
+            self.work_limit.record_work(started_at_ms, now());
+        }
+        granted
     }
 }
--- a/directory/src/driver/thread/requests.rs
+++ b/directory/src/driver/thread/requests.rs
@@ -3,10 +3,12 @@
 use super::driver_thread::DriverThread;
 use super::request_table::{ConfirmedRead, SentRequest, Waiter};
 use crate::driver::command::{LocalRequest, RequestFromPeer};
+use crate::driver::handle::REQUEST_TIMEOUT_MS;
 use crate::leader_clock::is_valid;
 use consensus::codec::to_bytes;
 use consensus::node::{Input, Role};
 use consensus::Member;
+use placement::quota_work_limit::DemandTiming;
 use protocol::{Frame, PeerRequest, PeerResponse, RouterDemand, RouterGrants};
 use residency::Outcome;
 use std::sync::atomic::Ordering;
@@ -19,6 +21,7 @@
         &mut self,
         request: LocalRequest,
         sender: oneshot::Sender<PeerResponse>,
+        queued_at_ms: u64,
     ) {
         let is_leader = self.node.role() == Role::Leader;
         let waiter = Waiter::Local(sender);
@@ -31,7 +34,11 @@
             return self.respond(waiter, PeerResponse::LeadershipLost);
         }
         if is_leader {
-            return self.handle_as_leader(request.request, waiter);
+            let timing = DemandTiming {
+                asked_at_ms: None,
+                queued_at_ms,
+            };
+            return self.handle_as_leader(request.request, waiter, timing);
         }
         let leader = self.node.leader();
         let leader = leader.and_then(|id| self.node.members().get(id)).cloned();
@@ -76,7 +83,11 @@
 
     /// A request from another node. One that is late is not acted on; a node that still
     /// waits retries.
-    pub(super) fn handle_forwarded_request(&mut self, forwarded: RequestFromPeer) {
+    pub(super) fn handle_forwarded_request(
+        &mut self,
+        forwarded: RequestFromPeer,
+        queued_at_ms: u64,
+    ) {
         let RequestFromPeer {
             from,
             request_id,
@@ -87,18 +98,24 @@
             node: from,
             request_id,
         };
+        // The deadline is 0 where the asker does not know the clock here.
+        let asked_at_ms = validity.deadline_ms.checked_sub(REQUEST_TIMEOUT_MS);
+        let timing = DemandTiming {
+            asked_at_ms,
+            queued_at_ms,
+        };
         let is_leader = self.node.role() == Role::Leader;
         match is_leader && is_valid(&request, validity, self.node.term(), now()) {
-            true => self.handle_as_leader(request, waiter),
+            true => self.handle_as_leader(request, waiter, timing),
             false => self.respond(waiter, PeerResponse::NotLeader),
         }
     }
 
-    fn handle_as_leader(&mut self, request: PeerRequest, waiter: Waiter) {
+    fn handle_as_leader(&mut self, request: PeerRequest, waiter: Waiter, timing: DemandTiming) {
         let token = self.requests.next_token();
         let input = match request {
             PeerRequest::ReadIndex { demands } => {
-                let grants = self.grant(&demands);
+                let grants = self.grant(&demands, timing);
                 self.requests.pending_grants.insert(token, grants);
                 if let Waiter::Local(_) = waiter {
                     self.published.lease.request(token, now());
@@ -128,11 +145,17 @@
     }
 
     /// Shares of the tenants' quotas, for all routers that a node asks for.
-    fn grant(&mut self, demands: &[RouterDemand]) -> Vec<RouterGrants> {
+    fn grant(&mut self, demands: &[RouterDemand], timing: DemandTiming) -> Vec<RouterGrants> {
         self.grants.enter_term(self.node.term());
         let state = self.published.state.read();
         let known_routers = self.published.router_count.load(Ordering::Relaxed);
-        self.grants.grant(demands, &state.view, known_routers)
+        let granted = self
+            .grants
+            .grant(demands, &state.view, known_routers, timing);
+        if granted.shed > 0 {
+            self.metrics.add("quota_demands_shed", granted.shed);
+        }
+        granted.grants
     }
 
     pub(super) fn respond(&self, waiter: Waiter, response: PeerResponse) {
--- a/directory/src/driver/thread/run_loop.rs
+++ b/directory/src/driver/thread/run_loop.rs
@@ -54,7 +54,7 @@
             let now_ms = now();
             self.queue_watch
                 .record(item.queue(), now_ms.saturating_sub(queued_at_ms));
-            self.handle(item);
+            self.handle(item, queued_at_ms);
             if now() >= began_at_ms + MAX_TICK_DELAY_MS {
                 break;
             }
@@ -70,7 +70,7 @@
         Duration::from_millis(due_ms.saturating_sub(now()).min(MAX_WAIT_MS))
     }
 
-    fn handle(&mut self, command: DriverCommand) {
+    fn handle(&mut self, command: DriverCommand, queued_at_ms: u64) {
         match command {
             DriverCommand::Received(message) => self.step(Input::Received(message)),
             DriverCommand::WritesSynced(ticket) => self.step(Input::Synced(ticket)),
@@ -78,8 +78,12 @@
             DriverCommand::DiskRecovered(persisted, disk) => {
                 self.restart_from_disk(persisted, disk);
             }
-            DriverCommand::Request(request, sender) => self.handle_local_request(request, sender),
-            DriverCommand::PeerRequest(request) => self.handle_forwarded_request(request),
+            DriverCommand::Request(request, sender) => {
+                self.handle_local_request(request, sender, queued_at_ms);
+            }
+            DriverCommand::PeerRequest(request) => {
+                self.handle_forwarded_request(request, queued_at_ms);
+            }
             DriverCommand::PeerResponse {
                 request_id,
                 clock_ms,
--- a/directory/tests/cluster/main.rs
+++ b/directory/tests/cluster/main.rs
@@ -2,4 +2,5 @@
 
 mod common;
 mod operator_commands;
+mod overload;
 mod subscriptions;
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -9,6 +9,7 @@
 //! | which engine gets a request, by what engines report | `engine` |
 //! | the same, by what routers measure | `load` |
 //! | whether a tenant is within its quota | `quota` |
+//! | which demands for quota a leader that is behind weighs | `quota_work_limit` |
 //! | what may be attempted next, and what an error may claim | `request_state` |
 //! | whether there is budget for a retry | `retry` |
 //! | whether a cached mapping may be used | `cache` |
@@ -30,6 +31,7 @@
 mod lease_grace;
 mod load;
 mod quota;
+pub mod quota_work_limit;
 mod rendezvous;
 mod replica_view;
 mod request_state;
