Routers' lists and gossip: what a router's arrival costs does not grow with the square of routers

Cause: at each change of any router each session made and copied the list of all routers, and each node sent the list of its own to all other nodes, also where the router was one of another node's. With 291 routers that come at once, that is a list of 291 for each of 32 sessions of a node at each of 291 changes.

--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! `control_plane.rs` is what all parts share; `node.rs` starts and stops them.
 
+pub mod change_pacing;
 mod command_result;
 mod control_plane;
 mod data_folder;
@@ -29,8 +30,8 @@
 pub mod pending_requests;
 pub mod prioritized_queue;
 mod router_count;
-mod router_registry;
-mod session_queue;
+pub mod router_registry;
+pub mod session_queue;
 mod settings;
 mod state_watch;
 mod subscriptions;
--- a/directory/src/router_registry.rs
+++ b/directory/src/router_registry.rs
@@ -15,10 +15,13 @@
 const MAX_ROUTER_AGE_MS: u64 = 3_000;
 
 /// A router's heartbeat that waits for the leader's confirmation.
-pub(crate) struct WaitingHeartbeat {
-    pub(crate) sender: SessionSender,
-    pub(crate) received_at_ms: u64,
-    pub(crate) demand: RouterDemand,
+pub struct WaitingHeartbeat {
+    /// The session that it came by.
+    pub sender: SessionSender,
+    /// When it came, by this process's clock.
+    pub received_at_ms: u64,
+    /// What the router asks for.
+    pub demand: RouterDemand,
 }
 
 struct KnownRouter {
@@ -49,33 +52,55 @@
 struct Routers {
     by_name: HashMap<String, KnownRouter>,
     heartbeats: Vec<WaitingHeartbeat>,
+    /// The list that was made last.
+    shared_list: Option<SharedList>,
+}
+
+/// The list of all routers as it was at a version.
+#[derive(Clone)]
+struct SharedList {
+    version: u64,
+    routers: Arc<[RouterStatus]>,
+}
+
+/// What reports changed of what others are told.
+#[derive(Clone, Copy, Default)]
+struct Changes {
+    /// Of the list that routers get.
+    is_list_changed: bool,
+    /// Of the routers whose session is with this node, which the other nodes get. One that
+    /// is not heard of any more they leave out by themselves.
+    is_local_changed: bool,
 }
 
 /// Invariant: of several reports of a router the youngest one counts.
-pub(crate) struct RouterRegistry {
+pub struct RouterRegistry {
     routers: Mutex<Routers>,
     /// How many routers are known, for the driver's thread.
     count: Arc<AtomicUsize>,
     /// Rises whenever a router came, left, began to drain or got ready.
     list_version: watch::Sender<u64>,
+    /// Rises whenever one whose session is here came, began to drain or got ready.
+    local_version: watch::Sender<u64>,
     /// Notified when a heartbeat waits for the leader's confirmation.
     pub(crate) heartbeat_arrived: Notify,
 }
 
 impl RouterRegistry {
     /// An empty registry that keeps `count` up to date.
-    pub(crate) fn new(count: Arc<AtomicUsize>) -> RouterRegistry {
+    pub fn new(count: Arc<AtomicUsize>) -> RouterRegistry {
         RouterRegistry {
             routers: Mutex::default(),
             count,
             list_version: watch::Sender::new(0),
+            local_version: watch::Sender::new(0),
             heartbeat_arrived: Notify::new(),
         }
     }
 
     /// Takes in a heartbeat of a router whose session is here. Where its report may be
     /// old, that is left out.
-    pub(crate) fn add_heartbeat(
+    pub fn add_heartbeat(
         &self,
         report: RouterStatus,
         heartbeat: WaitingHeartbeat,
@@ -83,33 +108,60 @@
     ) {
         let mut routers = self.routers.lock();
         routers.heartbeats.push(heartbeat);
-        let is_changed = !may_be_old && routers.merge(vec![report], true);
-        self.count.store(routers.by_name.len(), Ordering::Relaxed);
+        let changes = match may_be_old {
+            true => Changes::default(),
+            false => routers.merge(vec![report], true),
+        };
+        self.publish(&routers, changes);
         drop(routers);
         self.heartbeat_arrived.notify_one();
-        self.bump_version(is_changed);
     }
 
     /// Takes in what another node reports of its routers.
-    pub(crate) fn merge_peer_reports(&self, reports: Vec<RouterStatus>) {
+    pub fn merge_peer_reports(&self, reports: Vec<RouterStatus>) {
         let mut routers = self.routers.lock();
-        let is_changed = routers.merge(reports, false);
-        self.count.store(routers.by_name.len(), Ordering::Relaxed);
-        drop(routers);
-        self.bump_version(is_changed);
+        let changes = routers.merge(reports, false);
+        self.publish(&routers, changes);
     }
 
-    fn bump_version(&self, is_changed: bool) {
-        if is_changed {
+    /// Versions rise under the lock, so that a list that is made later is of the new one.
+    fn publish(&self, routers: &Routers, changes: Changes) {
+        self.count.store(routers.by_name.len(), Ordering::Relaxed);
+        if changes.is_list_changed {
             self.list_version.send_modify(|version| *version += 1);
         }
+        if changes.is_local_changed {
+            self.local_version.send_modify(|version| *version += 1);
+        }
     }
 
     /// Changes of the list of routers, as a version that rises.
-    pub(crate) fn versions(&self) -> watch::Receiver<u64> {
+    pub fn versions(&self) -> watch::Receiver<u64> {
         self.list_version.subscribe()
     }
 
+    /// Changes of the routers whose session is with this node, as a version that rises.
+    pub fn local_versions(&self) -> watch::Receiver<u64> {
+        self.local_version.subscribe()
+    }
+
+    /// The routers by name, made once for each version. The reports' ages are of when it was
+    /// made.
+    pub fn shared_list(&self) -> Arc<[RouterStatus]> {
+        let mut routers = self.routers.lock();
+        let version = *self.list_version.borrow();
+        let is_current = |list: &&SharedList| list.version == version;
+        if let Some(list) = routers.shared_list.as_ref().filter(is_current) {
+            return Arc::clone(&list.routers);
+        }
+        let list = SharedList {
+            version,
+            routers: statuses(routers.list(|_| true)).into(),
+        };
+        routers.shared_list = Some(list.clone());
+        list.routers
+    }
+
     /// How many routers are known.
     pub(crate) fn count(&self) -> usize {
         self.routers.lock().by_name.len()
@@ -142,11 +194,10 @@
 }
 
 impl Routers {
-    /// Merges reports; true where the list that the other routers get has changed.
-    fn merge(&mut self, reports: Vec<RouterStatus>, is_local: bool) -> bool {
+    fn merge(&mut self, reports: Vec<RouterStatus>, is_local: bool) -> Changes {
         let now_ms = now();
         let count = self.by_name.len();
-        let mut is_changed = false;
+        let mut changes = Changes::default();
         for report in reports {
             let reported_at_ms = now_ms.saturating_sub(report.age_ms);
             let known = self.by_name.get(&report.name);
@@ -154,7 +205,10 @@
             if !is_younger || report.age_ms >= MAX_ROUTER_AGE_MS {
                 continue;
             }
-            is_changed |= known.is_none_or(|known| !is_same_to_peers(&known.report, &report));
+            let is_changed = known.is_none_or(|known| !is_same_to_peers(&known.report, &report));
+            let has_moved_here = is_local && known.is_none_or(|known| !known.is_local);
+            changes.is_list_changed |= is_changed;
+            changes.is_local_changed |= has_moved_here || is_local && is_changed;
             let draining_before_ms = known.and_then(|known| known.draining_since_ms);
             let router = KnownRouter {
                 draining_since_ms: report
@@ -168,7 +222,8 @@
         }
         self.by_name
             .retain(|_, router| now_ms - router.reported_at_ms < MAX_ROUTER_AGE_MS);
-        is_changed || self.by_name.len() != count
+        changes.is_list_changed |= self.by_name.len() != count;
+        changes
     }
 
     fn list(&self, is_wanted: impl Fn(&KnownRouter) -> bool) -> Vec<ObservedRouter> {
--- a/directory/src/session_queue.rs
+++ b/directory/src/session_queue.rs
@@ -13,24 +13,24 @@
 
 /// Queues frames for a session.
 #[derive(Clone)]
-pub(crate) struct SessionSender(mpsc::Sender<QueuedFrame>);
+pub struct SessionSender(mpsc::Sender<QueuedFrame>);
 
 /// The same, without keeping the session up.
 #[derive(Clone)]
-pub(crate) struct WeakSessionSender(mpsc::WeakSender<QueuedFrame>);
+pub struct WeakSessionSender(mpsc::WeakSender<QueuedFrame>);
 
 /// The session's end of its queue.
-pub(crate) struct SessionReceiver(mpsc::Receiver<QueuedFrame>);
+pub struct SessionReceiver(mpsc::Receiver<QueuedFrame>);
 
 /// An empty queue for so many frames.
-pub(crate) fn session_queue(max_len: usize) -> (SessionSender, SessionReceiver) {
+pub fn session_queue(max_len: usize) -> (SessionSender, SessionReceiver) {
     let (sender, receiver) = mpsc::channel(max_len);
     (SessionSender(sender), SessionReceiver(receiver))
 }
 
 impl SessionSender {
     /// Queues a frame; false where the queue is full or the session has ended.
-    pub(crate) fn try_send(&self, frame: EncodedFrame) -> bool {
+    pub fn try_send(&self, frame: EncodedFrame) -> bool {
         let queued = QueuedFrame {
             frame,
             queued_at_ms: now(),
@@ -42,21 +42,22 @@
         sent.is_ok()
     }
 
-    pub(crate) fn downgrade(&self) -> WeakSessionSender {
+    /// A sender that does not keep the session up.
+    pub fn downgrade(&self) -> WeakSessionSender {
         WeakSessionSender(self.0.downgrade())
     }
 }
 
 impl WeakSessionSender {
     /// `None` once the session has ended.
-    pub(crate) fn upgrade(&self) -> Option<SessionSender> {
+    pub fn upgrade(&self) -> Option<SessionSender> {
         self.0.upgrade().map(SessionSender)
     }
 }
 
 impl SessionReceiver {
     /// The next frame; `None` once no sender is left.
-    pub(crate) async fn recv(&mut self) -> Option<EncodedFrame> {
+    pub async fn recv(&mut self) -> Option<EncodedFrame> {
         let queued = self.0.recv().await?;
         let waited_ms = now().saturating_sub(queued.queued_at_ms);
         queues::record_wait(Queue::SessionFrames, waited_ms);
--- a/directory/src/subscriptions/gossip.rs
+++ b/directory/src/subscriptions/gossip.rs
@@ -1,5 +1,6 @@
 //! Tells the other directory nodes which routers have their session here.
 
+use crate::change_pacing::wait_until_due;
 use crate::control_plane::ControlPlane;
 use protocol::Frame;
 use std::sync::Arc;
@@ -7,14 +8,16 @@
 /// How often the list is sent while it does not change.
 const GOSSIP_INTERVAL_MS: u64 = 500;
 
-/// Sends the list at once where it changes, and every so often while it is not empty;
-/// for as long as the node runs.
+/// Sends the list where it changes, and every so often while it is not empty; for as long as
+/// the node runs. Routers of other nodes are not on it, and their changes cause nothing.
 pub(crate) async fn gossip(control: Arc<ControlPlane>) {
-    let mut versions = control.routers.versions();
+    let mut versions = control.routers.local_versions();
     loop {
+        // Before the list is read: what changes after that is part of the next one.
+        versions.mark_unchanged();
         send_local_routers(&control);
         let interval = transport::jitter(GOSSIP_INTERVAL_MS);
-        drop(tokio::time::timeout(interval, versions.changed()).await);
+        wait_until_due(&mut versions, interval).await;
     }
 }
 
--- a/directory/src/subscriptions/router_list.rs
+++ b/directory/src/subscriptions/router_list.rs
@@ -1,5 +1,6 @@
 //! Tells one router which other routers and directory nodes there are.
 
+use crate::change_pacing::wait_until_due;
 use crate::control_plane::ControlPlane;
 use crate::session_queue::WeakSessionSender;
 use consensus::Member;
@@ -7,7 +8,7 @@
 use protocol::{EncodedFrame, Frame};
 use std::sync::Arc;
 
-/// Changes of the list are sent at once, and this often in any case an update, also
+/// Changes of the list are sent as they come, and this often in any case an update, also
 /// where nothing changed: a router goes by when it got the last one.
 const ROUTER_LIST_INTERVAL_MS: u64 = 900;
 
@@ -21,7 +22,7 @@
         let members = directory_members(&control);
         let update = match known_version == Some(version) && members == known.directory_nodes() {
             true => known.empty_update(),
-            false => known.update_to(control.routers.list(), members),
+            false => known.update_to(control.routers.shared_list(), members),
         };
         // An update that finds the queue full is part of the next one.
         known_version = None;
@@ -32,7 +33,7 @@
         }
         drop(sender);
         let interval = transport::jitter(ROUTER_LIST_INTERVAL_MS);
-        drop(tokio::time::timeout(interval, versions.changed()).await);
+        wait_until_due(&mut versions, interval).await;
     }
 }
 
--- a/placement/src/router_membership.rs
+++ b/placement/src/router_membership.rs
@@ -42,9 +42,10 @@
     /// The update after which the other end holds these lists; it may change nothing.
     pub fn update_to(
         &self,
-        routers: Vec<RouterStatus>,
+        routers: impl AsRef<[RouterStatus]>,
         directory_nodes: Vec<Member>,
     ) -> RegistryUpdate {
+        let routers = routers.as_ref();
         let names: BTreeSet<&str> = routers.iter().map(|router| router.name.as_str()).collect();
         let gone = self
             .routers
@@ -59,7 +60,11 @@
         let is_known = self.has_begun && directory_nodes == self.directory_nodes;
         RegistryUpdate {
             removed_routers: gone,
-            routers: routers.into_iter().filter(is_changed).collect(),
+            routers: routers
+                .iter()
+                .filter(|router| is_changed(router))
+                .cloned()
+                .collect(),
             directory_nodes: if is_known {
                 Vec::new()
             } else {
