--- a/directory/src/driver/thread/driver_thread.rs
+++ b/directory/src/driver/thread/driver_thread.rs
@@ -1,5 +1,6 @@
 //! What the consensus thread owns.
 
+use super::queue_watch::QueueWatch;
 use super::quota_grants::QuotaGrants;
 use super::request_table::RequestTable;
 use crate::driver::change_history::ChangeHistory;
@@ -9,6 +10,7 @@
 use crate::driver::status::ClusterStatus;
 use crate::leader_clock::LeaderClock;
 use crate::peer_connections::PeerConnections;
+use crate::session_queue::SessionSender;
 use consensus::node::Node;
 use parking_lot::RwLock;
 use protocol::EncodedFrame;
@@ -17,7 +19,7 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
 use telemetry::metrics::Metrics;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 /// What the thread publishes for the rest of the process; the other ends are in the
 /// `ConsensusDriver`.
@@ -42,7 +44,7 @@
     pub(super) published: Published,
     /// Routers that get each change. One whose queue is full is dropped, which ends its
     /// session; it connects again for a snapshot.
-    pub(super) subscribers: Vec<mpsc::Sender<EncodedFrame>>,
+    pub(super) subscribers: Vec<SessionSender>,
     /// What a router gets whose session begins anew.
     pub(super) history: ChangeHistory,
     /// The snapshot that routers get which hold no view, of the epoch that it was made at;
@@ -53,6 +55,7 @@
     pub(super) leader_clock: LeaderClock,
     pub(super) grants: QuotaGrants,
     pub(super) lease_log: LeaseLog,
+    pub(super) queue_watch: QueueWatch,
 }
 
 impl DriverThread {
@@ -79,6 +82,7 @@
             leader_clock: LeaderClock::default(),
             grants,
             lease_log: LeaseLog::default(),
+            queue_watch: QueueWatch::default(),
         }
     }
 }
