--- a/directory/tests/operator_api.rs
+++ b/directory/tests/operator_api.rs
@@ -276,3 +276,17 @@
             .await;
     }
 }
+
+/// Guards: an overloaded node that does not show where its work waits.
+#[tokio::test]
+async fn the_waits_in_each_queue_are_shown() {
+    let node = Node::start(5).await;
+    let (status, shown) = node.request("GET", "/queues", "").await;
+    assert_eq!(status, 200);
+    for queue in telemetry::queues::Queue::ALL {
+        let waits = shown.get(queue.name()).expect(queue.name());
+        for key in ["count", "total_ms", "longest_ms", "dropped"] {
+            assert!(waits.get_u64(key).is_some(), "{}: {key}", queue.name());
+        }
+    }
+}
