--- a/directory/tests/operator_api.rs
+++ b/directory/tests/operator_api.rs
@@ -284,7 +284,7 @@
     let (status, shown) = node.request("GET", "/queues", "").await;
     assert_eq!(status, 200);
     for queue in telemetry::queues::Queue::ALL {
-        let waits = shown.get(queue.name()).expect(queue.name());
+        let waits = shown.get(queue.name()).expect("each queue is shown");
         for key in ["count", "total_ms", "longest_ms", "dropped"] {
             assert!(waits.get_u64(key).is_some(), "{}: {key}", queue.name());
         }
