Retry budget: a restart of all routers at once does not spend it twice

Cause: each router uses 0.7 of its share of the bound, and forgets what it spent when it is restarted. Where all are restarted at once, the retries before and after may both lie in one window: up to 1.4 of the extra retries.

Change: a process younger than a window uses 0.3 of its share of the extra retries. What depends on the requests stays as it was, since those before the restart are not counted by the new process.

Price: fewer retries in the first window after each restart.

--- a/placement/src/retry/budget.rs
+++ b/placement/src/retry/budget.rs
@@ -18,6 +18,9 @@
 /// The share of the bound that is used. The rest covers routers that join or leave, and what
 /// a router spent before a restart, which it does not remember.
 const USED_SHARE: f64 = 0.7;
+/// The share of `extra_retries` that is used by a process younger than a window. Together
+/// with what all processes may have spent before they were restarted at once it is the whole.
+const YOUNG_EXTRA_SHARE: f64 = 1.0 - USED_SHARE;
 /// Events within this time are counted as one entry, to bound the memory.
 const GRAIN_MS: u64 = 250;
 
@@ -75,17 +78,21 @@
 /// One router's part of the bound.
 ///
 /// Bound: in any window its own retries are at most its own share of both terms of
-/// `RetryLimit`, so that all routers together keep the limit without communication.
+/// `RetryLimit`, so that all routers together keep the limit without communication, also
+/// where all of them are restarted once within a window.
 pub struct RetryBudget {
     limit: RetryLimit,
+    started_ms: u64,
     services: HashMap<String, ServiceCounts>,
 }
 
 impl RetryBudget {
-    /// An empty budget: nothing may be retried before the first request.
-    pub fn new(limit: RetryLimit) -> RetryBudget {
+    /// The empty budget of a process that starts now: nothing may be retried before the first
+    /// request.
+    pub fn new(limit: RetryLimit, now: u64) -> RetryBudget {
         RetryBudget {
             limit,
+            started_ms: now,
             services: HashMap::new(),
         }
     }
@@ -106,6 +113,7 @@
     /// the number of routers that share `extra_retries`; 0 stands for not known, and then
     /// there are none.
     pub fn try_withdraw(&mut self, now: u64, service: &str, routers: usize) -> bool {
+        let extra_share = self.extra_share(now);
         let Some(counts) = self.services.get_mut(service) else {
             return false;
         };
@@ -122,7 +130,7 @@
         } else {
             extra_retries / routers as f64
         };
-        let allowed = USED_SHARE * (ratio * f64::from(requests) + extra);
+        let allowed = USED_SHARE * ratio * f64::from(requests) + extra_share * extra;
         counts.retries.expire(now, window_ms);
         if f64::from(counts.retries.total() + 1) > allowed {
             return false;
@@ -130,4 +138,13 @@
         counts.retries.record(now);
         true
     }
+
+    /// The share of `extra_retries` that this process may use.
+    fn extra_share(&self, now: u64) -> f64 {
+        let is_young = now < self.started_ms + self.limit.window_ms + GRAIN_MS;
+        match is_young {
+            true => YOUNG_EXTRA_SHARE,
+            false => USED_SHARE,
+        }
+    }
 }
