Consensus thread: the command after a full batch is not lost

Before: each_of_many_reads_that_come_at_once_is_confirmed failed three times of three, 4 or 5 of 1,500 reads lost. After: it passed three times of three.

--- a/directory/src/driver/thread/run_loop.rs
+++ b/directory/src/driver/thread/run_loop.rs
@@ -46,23 +46,26 @@
     /// Commands that wait together are written and synced together.
     fn handle_batch(&mut self, first: Queued<DriverCommand>, commands: &CommandQueue) {
         let began_at_ms = now();
-        let mut next = Some(first);
-        for _ in 0..MAX_COMMANDS_PER_TICK {
-            let Some(Queued { item, queued_at_ms }) = next else {
-                break;
-            };
-            let now_ms = now();
-            self.queue_watch
-                .record(item.queue(), now_ms.saturating_sub(queued_at_ms));
-            self.handle(item, queued_at_ms);
+        self.handle_queued(first);
+        for _ in 1..MAX_COMMANDS_PER_TICK {
             if now() >= began_at_ms + MAX_TICK_DELAY_MS {
                 break;
             }
-            next = commands.receive(Duration::ZERO);
+            match commands.receive(Duration::ZERO) {
+                Some(next) => self.handle_queued(next),
+                None => break,
+            }
         }
         self.queue_watch.warn_if_overloaded(now(), commands.len());
     }
 
+    fn handle_queued(&mut self, queued: Queued<DriverCommand>) {
+        let Queued { item, queued_at_ms } = queued;
+        let waited_ms = now().saturating_sub(queued_at_ms);
+        self.queue_watch.record(item.queue(), waited_ms);
+        self.handle(item, queued_at_ms);
+    }
+
     /// How long the thread may sleep where no command comes.
     fn time_to_next_event(&self) -> Duration {
         let deadline_ms = self.requests.next_deadline_ms().unwrap_or(u64::MAX);
--- a/directory/tests/cluster/overload.rs
+++ b/directory/tests/cluster/overload.rs
@@ -8,7 +8,9 @@
     Validity, MAX_FRAME_BYTES,
 };
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use transport::link;
 
 /// A deadline by the leader's clock of a request that was sent long ago: the clock begins at an
@@ -137,3 +139,21 @@
     assert_eq!(asker.grants(2).await, Vec::new());
     assert_eq!(leader.metrics.get("quota_demands_shed"), 1);
 }
+
+/// Guards: a request that is lost between two batches of commands, of which each takes a few
+/// hundred at the most.
+#[tokio::test]
+async fn each_of_many_reads_that_come_at_once_is_confirmed() {
+    const READS: usize = 1_500;
+    let nodes = Nodes::start(25).await;
+    let (leader, _) = nodes.roles().await;
+    let mut reads = JoinSet::new();
+    for _ in 0..READS {
+        let leader = Arc::clone(&leader);
+        reads.spawn(async move { leader.read_barrier().await });
+    }
+    let confirmed = tokio::time::timeout(PATIENCE, reads.join_all()).await;
+    let confirmed = confirmed.expect("in time");
+    let lost = confirmed.iter().filter(|is_confirmed| !**is_confirmed);
+    assert_eq!(lost.count(), 0);
+}
