Lease: a check just before the nodes have to be asked no longer puts that off by 900 ms

Cause: a calm check less than 100 ms before the time at which nodes are asked took the lease for one that ended long ago, and slept 900 ms. A router that was cut off then knew it only after the unconditional grace had ended, and refused meanwhile.

--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -15,6 +15,7 @@
 //! | whether a request may use a connection that carried others | `connection_reuse` |
 //! | how long a router goes on past its lease | `lease_grace` |
 //! | whether a router may act on its view while no lease comes | `directory_observer` |
+//! | when a router asks the directory nodes about its lease | `watch_schedule` |
 //! | what a router knows, and until when it may act on it | `replica_view` |
 //! | until when a directory node may act on its state | `state_lease` |
 //! | which requests a router that leaves still accepts | `drain` |
@@ -37,6 +38,7 @@
 mod router_membership;
 mod router_selection;
 mod state_lease;
+mod watch_schedule;
 
 pub use cache::{Cache, CacheEntry, CacheLookup};
 pub use connection_reuse::{ConnectionDemand, ConnectionReuse, ReuseMode};
@@ -68,3 +70,4 @@
     MAX_HEARTBEAT_AGE_MS, MAX_NAMED_DRAINING_MS, MAX_NAMED_ROUTERS,
 };
 pub use state_lease::StateLease;
+pub use watch_schedule::WatchSchedule;
--- a/router/src/directory_watch.rs
+++ b/router/src/directory_watch.rs
@@ -9,7 +9,7 @@
 use crate::router::Router;
 use consensus::Member;
 use parking_lot::Mutex;
-use placement::{DirectoryObserver, ACKNOWLEDGEMENT_TIMEOUT_MS};
+use placement::{DirectoryObserver, WatchSchedule, ACKNOWLEDGEMENT_TIMEOUT_MS};
 use protocol::{ConnectionKind, Frame};
 use std::collections::HashMap;
 use std::io;
@@ -21,20 +21,8 @@
 use transport::link::{self, LinkError};
 use transport::{now, AbortOnDrop};
 
-/// How often it is looked what the nodes said, while that is of use.
-const CHECK_INTERVAL_MS: u64 = 100;
-/// How often it is looked at the least whether it is of use.
-const CALM_CHECK_INTERVAL_MS: u64 = 900;
 /// A check that comes so late shows that this process was suspended.
 const SUSPENDED_MS: u64 = 500;
-/// Nodes are asked from this long before the lease ends, so that one whose machine does not
-/// acknowledge it is found out of reach by the time that the grace is over.
-const BEFORE_END_MS: u64 = 1_300;
-/// How often nodes are asked while no lease comes.
-const QUERY_INTERVAL_MS: u64 = 300;
-/// How often nodes are asked while leases come: a connection that was lost unnoticed is
-/// then made anew.
-const CALM_QUERY_INTERVAL_MS: u64 = 5_000;
 /// Between two attempts to connect, plus jitter, while leases come and while none does.
 const CALM_RETRY_MS: u64 = 1_000;
 const RETRY_MS: u64 = 200;
@@ -58,14 +46,14 @@
     let mut asked_at_ms = 0;
     let mut extension_log = ExtensionLog::default();
     loop {
-        let due_ms = directory_watch.next_check_ms(now());
+        let due_ms = directory_watch.schedule().next_check_ms(now());
         tokio::time::sleep(Duration::from_millis(due_ms.saturating_sub(now()))).await;
         let now_ms = now();
         if now_ms > due_ms + SUSPENDED_MS {
             directory_watch.observer.lock().record_resumption(now_ms);
         }
         directory_watch.follow_members(&mut tasks);
-        if now_ms >= asked_at_ms + directory_watch.query_interval_ms(now_ms) {
+        if now_ms >= asked_at_ms + directory_watch.schedule().query_interval_ms(now_ms) {
             asked_at_ms = now_ms;
             directory_watch.query.send_modify(|number| *number += 1);
         }
@@ -74,34 +62,10 @@
 }
 
 impl DirectoryWatch {
-    /// Whether nothing that the nodes say is of use: the session renews the lease in time,
-    /// or there was none, or it ended too long ago to be extended.
-    fn is_calm(&self, now_ms: u64) -> bool {
-        let until_ms = self.router.lease.until_ms();
-        let extension_ms = self.router.settings.lease_grace.partition_ms;
-        let is_extensible = now_ms < until_ms + extension_ms;
-        until_ms == 0 || now_ms + BEFORE_END_MS < until_ms || !is_extensible
-    }
-
-    /// When to look again: when the lease will need to be extended unless it is renewed.
-    fn next_check_ms(&self, now_ms: u64) -> u64 {
-        if !self.is_calm(now_ms) {
-            return now_ms + CHECK_INTERVAL_MS;
-        }
-        let needed_at_ms = self.router.lease.until_ms().saturating_sub(BEFORE_END_MS);
-        let earliest_ms = now_ms + CHECK_INTERVAL_MS;
-        let latest_ms = now_ms + CALM_CHECK_INTERVAL_MS;
-        match needed_at_ms < earliest_ms {
-            // It was never granted, or ended too long ago.
-            true => latest_ms,
-            false => needed_at_ms.min(latest_ms),
-        }
-    }
-
-    fn query_interval_ms(&self, now_ms: u64) -> u64 {
-        match self.is_calm(now_ms) {
-            true => CALM_QUERY_INTERVAL_MS,
-            false => QUERY_INTERVAL_MS,
+    fn schedule(&self) -> WatchSchedule {
+        WatchSchedule {
+            lease_until_ms: self.router.lease.until_ms(),
+            extension_ms: self.router.settings.lease_grace.partition_ms,
         }
     }
 
@@ -127,7 +91,7 @@
     }
 
     fn extend_lease(&self, now_ms: u64, extension_log: &mut ExtensionLog) {
-        if self.is_calm(now_ms) {
+        if self.schedule().is_calm(now_ms) {
             return self.router.lease.extend(None);
         }
         let position = *self.router.view_position.lock();
@@ -167,7 +131,7 @@
         let settings = &self.router.settings;
         let source = settings.peer_listen_address;
         loop {
-            let retry_ms = match self.is_calm(now()) {
+            let retry_ms = match self.schedule().is_calm(now()) {
                 true => CALM_RETRY_MS,
                 false => RETRY_MS,
             };
