Look-ups: of many routers all are named alike, not the first ones by name

Cause: a look-up names 64 routers at most, and took the first of the list, which is in the order of names. Clients of a region that is lost are sent to all regions (or the host's homes); with 194 routers there, all went to the first 64, of one region. Change: those named stand at even distances in the list, from one that a draw decides. Before: the new test fails at its first draw; after: each of 194 routers is named in 64 of 194 look-ups, and both regions in each.

--- a/placement/src/router_selection.rs
+++ b/placement/src/router_selection.rs
@@ -64,10 +64,12 @@
 
 /// The routers for a client: those that are ready, else those that have just begun to drain,
 /// else those that had no lease; of these the ones of its zone, else of its region, else of the host's home regions, or of
-/// any region if the host has no homes.
+/// any region if the host has no homes. Of more than [`MAX_NAMED_ROUTERS`] those are named that
+/// `draw` decides, a random number: look-ups together name all of them alike.
 pub fn select_routers<'a>(
     routers: &'a [ObservedRouter],
     client: &LookupClient,
+    draw: u64,
 ) -> RouterSelection<'a> {
     let scopes = [
         SelectionScope::Zone,
@@ -86,13 +88,12 @@
                 .map(|router| &router.status)
                 .filter(|status| client.may_use_region(&status.region))
                 .filter(|status| client.is_in_scope(status, scope))
-                .take(MAX_NAMED_ROUTERS)
                 .collect();
             if !selected.is_empty() {
                 return RouterSelection {
                     scope: Some(scope),
                     availability,
-                    routers: selected,
+                    routers: spread(selected, draw),
                 };
             }
         }
@@ -104,6 +105,21 @@
     }
 }
 
+/// At most [`MAX_NAMED_ROUTERS`] of these, at even distances from one that `draw` decides, in
+/// the order of the argument.
+fn spread(routers: Vec<&RouterStatus>, draw: u64) -> Vec<&RouterStatus> {
+    let count = routers.len();
+    if count <= MAX_NAMED_ROUTERS {
+        return routers;
+    }
+    let first = (draw % count as u64) as usize;
+    let mut places: Vec<usize> = (0..MAX_NAMED_ROUTERS)
+        .map(|at| (first + at * count / MAX_NAMED_ROUTERS) % count)
+        .collect();
+    places.sort_unstable();
+    places.into_iter().map(|place| routers[place]).collect()
+}
+
 impl ObservedRouter {
     /// What it does with new requests; `None` where no look-up may name it.
     fn named_availability(&self) -> Option<RouterAvailability> {
--- a/placement/tests/router_selection.rs
+++ b/placement/tests/router_selection.rs
@@ -4,10 +4,10 @@
     LookupClient, ObservedRouter, SelectionScope, MAX_NAMED_DRAINING_MS, MAX_NAMED_ROUTERS,
 };
 use protocol::{RouterAvailability, RouterStatus};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn select(routers: &[ObservedRouter], client: &LookupClient) -> Vec<String> {
-    let selection = placement::select_routers(routers, client);
+    let selection = placement::select_routers(routers, client, 0);
     let addresses = selection.routers.iter();
     addresses
         .map(|router| router.client_address.clone())
@@ -112,6 +112,36 @@
     assert_eq!(MAX_NAMED_ROUTERS, 64);
 }
 
+/// Guards: the clients of a region without routers are all sent to the routers whose names come
+/// first, so that one region of a large fleet gets all of their requests.
+#[test]
+fn look_ups_of_many_routers_name_all_of_them_alike() {
+    let mut routers: Vec<ObservedRouter> = Vec::new();
+    for (region, zone) in [("north", "n-1"), ("south", "s-1")] {
+        routers.extend((0..97).map(|at| front(&format!("{zone}-{at:02}"), zone, region)));
+    }
+    let client = LookupClient {
+        zone: "w-1",
+        region: "west",
+        homes: None,
+    };
+    let mut namings: BTreeMap<&str, usize> = BTreeMap::new();
+    for draw in 0..routers.len() as u64 {
+        let selection = placement::select_routers(&routers, &client, draw);
+        assert_eq!(selection.routers.len(), MAX_NAMED_ROUTERS);
+        let in_north = selection
+            .routers
+            .iter()
+            .filter(|router| router.region == "north");
+        assert!((31..=33).contains(&in_north.count()), "draw {draw}");
+        for router in selection.routers {
+            *namings.entry(router.name.as_str()).or_default() += 1;
+        }
+    }
+    assert_eq!(namings.len(), routers.len(), "each is named");
+    assert!(namings.values().all(|count| *count == MAX_NAMED_ROUTERS));
+}
+
 /// Guards: a client whose region has no ready router, as while its only one restarts, is
 /// sent to a home region of the host's routes rather than to any region.
 #[test]
@@ -202,7 +232,7 @@
             region,
             homes: has_homes.then_some(&homes),
         };
-        let selection = placement::select_routers(routers, &client);
+        let selection = placement::select_routers(routers, &client, 0);
         (selection.scope, selection.availability)
     };
     let ready = |scope: SelectionScope| (Some(scope), RouterAvailability::Ready);
