Quotas of a large fleet: a missing router no longer ends the owners' leases

A new leader lends nothing before it has heard all routers, or 65 s have passed; without floors nothing was admitted meanwhile while one router was missing: after a change of leader once the owners' leases had lapsed, and after the loss of all processes from the start. And a tenant's pool that was made just after the fleet had grown past 16 routers lent all of the quota while other routers still used their floors.

Change: a leader that has not heard all has an owner keep the part that it reports; owners keep a lease for 17 s without an answer in place of 60 s, longer than a router goes on without a lease; a new pool begins with the split of the smaller fleet until a window after the growth.

Open: after the loss of all processes with a router missing nothing is lent for 22 s.

--- a/placement/src/quota/lease_allocator.rs
+++ b/placement/src/quota/lease_allocator.rs
@@ -2,8 +2,8 @@
 
 use super::lease_pool::{Readiness, TenantPool};
 use super::rate_limit::RateLimit;
-use super::tenant_lease::QUOTA_LEASE_MS;
-use super::tolerance::QuotaTolerance;
+use super::tenant_lease::{quota_lease_ms, QUOTA_LEASE_MS};
+use super::tolerance::{has_quota_owners, QuotaSplit, QuotaTolerance, MAX_ROUTERS_WITH_FLOORS};
 use protocol::{QuotaGrant, RouterDemand, RouterGrants, LEASE_MS};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -60,6 +60,9 @@
     /// term.
     ready_at_ms: u64,
     has_heard_all: bool,
+    /// Since when the fleet has been so large that tenants have owners; `None` while it is
+    /// not. Routers that don't know it yet use floors.
+    pooled_since_ms: Option<u64>,
     /// Whether a router was heard that started more than a window ago.
     has_heard_settled_router: bool,
 }
@@ -74,6 +77,7 @@
             since_ms: now,
             ready_at_ms: 0,
             has_heard_all: false,
+            pooled_since_ms: None,
             has_heard_settled_router: false,
         }
     }
@@ -99,8 +103,11 @@
         limit_of: impl Fn(&str) -> Option<RateLimit>,
     ) -> RouterGrants {
         let window_ms = self.tolerance.window_ms;
+        let is_pooled = has_quota_owners(routers);
+        self.pooled_since_ms = self.pooled_since_ms.or(Some(now)).filter(|_| is_pooled);
+        let reserved_ms = quota_lease_ms(is_pooled) + window_ms;
         self.routers
-            .retain(|_, router| now < router.heard_at_ms + QUOTA_LEASE_MS + window_ms);
+            .retain(|_, router| now < router.heard_at_ms + reserved_ms);
         let grants = match self.record_heartbeat(now, from, routers) {
             true => self.grants(now, from, routers, limit_of),
             false => Vec::new(),
@@ -128,10 +135,11 @@
                 continue;
             };
             let split = self.tolerance.split(limit, routers.max(1));
+            let first_split = self.first_split(now, limit, routers);
             let pool = self
                 .pools
                 .entry(demand.tenant.clone())
-                .or_insert_with(|| TenantPool::new(now, split, limit.requests_per_s));
+                .or_insert_with(|| TenantPool::new(now, first_split, limit.requests_per_s));
             pool.update_split(now, split, limit.requests_per_s, window_ms);
             pool.retain_routers(|name| self.routers.contains_key(name));
             if let Some(limit) = pool.allocate(now, from, demand, window_ms, readiness) {
@@ -145,6 +153,19 @@
         grants
     }
 
+    /// The split that a new pool begins with: not the larger pool of a fleet with owners before
+    /// all routers know that they have no floors.
+    fn first_split(&self, now: u64, limit: RateLimit, routers: usize) -> QuotaSplit {
+        let is_known = self
+            .pooled_since_ms
+            .is_none_or(|since_ms| now >= since_ms + self.tolerance.window_ms);
+        let routers = match is_known {
+            true => routers,
+            false => routers.min(MAX_ROUTERS_WITH_FLOORS),
+        };
+        self.tolerance.split(limit, routers.max(1))
+    }
+
     fn readiness(&self, now: u64) -> Readiness {
         // Where all processes were lost, half a window after their start only the later half
         // of what they had admitted is still in the window.
@@ -207,7 +228,8 @@
             .values()
             .filter(|router| router.heard_at_ms >= settled_at_ms)
             .count();
-        let is_lapsed = now >= self.since_ms + QUOTA_LEASE_MS + self.tolerance.window_ms;
+        let lease_ms = quota_lease_ms(has_quota_owners(routers));
+        let is_lapsed = now >= self.since_ms + lease_ms + self.tolerance.window_ms;
         heard >= routers && now >= settled_at_ms || is_lapsed
     }
 }
--- a/placement/src/quota/lease_pool.rs
+++ b/placement/src/quota/lease_pool.rs
@@ -144,9 +144,13 @@
         self.refill(now);
         let account = self.accounts.entry(from.router.clone()).or_default();
         self.level -= account.record_demand(now, from, demand, window_ms) as f64;
-        if readiness == Readiness::Unknown || account.is_returned() {
+        if account.is_returned() {
             return None;
         }
+        if readiness == Readiness::Unknown {
+            let window_part = demand.queued;
+            return self.kept_limit(now, from, demand, window_part, window_ms);
+        }
         let parts = self.parts(readiness, from.incarnation_age_ms < window_ms);
         let (window_from_ms, half_from_ms) = (
             now.saturating_sub(window_ms),
@@ -175,6 +179,27 @@
         Some(limit)
     }
 
+    /// The count up to which an owner may admit while the leader does not know what others
+    /// have: the part that it has, for longer. Where routers have floors they go on by these.
+    fn kept_limit(
+        &mut self,
+        now: u64,
+        from: &RouterDemand,
+        demand: &QuotaDemand,
+        window_part: u64,
+        window_ms: u64,
+    ) -> Option<u64> {
+        if !self.split.is_pooled || window_part == 0 {
+            return None;
+        }
+        let account = self.accounts.get_mut(&from.router)?;
+        let used = account.used_since(now.saturating_sub(window_ms));
+        let lent = window_part.saturating_sub(used);
+        let limit = demand.admitted + lent;
+        account.record_grant(from.heartbeat, used + lent, limit);
+        Some(limit)
+    }
+
     fn refill(&mut self, now: u64) {
         let elapsed_ms = now.saturating_sub(self.refilled_at_ms);
         let gained = refill(elapsed_ms, self.requests_per_s);
--- a/placement/src/quota/tenant_lease.rs
+++ b/placement/src/quota/tenant_lease.rs
@@ -8,6 +8,17 @@
 /// How long a router keeps what the leader lent it without a new answer, counted from the
 /// heartbeat that was answered last. The leader keeps it reserved for as long, and a window.
 pub const QUOTA_LEASE_MS: u64 = 60_000;
+/// The same where tenants have owners: nobody has a floor to go on with until then. Invariant:
+/// longer than a router goes on without a directory node's lease.
+const OWNER_LEASE_MS: u64 = 17_000;
+
+/// How long a router of a fleet of this kind keeps what it was lent.
+pub(super) fn quota_lease_ms(is_pooled: bool) -> u64 {
+    match is_pooled {
+        true => OWNER_LEASE_MS,
+        false => QUOTA_LEASE_MS,
+    }
+}
 /// A tenant without requests for this long gives back what was lent.
 const IDLE_MS: u64 = 60_000;
 /// The same where another router owns the tenant now.
@@ -309,7 +320,8 @@
         self.grant_floor = heartbeat;
         self.limit = grant.limit;
         self.window_part = (in_window + lent).saturating_sub(context.floor(&self.split));
-        self.valid_until_ms = until_ms - LEASE_MS.min(until_ms) + QUOTA_LEASE_MS;
+        let asked_at_ms = until_ms - LEASE_MS.min(until_ms);
+        self.valid_until_ms = asked_at_ms + quota_lease_ms(self.split.is_pooled);
         self.is_idle_acknowledged = self.idle_heartbeat.is_some_and(|idle| idle <= heartbeat);
     }
 }
--- a/placement/src/quota/tolerance.rs
+++ b/placement/src/quota/tolerance.rs
@@ -24,7 +24,7 @@
 /// In a larger fleet no router has a floor: it would be no whole request, or a large part of
 /// the quota would lie at routers that don't use it. All is leased from the pool then, to the
 /// tenant's owners (`ownership`).
-const MAX_ROUTERS_WITH_FLOORS: usize = 16;
+pub(super) const MAX_ROUTERS_WITH_FLOORS: usize = 16;
 
 /// Whether tenants have owners in a fleet of so many routers; else each router leases for
 /// itself.
