--- a/placement/src/quota/lease_pool.rs
+++ b/placement/src/quota/lease_pool.rs
@@ -148,8 +148,7 @@
             return None;
         }
         if readiness == Readiness::Unknown {
-            let window_part = demand.queued;
-            return self.kept_limit(now, from, demand, window_part, window_ms);
+            return self.kept_limit(now, from, demand, window_ms);
         }
         let parts = self.parts(readiness, from.incarnation_age_ms < window_ms);
         let (window_from_ms, half_from_ms) = (
@@ -186,9 +185,9 @@
         now: u64,
         from: &RouterDemand,
         demand: &QuotaDemand,
-        window_part: u64,
         window_ms: u64,
     ) -> Option<u64> {
+        let window_part = demand.queued;
         if !self.split.is_pooled || window_part == 0 {
             return None;
         }
--- a/protocol/src/router_session.rs
+++ b/protocol/src/router_session.rs
@@ -115,7 +115,7 @@
     /// Requests that wait for admission. Where no request waits (quota margins): the
     /// part of the margin that it holds.
     pub queued: u64,
-    /// Requests that it expects beyond those.
+    /// Requests that it expects beyond those; at least one for a tenant that it owns.
     pub wanted: u64,
     /// Requests admitted within each of [`RECENT_SPANS_MS`], for a leader that is new.
     pub recently_admitted: [u64; 4],
--- a/router/src/peer_links.rs
+++ b/router/src/peer_links.rs
@@ -200,6 +200,7 @@
             }
         }
     }
+
     /// Passes a response on. One that is late or repeated is passed over.
     fn respond(&self, request_id: u64, response: PeerResponse) {
         if let Some(sender) = self.open_requests.lock().remove(&request_id) {
