Rendezvous hashing: one function names the owner of a key

The owner of a quota lease and of a shard of the region's cache were chosen by the same lines in two places. No behaviour changes; the packages' tests pass.

--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -61,7 +61,7 @@
     QuotaLeaseAllocator, QuotaOwner, QuotaOwners, QuotaTolerance, RateLimit, TokenAllocator,
     QUOTA_LEASE_MS, STARTUP_RESERVE_RATIO,
 };
-pub use rendezvous::rank;
+pub use rendezvous::{highest_ranked, rank};
 pub use replica_view::{ReplicaPosition, ReplicaUpdate, ReplicaView, ReplicaViewError};
 pub use request_state::{
     ExecutionOutcome, InvalidTransition, RequestEvent, RequestState, RequestStateMachine,
--- a/placement/src/quota/ownership.rs
+++ b/placement/src/quota/ownership.rs
@@ -5,7 +5,7 @@
 //! tenant has one owner more for a moment. The leader leases to it like to any other router, so
 //! that the quota holds all the same.
 
-use crate::rendezvous::rank;
+use crate::rendezvous::highest_ranked;
 use policy::stable_hash;
 use protocol::RouterStatus;
 use std::cmp::Reverse;
@@ -58,7 +58,7 @@
         let mut owners: Vec<(u64, &QuotaOwner)> = self
             .by_region
             .values()
-            .filter_map(|candidates| highest_ranked(key, candidates))
+            .filter_map(|candidates| owner_of(key, candidates))
             .collect();
         owners.sort_by_key(|(rank, owner)| Reverse((owner.region == region, *rank)));
         owners.into_iter().map(|(_, owner)| owner).collect()
@@ -68,14 +68,12 @@
     pub fn is_owner(&self, tenant: &str, region: &str, name: &str) -> bool {
         let key = stable_hash(tenant.as_bytes());
         let candidates = self.by_region.get(region);
-        let owner = candidates.and_then(|candidates| highest_ranked(key, candidates));
+        let owner = candidates.and_then(|candidates| owner_of(key, candidates));
         owner.is_some_and(|(_, owner)| owner.name == name)
     }
 }
 
-fn highest_ranked(key: u64, candidates: &[Candidate]) -> Option<(u64, &QuotaOwner)> {
-    candidates
-        .iter()
-        .map(|candidate| (rank(key, candidate.hash), &candidate.owner))
-        .max_by_key(|(rank, _)| *rank)
+fn owner_of(key: u64, candidates: &[Candidate]) -> Option<(u64, &QuotaOwner)> {
+    let candidates = candidates.iter();
+    highest_ranked(key, candidates.map(|one| (one.hash, &one.owner)))
 }
--- a/placement/src/rendezvous.rs
+++ b/placement/src/rendezvous.rs
@@ -15,3 +15,10 @@
 pub fn rank(key: u64, member_hash: u64) -> u64 {
     mix(mix(key) ^ member_hash)
 }
+
+/// The member that owns a key, of members with the hashes of their names, and its weight.
+pub fn highest_ranked<T>(key: u64, members: impl Iterator<Item = (u64, T)>) -> Option<(u64, T)> {
+    members
+        .map(|(member_hash, member)| (rank(key, member_hash), member))
+        .max_by_key(|(rank, _)| *rank)
+}
--- a/router/src/regional_cache.rs
+++ b/router/src/regional_cache.rs
@@ -18,11 +18,10 @@
         .cache_peers()
         .filter_map(|peer| Some((peer.name.as_str(), Some(peer.peer_address.parse().ok()?))));
     let hash = |text: &str| policy::stable_hash(text.as_bytes());
-    let key = hash(key);
-    std::iter::once(own)
-        .chain(others)
-        .max_by_key(|(name, _)| placement::rank(key, hash(name)))
-        .and_then(|(_, address)| address)
+    let members = std::iter::once(own).chain(others);
+    let members = members.map(|(name, address)| (hash(name), address));
+    let (_, address) = placement::highest_ranked(hash(key), members)?;
+    address
 }
 
 /// Looks a key up at the router that owns it. Any failure is a miss.
