Load gossip: in a large fleet reports are aggregated on their way

Cause: every router sent its changes to every other router of its region, and each change of another region was relayed to all again, so that a router received some 750 frames a second at 291 routers, and forgot expired loads of all other routers with each of them. Class: work at each node that grows with the number of nodes; the same class as the quotas' demands at the leader.

Change: above 120 routers some routers of each region, as many as the square root of their number, by rendezvous hashing, aggregate. A router reports to one of them; aggregators exchange the sums of their groups, and send each reporter the load of all others in one frame each 80 ms. Soft state: who reports is of the group, who falls silent leaves it, and an aggregator that falls silent is passed over. The state is a sync type (placement/src/load/aggregator.rs). Smaller fleets gossip as before. Protocol version 12: the flag of a relayed frame becomes its scope, with the same bytes for the earlier values.

Tests: placement/tests/load_aggregation.rs plays fleets of 150 and 300 routers in virtual time. With MAX_DIRECT_ROUTERS out of reach they fail (there are no aggregators). A first form that added a kind of frame failed mutated_frames_decode_or_are_rejected, by 10 KB of memory for each unreadable frame, since binrw keeps an error for each kind; hence the scope. The quota frames, which no sample had, are among the samples now.

--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -55,7 +55,10 @@
     ENGINE_LOST_AFTER_MS, HEALTH_REPORT_TIMEOUT_MS, SLOW_START_RESPONSES,
 };
 pub use lease_grace::LeaseGrace;
-pub use load::{EngineLoadEstimator, EngineLoadStatus, LoadUpdate, PrefillEstimate, ProbeTarget};
+pub use load::{
+    Aggregator, AggregatorChoice, EngineLoadEstimator, EngineLoadStatus, LoadAggregator,
+    LoadAggregators, LoadUpdate, PrefillEstimate, ProbeTarget,
+};
 pub use quota::{
     has_quota_owners, AdmissionDecision, LeaseRateLimiter, QueueTicket, QueueingRateLimiter,
     QuotaLeaseAllocator, QuotaOwner, QuotaOwners, QuotaTolerance, RateLimit, TokenAllocator,
--- a/placement/src/router_membership.rs
+++ b/placement/src/router_membership.rs
@@ -34,6 +34,11 @@
         self.routers.values()
     }
 
+    /// The router of that name.
+    pub fn router(&self, name: &str) -> Option<&RouterStatus> {
+        self.routers.get(name)
+    }
+
     /// The directory nodes.
     pub fn directory_nodes(&self) -> &[Member] {
         &self.directory_nodes
--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -1,6 +1,6 @@
 //! One frame of each kind, in the order of the conversations.
 
-use crate::cache_sharing::{CachedPrefix, EngineLoad};
+use crate::cache_sharing::{CachedPrefix, EngineLoad, LoadScope};
 use crate::codec::{read_flag, write_flag};
 use crate::forwarding::{ForwardedRequest, Header};
 use crate::handshake::ConnectionKind;
@@ -294,14 +294,12 @@
     /// What a router has running at the engines, and which prefixes they have cached.
     #[brw(magic = 43u8)]
     LoadGossip {
-        /// The router that says so.
+        /// The router whose load it is, or the aggregator that summed it up.
         #[br(parse_with = read_string)]
         #[bw(write_with = write_string)]
         from: String,
-        /// It came from another region, and is passed on no further.
-        #[br(parse_with = read_flag)]
-        #[bw(write_with = write_flag)]
-        is_relayed: bool,
+        /// Whose load it is.
+        scope: LoadScope,
         /// The load of each engine.
         #[br(parse_with = read_list)]
         #[bw(write_with = write_list)]
--- a/protocol/src/handshake.rs
+++ b/protocol/src/handshake.rs
@@ -5,7 +5,7 @@
 
 /// The version of the protocol, raised whenever the layout of a frame changes. Versions
 /// are not negotiated: processes of two versions do not talk to each other.
-pub const VERSION: u16 = 11;
+pub const VERSION: u16 = 12;
 
 /// Longest frame, in bytes, on a connection whose other end has not said who it is.
 pub const MAX_HELLO_BYTES: usize = 4096;
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -38,7 +38,7 @@
 pub mod router_session;
 pub mod state_watch;
 
-pub use cache_sharing::{CachedPrefix, EngineLoad};
+pub use cache_sharing::{CachedPrefix, EngineLoad, LoadScope};
 pub use codec::{decode, decode_within, encode, kind_name, EncodedFrame, MAX_FRAME_BYTES};
 pub use error::FrameError;
 pub use forwarding::{ForwardedRequest, Header};
--- a/protocol/tests/formats/samples/frames.rs
+++ b/protocol/tests/formats/samples/frames.rs
@@ -373,7 +373,7 @@
         Frame::CacheStore(mapping()),
         Frame::LoadGossip {
             from: "edge-1".into(),
-            is_relayed: false,
+            scope: LoadScope::Router,
             loads: vec![EngineLoad {
                 engine: "i-1".into(),
                 requests: 3,
@@ -387,6 +387,44 @@
     ]
 }
 
+/// Routers among themselves, kinds that the recorded build did not have.
+pub fn router_peers() -> Vec<Frame> {
+    let decisions = [
+        QuotaDecision::Admitted,
+        QuotaDecision::OverQuota,
+        QuotaDecision::NoLease,
+    ];
+    let scopes = [
+        LoadScope::RelayedRouter,
+        LoadScope::Report,
+        LoadScope::Group,
+        LoadScope::RelayedGroup,
+        LoadScope::Fleet,
+    ];
+    let mut frames = vec![Frame::QuotaRequest {
+        request_id: 4,
+        tenant: "ana".into(),
+    }];
+    frames.extend(decisions.map(|decision| Frame::QuotaResponse {
+        request_id: 4,
+        decision,
+    }));
+    frames.extend(scopes.map(|scope| Frame::LoadGossip {
+        from: "edge-1".into(),
+        scope,
+        loads: vec![EngineLoad {
+            engine: "i-1".into(),
+            requests: 3,
+            prefill_tokens: 99,
+        }],
+        cached_prefixes: vec![CachedPrefix {
+            engine: "i-1".into(),
+            prefix_hash: 77,
+        }],
+    }));
+    frames
+}
+
 /// One frame of each kind at least.
 pub fn frames() -> Vec<Frame> {
     [
@@ -397,6 +435,7 @@
         state_watch(),
         forwarding(),
         cache_sharing(),
+        router_peers(),
     ]
     .concat()
 }
--- a/router/src/membership.rs
+++ b/router/src/membership.rs
@@ -2,7 +2,7 @@
 //! session. Soft state: it is lost on restart and comes back with a session.
 
 use consensus::Member;
-use placement::QuotaOwners;
+use placement::{LoadAggregators, QuotaOwners};
 use protocol::{RegistryUpdate, RouterStatus};
 use std::sync::Arc;
 use transport::now;
@@ -21,6 +21,8 @@
     router_ranks: Vec<u64>,
     /// Which of the routers own tenants' quota leases.
     quota_owners: Arc<QuotaOwners>,
+    /// Which of the routers aggregate load reports.
+    load_aggregators: Arc<LoadAggregators>,
     /// Rises when routers came, left or changed.
     version: u64,
     /// When the latest update came, on this process's clock; 0 before the first.
@@ -38,6 +40,7 @@
             known: placement::RouterMembership::default(),
             router_ranks: Vec::new(),
             quota_owners: Arc::default(),
+            load_aggregators: Arc::default(),
             version: 0,
             updated_ms: 0,
             listed_since_ms: None,
@@ -65,6 +68,7 @@
                 .chain(ranks.filter(|rank| *rank != own))
                 .collect();
             self.quota_owners = Arc::new(QuotaOwners::new(self.known.routers()));
+            self.load_aggregators = Arc::new(LoadAggregators::new(self.known.routers()));
             self.version += 1;
         }
     }
@@ -95,6 +99,16 @@
         Arc::clone(&self.quota_owners)
     }
 
+    /// Which of the routers aggregate load reports.
+    pub fn load_aggregators(&self) -> Arc<LoadAggregators> {
+        Arc::clone(&self.load_aggregators)
+    }
+
+    /// The router of that name, if it is known.
+    pub fn router(&self, name: &str) -> Option<&RouterStatus> {
+        self.known.router(name)
+    }
+
     /// The version of the list of routers: it rises when one came, left or changed.
     pub fn version(&self) -> u64 {
         self.version
--- a/router/src/peer_server.rs
+++ b/router/src/peer_server.rs
@@ -47,7 +47,7 @@
             Frame::CacheStore(mapping) => router.cache_tiers.insert_regional(&mapping),
             Frame::LoadGossip {
                 from,
-                is_relayed,
+                scope,
                 loads,
                 cached_prefixes,
             } => {
@@ -55,7 +55,7 @@
                     loads,
                     cached_prefixes,
                 };
-                load_gossip::receive(&router, &from, is_relayed, &update);
+                load_gossip::receive(&router, &from, scope, &update);
             }
             Frame::QuotaRequest { request_id, tenant } => {
                 let decision = quota_admission::decide_as_owner(&router, &tenant);
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -3,6 +3,7 @@
 use crate::cache_tiers::CacheTiers;
 use crate::in_flight::InFlight;
 use crate::lease::Lease;
+use crate::load_gossip::LoadAggregation;
 use crate::membership::Membership;
 use crate::peer_links::PeerLinks;
 use crate::pending_lookups::PendingLookups;
@@ -35,6 +36,7 @@
     pub(crate) is_exiting: watch::Sender<bool>,
     pub(crate) membership: Arc<RwLock<Membership>>,
     pub(crate) peer_links: PeerLinks,
+    pub(crate) load_aggregation: LoadAggregation,
     pub(crate) cache_tiers: CacheTiers,
     pub(crate) pending_lookups: PendingLookups,
     pub(crate) quota: QuotaLimiter,
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -5,6 +5,7 @@
 use crate::in_flight::InFlight;
 use crate::ingress::Ingress;
 use crate::lease::Lease;
+use crate::load_gossip::LoadAggregation;
 use crate::membership::Membership;
 use crate::peer_links::PeerLinks;
 use crate::pending_lookups::PendingLookups;
@@ -110,6 +111,7 @@
             is_exiting: watch::Sender::new(false),
             membership,
             peer_links: PeerLinks::new(&settings.name, settings.peer_listen_address),
+            load_aggregation: LoadAggregation::new(&settings.name),
             cache_tiers: CacheTiers::new(
                 settings.local_cache_entries,
                 settings.regional_cache_entries,
@@ -133,6 +135,7 @@
     if uses_passive_health_checks {
         tokio::spawn(Arc::clone(&router.dispatcher.engine_tracker).probe_suspects());
         tokio::spawn(load_gossip::run(Arc::clone(&router)));
+        tokio::spawn(load_gossip::run_aggregator(Arc::clone(&router)));
     }
     let listener = listen(router.settings.ingress_address).await?;
     let ingress = Arc::new(Ingress::new(Arc::clone(&router), clients, retries)).serve(listener);
