--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -55,13 +55,16 @@
     ENGINE_LOST_AFTER_MS, HEALTH_REPORT_TIMEOUT_MS, SLOW_START_RESPONSES,
 };
 pub use lease_grace::LeaseGrace;
-pub use load::{EngineLoadEstimator, EngineLoadStatus, LoadUpdate, PrefillEstimate, ProbeTarget};
+pub use load::{
+    Aggregator, AggregatorChoice, EngineLoadEstimator, EngineLoadStatus, LoadAggregator,
+    LoadAggregators, LoadUpdate, PrefillEstimate, ProbeTarget,
+};
 pub use quota::{
     has_quota_owners, AdmissionDecision, LeaseRateLimiter, QueueTicket, QueueingRateLimiter,
     QuotaLeaseAllocator, QuotaOwner, QuotaOwners, QuotaTolerance, RateLimit, TokenAllocator,
     QUOTA_LEASE_MS, STARTUP_RESERVE_RATIO,
 };
-pub use rendezvous::rank;
+pub use rendezvous::{highest_ranked, rank};
 pub use replica_view::{ReplicaPosition, ReplicaUpdate, ReplicaView, ReplicaViewError};
 pub use request_state::{
     ExecutionOutcome, InvalidTransition, RequestEvent, RequestState, RequestStateMachine,
