--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and the programs of the cases into target/review.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cargo build --release --locked --manifest-path review/platform/Cargo.toml --target-dir target/review
