--- a/review/platform/src/bin/slow_line.rs
+++ b/review/platform/src/bin/slow_line.rs
@@ -14,8 +14,8 @@
 use std::time::{Duration, Instant};
 
 /// Clients of each router, and how long after one another they send their requests.
-const CLIENTS: usize = 64;
-const APART: Duration = Duration::from_millis(22);
+const CLIENTS: usize = 80;
+const APART: Duration = Duration::from_millis(18);
 /// Between the signals to two routers.
 const GAP: Duration = Duration::from_millis(1_300);
 /// Bytes of an answer: at least, and at most so many more.
@@ -81,7 +81,7 @@
         &[Route {
             name: "big",
             path: "/big/",
-            kind: "safe",
+            kind: "unsafe",
             service: "web",
             give_up_ms: DEADLINE_MS,
             tries: 1,
