--- a/review/platform/src/bin/first_disk.rs
+++ b/review/platform/src/bin/first_disk.rs
@@ -20,10 +20,36 @@
     engine::serve_list(site.bind_list().unwrap(), Arc::clone(&list));
     site.start_all().unwrap();
     thread::sleep(Duration::from_millis(ms));
-    site.kill(0); site.wipe(0);
+    site.kill(0);
+    site.wipe(0);
     thread::sleep(Duration::from_millis(1000));
     site.start(0, false).unwrap();
-    let doc = operator::document(1, &[Route { name: "web", path: "/web/", kind: "safe", service: "web", give_up_ms: 6000, tries: 2, pick_up: false }], &["web"], 16384);
+    let doc = operator::document(
+        1,
+        &[Route {
+            name: "web",
+            path: "/web/",
+            kind: "safe",
+            service: "web",
+            give_up_ms: 6000,
+            tries: 2,
+            pick_up: false,
+        }],
+        &["web"],
+        16384,
+    );
     let c = site.controls();
-    println!("{ms} ms: {:?} at {}", operator::order(&c, "PUT", "/api/config", Some(0), &doc, Duration::from_secs(12), &record), record.ms());
+    println!(
+        "{ms} ms: {:?} at {}",
+        operator::order(
+            &c,
+            "PUT",
+            "/api/config",
+            Some(0),
+            &doc,
+            Duration::from_secs(12),
+            &record
+        ),
+        record.ms()
+    );
 }
--- a/review/platform/src/bin/kept_connections.rs
+++ b/review/platform/src/bin/kept_connections.rs
@@ -106,7 +106,15 @@
     let controls = site.controls();
     let put = |base: u64, text: &str| {
         let within = Duration::from_secs(20);
-        operator::order(&controls, "PUT", "/api/config", Some(base), text, within, record)
+        operator::order(
+            &controls,
+            "PUT",
+            "/api/config",
+            Some(base),
+            text,
+            within,
+            record,
+        )
     };
     let first = match has_trouble {
         true => SMALL_LIMIT,
@@ -131,7 +139,9 @@
         return Err(io::Error::other("the change was not taken"));
     }
     thread::sleep(IN_FORCE);
-    let parts: Vec<String> = (0..PARTS).map(|part| format!("{:08x}:16", part * 7_919)).collect();
+    let parts: Vec<String> = (0..PARTS)
+        .map(|part| format!("{:08x}:16", part * 7_919))
+        .collect();
     let parts = parts.join(", ");
     record.note(format!(
         "heads are now {} bytes and more; {LARGE_LIMIT} are allowed",
@@ -146,7 +156,12 @@
     for number in 0..CLIENTS {
         let router = routers[number % routers.len()];
         let mut reader = connect(site.front(router).into())?;
-        let status = send(&mut reader, &format!("new-{number:04x}"), Some(&parts), record);
+        let status = send(
+            &mut reader,
+            &format!("new-{number:04x}"),
+            Some(&parts),
+            record,
+        );
         denied_new += usize::from((300..500).contains(&status));
     }
     let all = 3 * CLIENTS;
--- a/review/platform/src/bin/late_order.rs
+++ b/review/platform/src/bin/late_order.rs
@@ -88,7 +88,16 @@
     };
     let document = operator::document(1, &[route], &["web"], 16_384);
     let long = Duration::from_secs(20);
-    if operator::order(&nodes, "PUT", "/api/config", Some(0), &document, long, record) != Some(200) {
+    if operator::order(
+        &nodes,
+        "PUT",
+        "/api/config",
+        Some(0),
+        &document,
+        long,
+        record,
+    ) != Some(200)
+    {
         return Err(io::Error::other("the first configuration was not taken"));
     }
     thread::sleep(Duration::from_secs(5));
@@ -135,7 +144,9 @@
     is_over.store(true, Ordering::SeqCst);
     let mut served = 0;
     for client in clients {
-        served += client.join().map_err(|_| io::Error::other("a client ended"))?;
+        served += client
+            .join()
+            .map_err(|_| io::Error::other("a client ended"))?;
     }
     let due_ms = acknowledged_ms + IN_FORCE.as_millis() as u64;
     let engine = format!("i-{EVACUATED}");
@@ -170,7 +181,14 @@
             ("Time-Left-Ms", "6000"),
             ("Authorization", &authorization),
         ];
-        let answer = http::call(front, "POST", "/web/1", &headers, b"{}", Duration::from_secs(6));
+        let answer = http::call(
+            front,
+            "POST",
+            "/web/1",
+            &headers,
+            b"{}",
+            Duration::from_secs(6),
+        );
         served += usize::from(answer.is_ok_and(|answer| answer.status == 200));
         thread::sleep(BETWEEN_REQUESTS);
     }
--- a/review/platform/src/bin/silent_engine.rs
+++ b/review/platform/src/bin/silent_engine.rs
@@ -95,7 +95,15 @@
     let document = operator::document(1, &[route], &["web"], 16_384);
     let controls = site.controls();
     let within = Duration::from_secs(20);
-    let taken = operator::order(&controls, "PUT", "/api/config", Some(0), &document, within, record);
+    let taken = operator::order(
+        &controls,
+        "PUT",
+        "/api/config",
+        Some(0),
+        &document,
+        within,
+        record,
+    );
     if taken != Some(200) {
         return Err(io::Error::other("the first configuration was not taken"));
     }
@@ -117,7 +125,11 @@
         .collect();
     let mut ends = Vec::new();
     for client in clients {
-        ends.push(client.join().map_err(|_| io::Error::other("a client ended"))??);
+        ends.push(
+            client
+                .join()
+                .map_err(|_| io::Error::other("a client ended"))??,
+        );
     }
     let longer = ends.iter().filter(|end| **end > GIVE_UP).count();
     let open = ends.iter().filter(|end| **end > GIVE_UP + SLACK).count();
@@ -148,6 +160,9 @@
         Ok(answer) => format!("{}, {} bytes", answer.status, answer.body.len()),
         Err(error) => format!("no whole answer: {error}"),
     };
-    record.note(format!("request {id}: {end}, after {:.2} s", took.as_secs_f64()));
+    record.note(format!(
+        "request {id}: {end}, after {:.2} s",
+        took.as_secs_f64()
+    ));
     Ok(took)
 }
--- a/review/platform/src/bin/slow_line.rs
+++ b/review/platform/src/bin/slow_line.rs
@@ -71,7 +71,9 @@
             let bytes = last.parse().unwrap_or(20);
             stream.write_all(&engine::whole_answer(head, &vec![b'x'; bytes]))?;
             let id = head.get("Request-Id").unwrap_or("").to_string();
-            answered.note(format!("the engine has sent its whole answer to {id}: {bytes} bytes"));
+            answered.note(format!(
+                "the engine has sent its whole answer to {id}: {bytes} bytes"
+            ));
             Ok(true)
         }),
     );
@@ -92,7 +94,15 @@
     );
     let controls = site.controls();
     let within = Duration::from_secs(20);
-    let status = operator::order(&controls, "PUT", "/api/config", Some(0), &document, within, record);
+    let status = operator::order(
+        &controls,
+        "PUT",
+        "/api/config",
+        Some(0),
+        &document,
+        within,
+        record,
+    );
     if status != Some(200) {
         return Err(io::Error::other("the first configuration was not taken"));
     }
@@ -100,7 +110,14 @@
     let routers = site.routers();
     for router in &routers {
         let second = Duration::from_secs(1);
-        let ready = http::call(site.ready(*router), "GET", "/api/ready", &[("Host", "r")], &[], second)?;
+        let ready = http::call(
+            site.ready(*router),
+            "GET",
+            "/api/ready",
+            &[("Host", "r")],
+            &[],
+            second,
+        )?;
         if ready.status != 200 {
             return Err(io::Error::other("a router is not ready"));
         }
@@ -182,9 +199,13 @@
     record.note(format!("client {number}: sends request {id}"));
     let sent = Instant::now();
     reader.stream.write_all(request.as_bytes())?;
-    reader.stream.set_read_timeout(Some(Duration::from_secs(12)))?;
+    reader
+        .stream
+        .set_read_timeout(Some(Duration::from_secs(12)))?;
     let head = reader.head()?.ok_or(io::Error::other("no answer"))?;
-    let length = head.get("content-length").and_then(|text| text.parse().ok());
+    let length = head
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
     let length: usize = length.unwrap_or(0);
     if head.status() != 200 {
         return Err(io::Error::other("the request was not served"));
--- a/review/platform/src/http.rs
+++ b/review/platform/src/http.rs
@@ -117,7 +117,9 @@
                 self.exactly(2)?;
             }
         }
-        let length = head.get("content-length").and_then(|text| text.parse().ok());
+        let length = head
+            .get("content-length")
+            .and_then(|text| text.parse().ok());
         self.exactly(length.unwrap_or(0))
     }
 
--- a/review/platform/src/operator.rs
+++ b/review/platform/src/operator.rs
@@ -26,7 +26,13 @@
             "{{\"name\":\"{}\",\"host\":\"{HOST}\",\"path_start\":\"{}\",\"kind\":\"{}\",\
              \"give_up_ms\":{},\"target_ms\":1000,\"urgency\":1,\"service\":\"{}\",\"tries\":{},\
              \"public\":false,\"stick\":false,\"pick_up\":{},\"home_regions\":[]}}",
-            self.name, self.path, self.kind, self.give_up_ms, self.service, self.tries, self.pick_up
+            self.name,
+            self.path,
+            self.kind,
+            self.give_up_ms,
+            self.service,
+            self.tries,
+            self.pick_up
         )
     }
 }
--- a/review/platform/src/site.rs
+++ b/review/platform/src/site.rs
@@ -132,7 +132,9 @@
 
     fn of_role(&self, role: Role) -> impl Iterator<Item = usize> + '_ {
         let machines = self.machines.iter().enumerate();
-        machines.filter(move |(_, m)| m.role == role).map(|(at, _)| at)
+        machines
+            .filter(move |(_, m)| m.role == role)
+            .map(|(at, _)| at)
     }
 
     pub fn directories(&self) -> Vec<usize> {
@@ -162,7 +164,8 @@
     }
 
     fn data_folder(&self, machine: usize) -> PathBuf {
-        self.folder.join(format!("{}-data", self.machines[machine].name))
+        self.folder
+            .join(format!("{}-data", self.machines[machine].name))
     }
 
     fn settings(&self, machine: usize, first: bool) -> String {
@@ -272,8 +275,10 @@
 
     pub fn signal(&self, machine: usize, signal: i32) {
         if let Some(child) = &self.machines[machine].child {
-            self.record
-                .note(format!("signal {signal} to {}", self.machines[machine].name));
+            self.record.note(format!(
+                "signal {signal} to {}",
+                self.machines[machine].name
+            ));
             sys::signal(child.id(), signal);
         }
     }
@@ -304,7 +309,9 @@
     }
 
     pub fn log(&self, machine: usize) -> String {
-        let path = self.folder.join(format!("{}.log", self.machines[machine].name));
+        let path = self
+            .folder
+            .join(format!("{}.log", self.machines[machine].name));
         fs::read_to_string(path).unwrap_or_default()
     }
 }
