Review: a log whose end was not synced before a kill can't be opened after a loss of power

Shown for certain on the project's log with a disk in memory (exit 1; 0 where the entry was synced).

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --release --locked --manifest-path review/platform/Cargo.toml --target-dir target/review
+cargo build --release --locked --manifest-path review/unsynced-log/Cargo.toml --target-dir target/review
