--- a/directory/src/forwarded_requests/serve.rs
+++ b/directory/src/forwarded_requests/serve.rs
@@ -18,11 +18,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncRead;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, OwnedSemaphorePermit};
 use transport::rejection::Rejection;
-use transport::{link, now};
+use transport::{link, now, sleep_until};
 
 /// How long a request waits for the leader's grant of quota.
 const QUOTA_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -52,22 +52,43 @@
     }
     link::send(&mut writer, &Frame::Ready).await?;
     let head = receive_head(&mut reader).await?;
+    let deadline_ms = now().saturating_add(head.remaining_ms);
     control.metrics.increment("jobs-forwarded");
     log::info!(job = head.id.as_str(); "the request is received");
-    let resolved = match resolve_in_time(&control, &head, &mut reader).await? {
+    tokio::select! {
+        biased;
+        served = serve_request(&control, &head, deadline_ms, &mut reader, &mut writer) => served,
+        () = sleep_until(deadline_ms) => {
+            // The router's own deadline came first, by the time that the request was on its way.
+            control.metrics.increment("forwards-ended-at-deadline");
+            log::info!(job = head.id.as_str(); "the request's deadline passed");
+            Ok(())
+        }
+    }
+}
+
+/// Serves a request whose head was read; the caller drops this at the deadline.
+async fn serve_request(
+    control: &ControlPlane,
+    head: &ForwardedRequest,
+    deadline_ms: u64,
+    reader: &mut OwnedReadHalf,
+    writer: &mut OwnedWriteHalf,
+) -> anyhow::Result<()> {
+    let resolved = match resolve_in_time(control, head, reader).await? {
         Ok(resolved) => resolved,
-        Err(refusal) => return Ok(link::send(&mut writer, &refused(&refusal)).await?),
+        Err(refusal) => return Ok(link::send(writer, &refused(&refusal)).await?),
     };
-    if let Err(refusal) = admit(&control, &head, &resolved.mapping).await {
-        return Ok(link::send(&mut writer, &refused(&refusal)).await?);
+    if let Err(refusal) = admit(control, head, &resolved.mapping).await {
+        return Ok(link::send(writer, &refused(&refusal)).await?);
     }
-    link::send(&mut writer, &Frame::Mapping(resolved.mapping.clone())).await?;
+    link::send(writer, &Frame::Mapping(resolved.mapping.clone())).await?;
     // Past its budget a node still answers with the mapping alone.
-    let _permits = match acquire_permits(&control, resolved.body_start.len()) {
+    let _permits = match acquire_permits(control, resolved.body_start.len()) {
         Ok(permits) => permits,
-        Err(refusal) => return Ok(link::send(&mut writer, &refused(&refusal)).await?),
+        Err(refusal) => return Ok(link::send(writer, &refused(&refusal)).await?),
     };
-    forward(&control, &head, resolved, &mut reader, &mut writer).await
+    forward(control, head, deadline_ms, resolved, reader, writer).await
 }
 
 async fn receive_head(reader: &mut (impl AsyncRead + Unpin)) -> anyhow::Result<ForwardedRequest> {
@@ -144,8 +165,9 @@
 async fn forward(
     control: &ControlPlane,
     head: &ForwardedRequest,
+    deadline_ms: u64,
     resolved: ResolvedRequest,
-    reader: &mut (impl AsyncRead + Unpin),
+    reader: &mut OwnedReadHalf,
     writer: &mut OwnedWriteHalf,
 ) -> anyhow::Result<()> {
     let mut request = RequestStateMachine::new(is_repeatable(control, resolved.route));
@@ -158,7 +180,7 @@
     if !is_ended {
         link::send(writer, &Frame::Continue).await?;
     }
-    let parts = request_parts(head, resolved.key)?;
+    let parts = request_parts(head, resolved.key, deadline_ms)?;
     let prefix = resolved.extract.prefix_hash.unwrap_or(0);
     let mut upload = pin!(upload(reader, chunks, is_ended));
     let response = {
@@ -185,14 +207,18 @@
     route.is_some_and(|route| route.is_idempotent)
 }
 
-fn request_parts(head: &ForwardedRequest, key: String) -> anyhow::Result<RequestParts> {
+fn request_parts(
+    head: &ForwardedRequest,
+    key: String,
+    deadline_ms: u64,
+) -> anyhow::Result<RequestParts> {
     Ok(RequestParts {
         id: head.id.clone(),
         method: head.method.parse()?,
         target: head.target.clone(),
         headers: headers_from_frame(&head.headers)?,
         key_digest: key,
-        deadline_ms: now().saturating_add(head.remaining_ms),
+        deadline_ms,
         prompt: Prompt::default(),
         urgency: None,
         latency_slo_ms: 0,
--- a/dispatch/src/attempt.rs
+++ b/dispatch/src/attempt.rs
@@ -115,7 +115,7 @@
     /// One attempt. `None`: it gave no response, and another attempt may be allowed.
     async fn attempt(&mut self) -> Result<Option<EngineResponse>, Rejection> {
         let mut slot = self.select().await?;
-        let Some(connection) = self.connect(&slot).await else {
+        let Some(connection) = self.connect(&slot).await? else {
             return Ok(None);
         };
         // What is sure to stand against the dispatch is found before the body is taken;
@@ -179,7 +179,10 @@
                 Ok(None)
             }
             ResponseHead::Lost(error) => self.handle_lost(error, &slot, history),
-            ResponseHead::DeadlinePassed => Err(rejections::deadline_passed(self.state.outcome())),
+            ResponseHead::DeadlinePassed => {
+                apply_event(self.state, RequestEvent::DeadlinePassed);
+                Err(rejections::deadline_passed(self.state.outcome()))
+            }
         }
     }
 
@@ -206,21 +209,26 @@
     }
 
     /// A connection to the engine: a pooled one, if there is one and the request may use
-    /// it.
-    async fn connect(&mut self, slot: &EngineSlot) -> Option<EngineConnection> {
+    /// it. `None`: the engine could not be reached.
+    async fn connect(&mut self, slot: &EngineSlot) -> Result<Option<EngineConnection>, Rejection> {
         let demand = self.connection_demand();
         if let Some(pooled) = self.dispatcher.connections.acquire(&slot.name, demand) {
-            return Some(EngineConnection::Pooled(pooled));
+            return Ok(Some(EngineConnection::Pooled(pooled)));
         }
-        match self.dispatcher.connect(slot.address).await {
-            Ok(stream) => Some(EngineConnection::New(stream)),
-            Err(error) => {
+        let connecting = self.dispatcher.connect(slot.address);
+        match tokio::time::timeout(self.remaining(), connecting).await {
+            Ok(Ok(stream)) => Ok(Some(EngineConnection::New(stream))),
+            Ok(Err(error)) => {
                 log::info!(job = self.request.id.as_str(), engine = slot.name.as_str();
                     "connecting to the engine failed: {error}");
                 self.dispatcher.metrics.increment("connect-failed");
                 self.record_failure(slot);
                 apply_event(self.state, RequestEvent::ConnectFailed);
-                None
+                Ok(None)
+            }
+            Err(_) => {
+                apply_event(self.state, RequestEvent::DeadlinePassed);
+                Err(rejections::deadline_passed(self.state.outcome()))
             }
         }
     }
--- a/dispatch/src/attempt/response.rs
+++ b/dispatch/src/attempt/response.rs
@@ -147,6 +147,7 @@
         let relay = Relay {
             state: *self.state,
             request_id: self.request.id.clone(),
+            deadline_ms: self.request.deadline_ms,
             slot,
             metrics: Arc::clone(&self.dispatcher.metrics),
             connection,
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -33,5 +33,5 @@
 };
 pub use guard::PermitDispatch;
 pub use headers::{headers_from_frame, headers_to_frame, strip_connection_headers};
-pub use relay::{EngineResponse, RelayedBody, STREAM_IDLE_TIMEOUT};
+pub use relay::{BrokenResponse, EngineResponse, RelayedBody};
 pub use request::{apply_event, RequestParts};
--- a/dispatch/src/relay.rs
+++ b/dispatch/src/relay.rs
@@ -9,16 +9,12 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::Response;
 use placement::{RequestEvent, RequestState, RequestStateMachine};
-use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 use telemetry::metrics::Metrics;
-use tokio::time::Instant;
+use transport::now;
 
-/// A stream that gives no data for this long is taken for broken.
-pub const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// An engine's `keep-alive` timeout is believed up to this.
 const MAX_KEEP_ALIVE_MS: u64 = 3_600_000;
 /// A connection is given up this long before the engine would close it.
@@ -34,7 +30,11 @@
     pub body: RelayedBody,
 }
 
-/// The body of a response on its way. What the engine breaks off, this breaks off.
+/// The body of a response on its way. What the engine breaks off, this breaks off; nothing
+/// of it goes on after the request's deadline.
+///
+/// It has no timer: a client that takes no more bytes would keep it from being polled.
+/// Whoever sends the response drops it at its deadline.
 ///
 /// Holds the engine's slot until it ends or is dropped. The connection goes back to the
 /// pool only after a complete body.
@@ -44,7 +44,7 @@
     request_id: String,
     slot: EngineSlot,
     metrics: Arc<Metrics>,
-    idle_timer: Pin<Box<tokio::time::Sleep>>,
+    deadline_ms: u64,
     connection: Option<PooledConnection>,
     connections: Arc<ConnectionPool>,
     idle_timeout_ms: u64,
@@ -54,6 +54,7 @@
 pub(crate) struct Relay {
     pub state: RequestStateMachine,
     pub request_id: String,
+    pub deadline_ms: u64,
     pub slot: EngineSlot,
     pub metrics: Arc<Metrics>,
     pub connection: PooledConnection,
@@ -81,7 +82,7 @@
             request_id: self.request_id,
             slot: self.slot,
             metrics: self.metrics,
-            idle_timer: Box::pin(tokio::time::sleep(STREAM_IDLE_TIMEOUT)),
+            deadline_ms: self.deadline_ms,
             connection: Some(self.connection),
             connections: self.connections,
             idle_timeout_ms,
@@ -94,13 +95,31 @@
     }
 }
 
+/// Why a response breaks off.
+#[derive(Debug, thiserror::Error)]
+pub enum BrokenResponse {
+    /// The engine broke it off.
+    #[error("the engine broke off: {0}")]
+    Engine(#[from] hyper::Error),
+    /// The request's deadline passed.
+    #[error("the request's deadline passed")]
+    DeadlinePassed,
+}
+
 impl RelayedBody {
     /// The name of the engine that responds.
     pub fn engine(&self) -> &str {
         &self.slot.name
     }
 
+    fn is_deadline_passed(&self) -> bool {
+        now() >= self.deadline_ms
+    }
+
     /// Records how the response ended; only the first end counts.
+    ///
+    /// A deadline that passes is no failure of the engine: it may be slow and well, and if it is
+    /// lost, the next connection to it shows that.
     fn finish(&mut self, event: RequestEvent) {
         if self.state.state() != RequestState::Responding {
             return;
@@ -118,10 +137,11 @@
                 self.metrics.increment("answers-broken");
                 self.slot.record_failure();
             }
+            RequestEvent::DeadlinePassed => self.metrics.increment("answers-ended-at-deadline"),
             _ => self.metrics.increment("callers-left"),
         }
-        log::info!(job = self.request_id.as_str(), engine = self.slot.name.as_str();
-            "{:?}", self.state.state());
+        log::info!(job = self.request_id.as_str(), engine = self.slot.name.as_str(),
+            ended_by:? = event; "{:?}", self.state.state());
     }
 }
 
@@ -130,6 +150,7 @@
         // hyper drops a body without a last poll where its length is reached.
         let event = match self.body.is_end_stream() {
             true => RequestEvent::ResponseEnded,
+            false if self.is_deadline_passed() => RequestEvent::DeadlinePassed,
             false => RequestEvent::ClientDisconnected,
         };
         self.finish(event);
@@ -138,19 +159,17 @@
 
 impl Body for RelayedBody {
     type Data = Bytes;
-    type Error = anyhow::Error;
+    type Error = BrokenResponse;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenResponse>>> {
+        if self.is_deadline_passed() && !self.body.is_end_stream() {
+            self.finish(RequestEvent::DeadlinePassed);
+            return Poll::Ready(Some(Err(BrokenResponse::DeadlinePassed)));
+        }
         match Pin::new(&mut self.body).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => {
-                self.idle_timer
-                    .as_mut()
-                    .reset(Instant::now() + STREAM_IDLE_TIMEOUT);
-                Poll::Ready(Some(Ok(frame)))
-            }
             Poll::Ready(Some(Err(error))) => {
                 self.finish(RequestEvent::ResponseBroken);
                 Poll::Ready(Some(Err(error.into())))
@@ -159,13 +178,8 @@
                 self.finish(RequestEvent::ResponseEnded);
                 Poll::Ready(None)
             }
-            Poll::Pending => match self.idle_timer.as_mut().poll(context) {
-                Poll::Ready(()) => {
-                    self.finish(RequestEvent::ResponseBroken);
-                    Poll::Ready(Some(Err(anyhow::anyhow!("the engine fell silent"))))
-                }
-                Poll::Pending => Poll::Pending,
-            },
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Pending => Poll::Pending,
         }
     }
 
--- a/placement/src/request_state.rs
+++ b/placement/src/request_state.rs
@@ -10,6 +10,7 @@
 //!    |            |                          |              did not run it, or a retry is allowed)
 //!    +------------+-> Forwarded -> Responding       (a directory node has the request)
 //!    any state before Responding -> Rejected; any state -> Cancelled
+//!    the deadline passes: any state before Responding -> Rejected, Responding -> Failed
 //! ```
 
 use std::fmt;
@@ -70,6 +71,8 @@
     ResponseEnded,
     /// The response broke off.
     ResponseBroken,
+    /// The request's deadline passed: the earlier of its route's time-out and its client's.
+    DeadlinePassed,
     /// The request is rejected.
     Reject,
     /// The client disconnected.
@@ -248,14 +251,17 @@
             (S::Forwarded, E::ResponseLost) => S::Failed,
             (S::Dispatched | S::Forwarded, E::ResponseStarted) => S::Responding,
             (S::Responding, E::ResponseEnded) => S::Completed,
-            (S::Responding, E::ResponseBroken) => S::Failed,
-            (S::Responding | S::Completed | S::Failed | S::Rejected | S::Cancelled, E::Reject) => {
+            (S::Responding, E::ResponseBroken | E::DeadlinePassed) => S::Failed,
+            (
+                S::Responding | S::Completed | S::Failed | S::Rejected | S::Cancelled,
+                E::Reject | E::DeadlinePassed,
+            ) => {
                 return Err(InvalidTransition {
                     state: self.state,
                     event,
                 })
             }
-            (_, E::Reject) => S::Rejected,
+            (_, E::Reject | E::DeadlinePassed) => S::Rejected,
             (S::Completed | S::Failed | S::Rejected, E::ClientDisconnected) => self.state,
             (_, E::ClientDisconnected) => S::Cancelled,
             (state, event) => return Err(InvalidTransition { state, event }),
--- a/placement/tests/request_state.rs
+++ b/placement/tests/request_state.rs
@@ -93,6 +93,24 @@
             RequestState::Failed,
             ExecutionOutcome::Unknown,
         ),
+        (
+            false,
+            &[DeadlinePassed],
+            RequestState::Rejected,
+            ExecutionOutcome::NotRun,
+        ),
+        (
+            true,
+            &[SendStarted, DeadlinePassed],
+            RequestState::Rejected,
+            ExecutionOutcome::Unknown,
+        ),
+        (
+            true,
+            &[SendStarted, ResponseStarted, DeadlinePassed],
+            RequestState::Failed,
+            ExecutionOutcome::Unknown,
+        ),
     ];
     for (is_idempotent, events, state, outcome) in cases {
         let mut request = RequestStateMachine::new(is_idempotent);
@@ -138,6 +156,17 @@
             vec![RoutingKeyExtracted, Forwarded, ResponseStarted],
             Reject,
         ),
+        (
+            true,
+            vec![
+                RoutingKeyExtracted,
+                Forwarded,
+                ResponseStarted,
+                DeadlinePassed,
+            ],
+            ResponseEnded,
+        ),
+        (true, vec![DeadlinePassed], RoutingKeyExtracted),
         (true, vec![RoutingKeyExtracted, Forwarded], MappingResolved),
         (
             false,
@@ -166,11 +195,11 @@
     /// Whatever happens in whatever order, a request that is not repeatable
     /// never commits again after a commit that was not declined.
     #[test]
-    fn a_request_that_is_not_idempotent_is_sent_once(picks in proptest::collection::vec(0usize..15, 0..40)) {
+    fn a_request_that_is_not_idempotent_is_sent_once(picks in proptest::collection::vec(0usize..16, 0..40)) {
         let all = [
             RoutingKeyExtracted, MappingResolved, EngineSelected, ConnectFailed, SendStarted, NotRun,
             NothingSent, ResponseLost, Forwarded, ForwardNotRun, ResponseStarted, ResponseEnded, ResponseBroken,
-            Reject, ClientDisconnected,
+            Reject, ClientDisconnected, DeadlinePassed,
         ];
         let mut request = RequestStateMachine::new(false);
         let mut may_be_running = false;
--- a/router/src/conversation_error.rs
+++ b/router/src/conversation_error.rs
@@ -60,9 +60,9 @@
         /// What it wants here.
         kind: protocol::ConnectionKind,
     },
-    /// A response's body broke off before its end frame.
-    #[error("the connection was silent for too long")]
-    Silent,
+    /// The request's deadline passed before the response's end frame.
+    #[error("the request's deadline passed")]
+    DeadlinePassed,
     /// The client closed its connection before the response's end.
     #[error("the client left")]
     ClientLeft,
--- a/router/src/forwarding/conversation.rs
+++ b/router/src/forwarding/conversation.rs
@@ -213,7 +213,8 @@
         let status = http::StatusCode::from_u16(status).map_err(http::Error::from)?;
         let headers = headers_from_frame(headers)?;
         apply_event(self.state, RequestEvent::ResponseStarted);
-        let (relay, body) = Relay::new(self.reader, self.writer, self.upload);
+        let deadline_ms = self.parts.deadline_ms;
+        let (relay, body) = Relay::new(self.reader, self.writer, self.upload, deadline_ms);
         relay.spawn(self.parts.id.clone(), Arc::clone(&self.router.metrics));
         let mut response = hyper::Response::new(body);
         *response.status_mut() = status;
--- a/router/src/forwarding/mod.rs
+++ b/router/src/forwarding/mod.rs
@@ -64,9 +64,10 @@
     permit: Option<&LookupPermit>,
 ) -> ForwardOutcome {
     for node in permitted_nodes(router, tenant) {
-        let stream = match connect(router, node).await {
-            Ok(stream) => stream,
-            Err(error) => {
+        let stream = match tokio::time::timeout(remaining(parts), connect(router, node)).await {
+            Ok(Ok(stream)) => stream,
+            Err(_) => return deadline_passed(state),
+            Ok(Err(error)) => {
                 router.metrics.increment("nodes-silent");
                 log::info!(job = parts.id.as_str(), directory = node.to_string();
                     "the directory node takes no request: {error}");
@@ -86,9 +87,8 @@
         apply_event(state, RequestEvent::Forwarded);
         router.metrics.increment("forwards");
         log::info!(job = parts.id.as_str(), directory = node.to_string(); "forwarded");
-        let left = Duration::from_millis(parts.deadline_ms.saturating_sub(now()));
         let conversation = Conversation::new(router, state, parts, body, permit, stream).run();
-        return match tokio::time::timeout(left, conversation).await {
+        return match tokio::time::timeout(remaining(parts), conversation).await {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(error)) => {
                 log::info!(job = parts.id.as_str(), directory = node.to_string();
@@ -96,12 +96,23 @@
                 apply_event(state, RequestEvent::ResponseLost);
                 RouterRejection::DirectoryLost.into()
             }
-            Err(_) => RouterRejection::DeadlinePassedAtDirectory.into(),
+            Err(_) => deadline_passed(state),
         };
     }
     ForwardOutcome::Unreachable
 }
 
+/// The time until the request's deadline.
+fn remaining(parts: &RequestParts) -> Duration {
+    Duration::from_millis(parts.deadline_ms.saturating_sub(now()))
+}
+
+fn deadline_passed(state: &mut RequestStateMachine) -> ForwardOutcome {
+    apply_event(state, RequestEvent::DeadlinePassed);
+    let outcome = state.outcome();
+    RouterRejection::DeadlinePassed { outcome }.into()
+}
+
 /// Whether the key that let a request in is still known; a public route has none.
 fn is_key_valid(router: &Router, key_fingerprint: &str) -> bool {
     key_fingerprint.is_empty() || router.view.borrow().keys.contains_key(key_fingerprint)
--- a/router/src/forwarding/relay.rs
+++ b/router/src/forwarding/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::conversation_error::ConversationError;
 use bytes::Bytes;
-use dispatch::{BodyStream, ChannelBody, STREAM_IDLE_TIMEOUT};
+use dispatch::{BodyStream, ChannelBody};
 use dropshot::Body;
 use http_body_util::BodyExt;
 use protocol::Frame;
@@ -11,8 +11,7 @@
 use telemetry::metrics::Metrics;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
-use transport::link;
-use transport::AbortOnDrop;
+use transport::{link, sleep_until, AbortOnDrop};
 
 /// A body frame holds this many bytes at the most.
 const BODY_FRAME_BYTES: usize = 512 << 10;
@@ -52,9 +51,10 @@
 }
 
 /// A response on its way through a directory node. Invariant: the client's body ends
-/// in good order only after the end frame.
+/// in good order only after the end frame, and none of it comes after the request's deadline.
 pub struct Relay {
     reader: OwnedReadHalf,
+    deadline_ms: u64,
     pieces: mpsc::Sender<anyhow::Result<Bytes>>,
     /// Held open until the response's end; see [`Upload::start`].
     _writer: Option<OwnedWriteHalf>,
@@ -67,10 +67,12 @@
         reader: OwnedReadHalf,
         writer: Option<OwnedWriteHalf>,
         upload: Option<Upload>,
+        deadline_ms: u64,
     ) -> (Relay, Body) {
         let (pieces, body) = mpsc::channel(RELAY_PIECES);
         let relay = Relay {
             reader,
+            deadline_ms,
             pieces,
             _writer: writer,
             _upload: upload,
@@ -92,7 +94,13 @@
     }
 
     async fn run(mut self) -> Result<(), ConversationError> {
-        let error = match self.relay_to_end().await {
+        let deadline = sleep_until(self.deadline_ms);
+        let ended = tokio::select! {
+            biased;
+            () = deadline => Err(ConversationError::DeadlinePassed),
+            ended = self.relay_to_end() => ended,
+        };
+        let error = match ended {
             Err(error @ ConversationError::ClientLeft) => return Err(error),
             Err(error) => error,
             Ok(()) => return Ok(()),
@@ -106,10 +114,9 @@
     async fn relay_to_end(&mut self) -> Result<(), ConversationError> {
         loop {
             let frame = tokio::select! {
-                frame = tokio::time::timeout(STREAM_IDLE_TIMEOUT, link::receive(&mut self.reader, protocol::MAX_FRAME_BYTES)) => frame,
+                frame = link::receive(&mut self.reader, protocol::MAX_FRAME_BYTES) => frame?,
                 () = self.pieces.closed() => return Err(ConversationError::ClientLeft),
             };
-            let frame = frame.map_err(|_| ConversationError::Silent)??;
             match frame {
                 Some(Frame::ResponseBody(bytes)) => {
                     if self.pieces.send(Ok(bytes.into())).await.is_err() {
--- a/router/src/ingress/identify.rs
+++ b/router/src/ingress/identify.rs
@@ -22,7 +22,15 @@
     draw: u64,
 }
 
-impl Rules<'_> {
+impl<'a> Rules<'a> {
+    fn new(view: &'a View, head: &'a http::request::Parts, id: &str) -> Rules<'a> {
+        Rules {
+            view,
+            head,
+            draw: policy::stable_hash(id.as_bytes()),
+        }
+    }
+
     fn with_head<T>(&self, evaluate: impl FnOnce(&RequestHead) -> T) -> T {
         let header = |name: &str| self.head.headers.get(name)?.to_str().ok().map(String::from);
         evaluate(&RequestHead {
@@ -81,12 +89,39 @@
     pub homes: Vec<String>,
 }
 
+/// The route of a request, and its deadline. Both stay as they are when the rules change.
+pub struct MatchedRoute {
+    /// In the program.
+    index: usize,
+    arrived_ms: u64,
+    /// The earlier of the client's and the route's, on this process's clock.
+    pub deadline_ms: u64,
+}
+
 impl Ingress {
+    /// The route of a request, by its head; `None` where no route matches.
+    pub(super) fn match_route(
+        &self,
+        view: &View,
+        head: &http::request::Parts,
+        id: &str,
+        arrived_ms: u64,
+    ) -> Option<MatchedRoute> {
+        let index = Rules::new(view, head, id).route()?;
+        let timeout_ms = view.program.routes[index].deadline_ms;
+        let remaining_ms = (self.clients.remaining_ms)(&head.headers).unwrap_or(u64::MAX);
+        Some(MatchedRoute {
+            index,
+            arrived_ms,
+            deadline_ms: arrived_ms + timeout_ms.min(remaining_ms),
+        })
+    }
+
     /// Reads the request as far as its tenant and model are known, or known to be
     /// unreadable here.
     ///
     /// # Errors
-    /// [`RouterRejection`]: `NoRoute`, `BodyTooLong`, `BodyTooSlow`, `BodyUnreadable`,
+    /// [`RouterRejection`]: `BodyTooLong`, `BodyTooSlow`, `BodyUnreadable`,
     /// `TenantKeyMissing`, `TenantKeyUnknown`.
     pub(super) async fn identify<'a>(
         &self,
@@ -94,15 +129,11 @@
         head: &http::request::Parts,
         body: &mut IncomingBody,
         id: &str,
-        arrived_ms: u64,
+        matched: &MatchedRoute,
     ) -> Result<Identified<'a>, RouterRejection> {
-        let rules = Rules {
-            view,
-            head,
-            draw: policy::stable_hash(id.as_bytes()),
-        };
-        let route_index = rules.route().ok_or(RouterRejection::NoRoute)?;
+        let rules = Rules::new(view, head, id);
         body.check_length()?;
+        let route_index = matched.index;
         let route = &view.program.routes[route_index];
         let listener = &view.program.ingresses[route.ingress];
         log::info!(job = id; "the request is received");
@@ -110,12 +141,9 @@
         if let Some(most) = route.max_attempts {
             state = state.with_max_attempts(most);
         }
-        let remaining_ms = (self.clients.remaining_ms)(&head.headers);
-        let deadline_ms = arrived_ms + route.deadline_ms.min(remaining_ms.unwrap_or(u64::MAX));
-
         // The head alone may tell the tenant, before a byte of the body is read.
         let mut extract = rules.extract(route_index, body);
-        self.deposit_retry(view, &extract, arrived_ms);
+        self.deposit_retry(view, &extract, matched.arrived_ms);
         let mut client = match route.is_public {
             true => Some(Client::public()),
             false => Client::of_key(view, &extract)?,
@@ -145,7 +173,7 @@
             listener,
             extract,
             client,
-            deadline_ms,
+            deadline_ms: matched.deadline_ms,
             prompt: rules.prompt(route),
         })
     }
--- a/router/src/ingress/lookup.rs
+++ b/router/src/ingress/lookup.rs
@@ -8,7 +8,7 @@
 use crate::rejection::RouterRejection;
 use crate::router::Router;
 use dispatch::{RequestBody, RequestParts};
-use placement::{CacheLookup, RequestState, RequestStateMachine};
+use placement::{CacheLookup, ExecutionOutcome, RequestState, RequestStateMachine};
 use protocol::LookupResponse;
 use residency::Mapping;
 use std::future::Future;
@@ -183,7 +183,8 @@
                 }
             }
             if now() >= deadline_ms {
-                return Err(RouterRejection::DeadlinePassed);
+                let outcome = ExecutionOutcome::NotRun;
+                return Err(RouterRejection::DeadlinePassed { outcome });
             }
         }
     }
--- a/router/src/ingress/mod.rs
+++ b/router/src/ingress/mod.rs
@@ -12,6 +12,8 @@
 //! | look up | `lookup.rs` | no mapping, no directory node |
 //! | dispatch | `dispatch.rs` | no home region, no engine, engine lost |
 //! | respond | `respond.rs` | |
+//!
+//! All of them together end at the request's deadline.
 
 mod admit;
 mod authorize;
@@ -29,14 +31,18 @@
 use crate::router::Router;
 use body::IncomingBody;
 use claims::{RequestClaim, RequestClaims};
+use dropshot::Body;
+use identify::MatchedRoute;
+use placement::ExecutionOutcome;
+use residency::View;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 use transport::http_listener::{self, HttpListener};
 use transport::http_server::{self, Request, Response};
-use transport::now;
 use transport::rejection::Rejection;
+use transport::{now, sleep_until};
 
 /// A router that starts accepts connections with its first lease, and without one
 /// after this: a client that comes a moment too early waits instead of failing.
@@ -48,6 +54,10 @@
 /// characters at the most, since they go to the log.
 const MAX_REQUEST_ID_CHARS: usize = 64;
 
+/// The phases end a request at its deadline, and know whether it may have run. What they don't
+/// end is ended this much later.
+const DEADLINE_MARGIN_MS: u64 = 20;
+
 /// The ingress of one router.
 pub struct Ingress {
     router: Arc<Router>,
@@ -101,7 +111,12 @@
         if let Some(page) = (self.clients.other_pages)(&self.router, &request) {
             return page;
         }
+        let arrived_ms = now();
         let id = self.request_id(&request);
+        let view = self.router.view.borrow().clone();
+        let (head, body) = request.into_parts();
+        let route = self.match_route(&view, &head, &id, arrived_ms);
+        let deadline_ms = route.as_ref().map(|route| route.deadline_ms);
         self.router.metrics.increment("jobs");
         let mut guard = RequestGuard {
             _in_flight: self.router.in_flight.begin(),
@@ -111,11 +126,12 @@
         };
         let processed = tokio::select! {
             biased;
-            processed = self.process(request, &id, &mut guard) => processed,
+            processed = self.process(&view, &head, body, route.as_ref(), &id, &mut guard) => processed,
             () = self.router.exiting() => Err(broken_off_at_exit(&guard)),
+            () = deadline_passed(deadline_ms) => Err(unanswered_at_deadline(&guard)),
         };
         match processed {
-            Ok(response) => self.respond(response, &id, guard),
+            Ok(response) => self.respond(response, &id, guard, deadline_ms),
             Err(rejection) => self.refuse(&rejection, &id),
         }
     }
@@ -123,23 +139,22 @@
     /// The phases of a request, from its head to the head of its response.
     async fn process(
         &self,
-        request: Request,
+        view: &View,
+        head: &http::request::Parts,
+        body: Body,
+        route: Option<&MatchedRoute>,
         id: &str,
         guard: &mut RequestGuard,
     ) -> Result<Response, Rejection> {
-        let arrived_ms = now();
-        let (head, body) = request.into_parts();
-        let view = self.router.view.borrow().clone();
-        let mut body = IncomingBody::new(body, self.body_limit_bytes(&view));
-        self.admit_by_capacity(&head, &mut body).await?;
-        let mut identified = self
-            .identify(&view, &head, &mut body, id, arrived_ms)
-            .await?;
+        let mut body = IncomingBody::new(body, self.body_limit_bytes(view));
+        self.admit_by_capacity(head, &mut body).await?;
+        let route = route.ok_or(RouterRejection::NoRoute)?;
+        let mut identified = self.identify(view, head, &mut body, id, route).await?;
         guard._late = self.admit_by_drain(id, identified.deadline_ms())?;
         guard.claim = self.authorize(identified.authenticated_client(), id)?;
         let is_past_key_cap = body.is_past_key_cap();
         let mut body = body.into_outgoing();
-        let outgoing = identified.outgoing(&head, id);
+        let outgoing = identified.outgoing(head, id);
         let Some(routing_key) = identified.routing_key(is_past_key_cap)? else {
             let tenant = identified.tenant();
             guard.is_handed_on = true;
@@ -147,7 +162,7 @@
                 .forward_without_key(identified.state, &outgoing, &mut body, tenant)
                 .await;
         };
-        quota_admission::admit(&self.router, &view, &routing_key.tenant)
+        quota_admission::admit(&self.router, view, &routing_key.tenant)
             .await
             .inspect_err(|_| self.router.metrics.increment("refused-quota"))?;
         log::info!(job = id; "admitted");
@@ -176,6 +191,23 @@
     }
 }
 
+/// Ends when the deadline of a request has passed; one without a route has none, and is refused.
+async fn deadline_passed(deadline_ms: Option<u64>) {
+    match deadline_ms {
+        Some(deadline_ms) => sleep_until(deadline_ms + DEADLINE_MARGIN_MS).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// What a request gets that has no answer at its deadline.
+fn unanswered_at_deadline(guard: &RequestGuard) -> Rejection {
+    let outcome = match guard.is_handed_on {
+        true => ExecutionOutcome::Unknown,
+        false => ExecutionOutcome::NotRun,
+    };
+    RouterRejection::DeadlinePassed { outcome }.into()
+}
+
 async fn wait_for_first_lease(router: &Router) {
     let until = Instant::now() + FIRST_LEASE_WAIT;
     while router.lease.check().is_err() && Instant::now() < until {
--- a/router/src/ingress/respond.rs
+++ b/router/src/ingress/respond.rs
@@ -4,15 +4,25 @@
 use dropshot::Body;
 use http_body_util::BodyExt;
 use placement::ExecutionOutcome;
+use transport::http_listener::ResponseDeadline;
 use transport::http_server::Response;
 use transport::rejection::Rejection;
 
 impl Ingress {
     /// The response of an engine or a directory node, as it goes to the client. The
-    /// request is in flight until the last byte is out.
-    pub(super) fn respond(&self, response: Response, id: &str, guard: RequestGuard) -> Response {
+    /// request is in flight until the last byte is out, or until its deadline.
+    pub(super) fn respond(
+        &self,
+        response: Response,
+        id: &str,
+        guard: RequestGuard,
+        deadline_ms: Option<u64>,
+    ) -> Response {
         let (mut head, body) = response.into_parts();
         (self.clients.decorate_response)(&mut head.headers, id);
+        if let Some(deadline_ms) = deadline_ms {
+            head.extensions.insert(ResponseDeadline { deadline_ms });
+        }
         let body = body.map_err(move |error| {
             // The closure owns the guard, and the body owns the closure.
             let _ = &guard;
--- a/router/src/rejection.rs
+++ b/router/src/rejection.rs
@@ -114,12 +114,12 @@
     /// The connection to the directory node failed after the request was forwarded.
     #[error("the directory node's connection failed")]
     DirectoryLost,
-    /// The deadline passed before anything was forwarded.
+    /// The deadline passed before a response began.
     #[error("the request's deadline passed")]
-    DeadlinePassed,
-    /// The deadline passed while a directory node had the request.
-    #[error("the request's deadline passed at the directory node")]
-    DeadlinePassedAtDirectory,
+    DeadlinePassed {
+        /// Whether an engine or a directory node may have run it.
+        outcome: ExecutionOutcome,
+    },
     /// A lookup of routers for a zone that the topology doesn't have.
     #[error("there is no zone {zone}")]
     ZoneUnknown {
@@ -212,9 +212,8 @@
             Self::NoDirectoryForBody => Reply::transient(503, "no-directory", 2_000),
             Self::DirectoryLost => Reply::transient(502, "directory-lost", 1_000)
                 .with_outcome(ExecutionOutcome::Unknown),
-            Self::DeadlinePassed => Reply::transient(504, "deadline", 1_000),
-            Self::DeadlinePassedAtDirectory => {
-                Reply::transient(504, "deadline", 1_000).with_outcome(ExecutionOutcome::Unknown)
+            Self::DeadlinePassed { outcome } => {
+                Reply::transient(504, "deadline", 1_000).with_outcome(*outcome)
             }
             Self::ZoneUnknown { .. } => Reply::permanent(400, "unknown-zone"),
             Self::NoRouter => Reply::transient(503, "no-router", 2_000),
--- a/router/tests/rejection.rs
+++ b/router/tests/rejection.rs
@@ -120,9 +120,15 @@
         ),
         (NoDirectoryForBody, 503, "no-directory", NotRun, Some(2_000)),
         (DirectoryLost, 502, "directory-lost", Unknown, Some(1_000)),
-        (DeadlinePassed, 504, "deadline", NotRun, Some(1_000)),
         (
-            DeadlinePassedAtDirectory,
+            DeadlinePassed { outcome: NotRun },
+            504,
+            "deadline",
+            NotRun,
+            Some(1_000),
+        ),
+        (
+            DeadlinePassed { outcome: Unknown },
             504,
             "deadline",
             Unknown,
--- a/testbed/tests/common/mod.rs
+++ b/testbed/tests/common/mod.rs
@@ -79,8 +79,13 @@
 }
 
 pub async fn start_fleet(name: &str) -> (Folder, Fleet) {
+    start_fleet_of(name, DEPLOYMENT).await
+}
+
+/// A fleet of a test's own deployment.
+pub async fn start_fleet_of(name: &str, deployment: &str) -> (Folder, Fleet) {
     let folder = Folder::new(name);
-    let spec = DeploymentSpec::parse(DEPLOYMENT).expect("the shape reads");
+    let spec = DeploymentSpec::parse(deployment).expect("the shape reads");
     let mut fleet = Fleet::new(spec, &folder.0).expect("a fleet is laid out");
     fleet.bootstrap().await.expect("the fleet comes up");
     (folder, fleet)
--- a/testbed/tests/forwarding.rs
+++ b/testbed/tests/forwarding.rs
@@ -17,8 +17,11 @@
 use transport::link;
 
 const PATIENCE: Duration = Duration::from_secs(40);
-/// Longer than a relayed answer may be silent, and shorter than any client's patience here.
-const LONG_SILENCE: Duration = Duration::from_secs(30);
+/// The deadline of most requests here.
+const DEADLINE_MS: u64 = 9_000;
+/// A little more than that, on a clock that a test moves on, and the patience of a client there.
+const PAST_DEADLINE: Duration = Duration::from_secs(10);
+const MOVED_PATIENCE: Duration = Duration::from_secs(15);
 const KEY: &str = "ana-key-0001";
 const OWN: &[u8] = b"the one right answer";
 
@@ -64,8 +67,10 @@
     Reset,
     Close,
     Silence,
-    /// Silence for longer than any answer may be silent, on a clock that the test moves on.
-    LongSilence,
+    /// Silence past the request's deadline, on a clock that the test moves on.
+    SilencePastDeadline,
+    /// A piece of the body each second, past the request's deadline, on the same clock.
+    TricklePastDeadline,
     /// Half of a frame, then the end.
     HalfFrame,
     /// A frame that has no place there.
@@ -167,8 +172,15 @@
             Trouble::Reset => stream.set_zero_linger()?,
             Trouble::Close => {}
             Trouble::Silence => std::future::pending().await,
-            Trouble::LongSilence => {
-                pass_time(LONG_SILENCE).await;
+            Trouble::SilencePastDeadline => {
+                pass_time(PAST_DEADLINE).await;
+                std::future::pending().await
+            }
+            Trouble::TricklePastDeadline => {
+                for _ in 0..PAST_DEADLINE.as_secs() {
+                    link::send(stream, &Frame::ResponseBody(vec![b'x'])).await?;
+                    pass_time(Duration::from_secs(1)).await;
+                }
                 std::future::pending().await
             }
             Trouble::HalfFrame => {
@@ -379,16 +391,19 @@
     }
 
     async fn send(&self, route: &str, id: &str) -> Told {
-        let left = if id.contains("Silence") && !id.starts_with("next") {
-            "400"
-        } else {
-            "9000"
+        self.send_within(route, id, PATIENCE).await
+    }
+
+    async fn send_within(&self, route: &str, id: &str, patience: Duration) -> Told {
+        let left_ms = match id.contains("Silence") && !id.starts_with("next") {
+            true => 400,
+            false => DEADLINE_MS,
         };
         let headers = [
             ("x-tenant-key", KEY),
             ("x-model", "writer"),
             ("x-rushport-job", id),
-            ("x-deadline-ms", left),
+            ("x-deadline-ms", &left_ms.to_string()),
         ];
         let target = format!("/app/{route}");
         // Cut visibly, or broken off.
@@ -398,7 +413,7 @@
             &target,
             &headers,
             vec![b'x'; 5_000],
-            PATIENCE,
+            patience,
         );
         match asked.await {
             Ok((200, body)) if body == OWN => Told::Own,
@@ -456,7 +471,7 @@
     let mut wrong = Vec::new();
     for trouble in troubles {
         for place in PLACES {
-            // `an_answer_that_falls_silent_is_broken_off` has these.
+            // `a_relayed_answer_without_an_end_is_broken_off_at_the_deadline` has these.
             if trouble == Trouble::Silence && place >= Stage::AnswerBegun {
                 continue;
             }
@@ -501,19 +516,22 @@
     tokio::time::resume();
 }
 
-/// Guards: an answer that a control node relays and that falls silent within is broken off
-/// at the client, and does not look whole. The clock is the runtime's own, moved on by the
-/// node that the test plays.
+/// Guards: an answer that a control node relays, and that falls silent within or goes on
+/// without an end, is broken off at the client by the request's deadline, and does not look
+/// whole. The clock is the runtime's own, moved on by the node that the test plays.
 #[tokio::test]
-async fn an_answer_that_falls_silent_is_broken_off() {
+async fn a_relayed_answer_without_an_end_is_broken_off_at_the_deadline() {
     let site = Site::start(1).await;
-    for place in [Stage::AnswerBegun, Stage::HalfAnswered, Stage::AllButTheEnd] {
-        *site.node.script.lock() = Some((place, Trouble::LongSilence));
-        let id = format!("quiet-{place:?}");
-        assert_eq!(site.send("once", &id).await, Told::Broken, "{place:?}");
-        assert_eq!(site.handed(&id), 1, "{place:?}");
-        let next = site.send("once", &format!("next-{id}")).await;
-        assert_eq!(next, Told::Own, "after {place:?}");
+    for trouble in [Trouble::SilencePastDeadline, Trouble::TricklePastDeadline] {
+        for place in [Stage::AnswerBegun, Stage::HalfAnswered, Stage::AllButTheEnd] {
+            *site.node.script.lock() = Some((place, trouble));
+            let id = format!("late-{place:?}-{trouble:?}").replace("Silence", "Quiet");
+            let told = site.send_within("once", &id, MOVED_PATIENCE).await;
+            assert_eq!(told, Told::Broken, "{id}");
+            assert_eq!(site.handed(&id), 1, "{id}");
+            let next = site.send("once", &format!("next-{id}")).await;
+            assert_eq!(next, Told::Own, "after {id}");
+        }
     }
 }
 
@@ -628,3 +646,47 @@
         );
     }
 }
+
+/// The frames of a conversation up to its end.
+async fn frames_to_end(stream: &mut TcpStream) -> Vec<Frame> {
+    let mut frames = Vec::new();
+    let reading = async {
+        while let Ok(Some(frame)) = link::receive(stream, protocol::MAX_FRAME_BYTES).await {
+            frames.push(frame);
+        }
+    };
+    let ended = tokio::time::timeout(PATIENCE, reading).await;
+    assert!(ended.is_ok(), "no end after {} frames", frames.len());
+    frames
+}
+
+/// Guards: a directory node ends the answer of a forwarded request when the time is over that
+/// the router stated, also towards a router that stays: without the end frame, and with the
+/// engine's work.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_directory_node_ends_a_relayed_answer_at_its_deadline() {
+    let endless = common::DEPLOYMENT.replace(
+        r#""pieces": 3, "piece_ms": 5"#,
+        r#""pieces": 10000, "piece_ms": 50"#,
+    );
+    let (_folder, fleet) = common::start_fleet_of("late-answer", &endless).await;
+    let node = fleet.get("directory-1").address();
+    let until = Instant::now() + PATIENCE;
+    let (id, frames) = loop {
+        let id = format!("late-{:x}", rand::random::<u64>());
+        let mut stream = welcomed(node).await;
+        let request = conversation(&id, 2_000);
+        stream.write_all(&request).await.expect("sent");
+        let frames = frames_to_end(&mut stream).await;
+        if frames
+            .iter()
+            .any(|frame| matches!(frame, Frame::ResponseBody(_)))
+        {
+            break (id, frames);
+        }
+        assert!(Instant::now() < until, "never answered: {frames:?}");
+    };
+    let last = frames.last().expect("an answer began");
+    assert!(matches!(last, Frame::ResponseBody(_)), "{id}: {last:?}");
+    common::wait_for_engine_event(&fleet, &id, "cancelled").await;
+}
--- a/transport/src/clock.rs
+++ b/transport/src/clock.rs
@@ -22,6 +22,11 @@
     START_MS + clock.saturating_sub(start).as_millis() as u64
 }
 
+/// Ends at this time of the process's clock; at once where it has passed.
+pub fn sleep_until(time_ms: u64) -> tokio::time::Sleep {
+    tokio::time::sleep(Duration::from_millis(time_ms.saturating_sub(now())))
+}
+
 /// A delay of `ms` milliseconds with up to a quarter of it added at random, so that many
 /// processes don't act at the same moment.
 pub fn jitter(ms: u64) -> Duration {
--- a/transport/src/http_listener/connection.rs
+++ b/transport/src/http_listener/connection.rs
@@ -1,8 +1,9 @@
 //! What a client's connection is doing, and since when.
 
-use crate::now;
+use crate::{now, sleep_until};
 use dropshot::Body;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
@@ -10,6 +11,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
+use tokio::time::Sleep;
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,6 +33,10 @@
     phase: AtomicU8,
     /// When the phase began, or when bytes were last sent while flushing.
     since_ms: AtomicU64,
+    /// When the response that is going out has to end; 0 where nothing bounds it.
+    response_deadline_ms: AtomicU64,
+    /// The client's socket took no more bytes at the last write.
+    is_write_blocked: AtomicBool,
     /// Notified when the connection is to end.
     pub end: Notify,
     /// The connection is to end as soon as it is idle.
@@ -45,6 +51,9 @@
     pub fn enter(&self, phase: Phase) {
         self.phase.store(phase as u8, Ordering::SeqCst);
         self.since_ms.store(now(), Ordering::Relaxed);
+        if matches!(phase, Phase::Idle | Phase::Handling) {
+            self.response_deadline_ms.store(0, Ordering::Relaxed);
+        }
         if phase == Phase::Idle && self.ends_when_idle.load(Ordering::SeqCst) {
             self.end.notify_one();
         }
@@ -61,6 +70,22 @@
         self.since_ms.load(Ordering::Relaxed)
     }
 
+    /// The response that begins has to end then; its last byte sent is its end.
+    pub fn set_response_deadline(&self, deadline_ms: u64) {
+        self.response_deadline_ms
+            .store(deadline_ms, Ordering::Relaxed);
+    }
+
+    fn response_deadline_ms(&self) -> Option<u64> {
+        let deadline_ms = self.response_deadline_ms.load(Ordering::Relaxed);
+        (deadline_ms > 0).then_some(deadline_ms)
+    }
+
+    /// Whether bytes of a response wait for the client to read.
+    pub fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.load(Ordering::Relaxed)
+    }
+
     /// Ends the connection now if it is idle, else once it is.
     pub fn end_when_idle(&self) {
         self.ends_when_idle.store(true, Ordering::SeqCst);
@@ -104,7 +129,11 @@
         write: impl Fn(&OwnedWriteHalf) -> std::io::Result<usize>,
     ) -> Poll<std::io::Result<usize>> {
         loop {
-            ready!(self.writer.as_ref().as_ref().poll_write_ready(context))?;
+            let ready = self.writer.as_ref().as_ref().poll_write_ready(context);
+            self.state
+                .is_write_blocked
+                .store(ready.is_pending(), Ordering::Relaxed);
+            ready!(ready)?;
             match write(&self.writer) {
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                 written => {
@@ -172,6 +201,32 @@
     }
 }
 
+/// Ready once the deadline of the response that is going out has passed. It must be polled
+/// after the connection, by the same task: the connection may begin a response or end one.
+#[derive(Default)]
+pub(super) struct ResponseTimer {
+    /// Made for the first response that isn't sent at once.
+    sleep: Option<Pin<Box<Sleep>>>,
+    /// What `sleep` is set to.
+    deadline_ms: u64,
+}
+
+impl ResponseTimer {
+    pub fn poll_passed(&mut self, state: &ConnectionState, context: &mut Context<'_>) -> Poll<()> {
+        let Some(deadline_ms) = state.response_deadline_ms() else {
+            return Poll::Pending;
+        };
+        let sleep = self
+            .sleep
+            .get_or_insert_with(|| Box::pin(sleep_until(deadline_ms)));
+        if self.deadline_ms != deadline_ms {
+            self.deadline_ms = deadline_ms;
+            sleep.as_mut().set(sleep_until(deadline_ms));
+        }
+        sleep.as_mut().poll(context)
+    }
+}
+
 /// Says that a response is complete but for what is buffered of it, or was given up.
 pub(super) struct FlushOnDrop(pub Arc<ConnectionState>);
 
--- a/transport/src/http_listener/mod.rs
+++ b/transport/src/http_listener/mod.rs
@@ -1,12 +1,15 @@
 //! The listener for clients: HTTP/1.1 by hyper itself, since every request of every client
 //! comes through it. What a client may send, and how long it may take, is bounded by limits
-//! that are read anew for each connection.
+//! that are read anew for each connection. A response with a [`ResponseDeadline`] ends by then,
+//! also while its client reads nothing.
 
 mod connection;
 
 use crate::http_server::{Handler, Request, Response};
 use crate::now;
-use connection::{ConnectionState, FlushOnDrop, ObservedBody, ObservedStream, Phase};
+use connection::{
+    ConnectionState, FlushOnDrop, ObservedBody, ObservedStream, Phase, ResponseTimer,
+};
 use dropshot::Body;
 use hyper::body::Incoming;
 use hyper::service::HttpService;
@@ -15,12 +18,13 @@
 use residency::RequestLimits;
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
@@ -38,6 +42,14 @@
 /// A client's connection as hyper serves it.
 type ServerConnection<S> = hyper::server::conn::http1::Connection<TokioIo<ObservedStream>, S>;
 
+/// An extension of a response: when it has to end. What is not sent by then is not sent; the
+/// connection ends, and the response looks broken.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseDeadline {
+    /// In milliseconds of this process's clock.
+    pub deadline_ms: u64,
+}
+
 /// A listener for clients.
 pub struct HttpListener {
     connections: Mutex<HashMap<u64, Arc<ConnectionState>>>,
@@ -152,9 +164,12 @@
                 state.enter(Phase::Handling);
                 let flush_on_drop = FlushOnDrop(Arc::clone(&state));
                 let responding = handler(request.map(Body::wrap) as Request);
-                let listener = Arc::clone(&listener);
+                let (listener, state) = (Arc::clone(&listener), Arc::clone(&state));
                 async move {
                     let response = listener.close_if_draining(responding.await);
+                    if let Some(limit) = response.extensions().get::<ResponseDeadline>() {
+                        state.set_response_deadline(limit.deadline_ms);
+                    }
                     Ok::<_, Infallible>(response.map(|body| ObservedBody {
                         body,
                         _flush_on_drop: flush_on_drop,
@@ -176,9 +191,14 @@
             .max_buf_size(max_head_bytes)
             .serve_connection(stream, service);
         let served = self.serve_until_ended(connection, state);
+        let mut timer = ResponseTimer::default();
         tokio::select! {
             biased;
             ended = served => ended,
+            () = poll_fn(|context| timer.poll_passed(state, context)) => {
+                end_at_deadline(state, &writer);
+                Ok(())
+            }
             () = state.wait_until_abandoned(&writer) => {
                 log::debug!("a client closed its connection while its request was handled");
                 Ok(())
@@ -250,3 +270,16 @@
         now() > state.since_ms() + limit_ms
     }
 }
+
+/// Sees that the client learns of the end of its response, which is dropped with its connection.
+/// Where bytes wait for the client, a close would come behind them, as late as it reads them: the
+/// connection is reset instead.
+fn end_at_deadline(state: &ConnectionState, writer: &OwnedWriteHalf) {
+    log::debug!("a response was ended at its deadline");
+    if !state.is_write_blocked() {
+        return;
+    }
+    if let Err(error) = writer.as_ref().set_zero_linger() {
+        log::debug!("a connection can't be reset: {error}");
+    }
+}
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -10,6 +10,6 @@
 mod shutdown;
 mod task;
 
-pub use clock::{jitter, now};
+pub use clock::{jitter, now, sleep_until};
 pub use shutdown::shutdown_signal;
 pub use task::AbortOnDrop;
--- a/transport/tests/http_listener.rs
+++ b/transport/tests/http_listener.rs
@@ -1,15 +1,22 @@
-//! The listener for clients: a connection that is to end while a request comes in on it.
+//! The listener for clients: connections that are to end while a request comes in or a response
+//! goes out on them, and responses that reach their deadline.
 
+use bytes::Bytes;
 use dropshot::Body;
+use hyper::body::Frame;
 use residency::RequestLimits;
+use std::convert::Infallible;
 use std::future::ready;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use transport::http_listener;
-use transport::http_server::{Handler, Request};
+use tokio::sync::{mpsc, oneshot};
+use transport::http_listener::{self, ResponseDeadline};
+use transport::http_server::{self, Handler, Request};
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 const ANSWER: &[u8] = b"a whole answer";
@@ -118,3 +125,138 @@
         answer.len()
     );
 }
+
+/// How long a response has that ends at its deadline, in virtual time.
+const RESPONSE_TIME: Duration = Duration::from_secs(2);
+
+/// Far beyond it, in virtual time, too.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A response with a deadline.
+fn response_with_deadline(body: Body) -> http_server::Response {
+    let mut response = hyper::Response::new(body);
+    let deadline_ms = transport::now() + RESPONSE_TIME.as_millis() as u64;
+    response
+        .extensions_mut()
+        .insert(ResponseDeadline { deadline_ms });
+    response
+}
+
+/// A body that goes on until it is dropped, one piece after each pause, and whose end can be
+/// waited for.
+struct EndlessBody {
+    pieces: mpsc::Receiver<Bytes>,
+}
+
+impl EndlessBody {
+    fn start(piece_bytes: usize, pause: Duration) -> (Body, oneshot::Receiver<()>) {
+        let (sender, pieces) = mpsc::channel(1);
+        let (dropped, is_dropped) = oneshot::channel();
+        tokio::spawn(async move {
+            while sender.send(vec![b'x'; piece_bytes].into()).await.is_ok() {
+                tokio::select! {
+                    () = tokio::time::sleep(pause) => {}
+                    () = sender.closed() => break,
+                }
+            }
+            dropped.send(())
+        });
+        (Body::wrap(EndlessBody { pieces }), is_dropped)
+    }
+}
+
+impl hyper::body::Body for EndlessBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let piece = self.pieces.poll_recv(context);
+        piece.map(|piece| piece.map(|piece| Ok(Frame::data(piece))))
+    }
+}
+
+/// Responds once with this response.
+fn respond_once(response: http_server::Response) -> Handler {
+    let response = Mutex::new(Some(response));
+    Arc::new(move |_: Request| {
+        let response = response.lock().expect("no panic").take();
+        Box::pin(async { response.expect("one request") })
+    })
+}
+
+/// A client that has sent its request to a listener with this handler.
+async fn asking_client(handler: Handler) -> TcpStream {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let limits = Box::new(RequestLimits::default);
+    http_listener::serve(listener, limits, handler, ready(()));
+    let mut client = TcpStream::connect(address).await.expect("it listens");
+    client.write_all(REQUEST).await.expect("it is open");
+    client
+}
+
+/// Guards: a response that goes on without an end, slowly or at once, is ended at its deadline
+/// and has no last chunk.
+#[tokio::test(start_paused = true)]
+async fn a_response_without_an_end_is_ended_at_its_deadline() {
+    for pause in [Duration::from_secs(3_600), Duration::from_millis(100)] {
+        let (body, is_dropped) = EndlessBody::start(10, pause);
+        let mut client = asking_client(respond_once(response_with_deadline(body))).await;
+        let dropped = tokio::time::timeout(PATIENCE, is_dropped).await;
+        assert!(dropped.is_ok(), "pause {pause:?}: it goes on");
+        let mut answer = Vec::new();
+        drop(client.read_to_end(&mut answer).await);
+        assert!(!answer.ends_with(b"0\r\n\r\n"), "pause {pause:?}");
+    }
+}
+
+/// Guards: the same where the client reads nothing, so that hyper doesn't ask for the body's
+/// next piece any more.
+#[tokio::test(start_paused = true)]
+async fn a_response_that_its_client_does_not_read_is_ended_at_its_deadline() {
+    let (body, is_dropped) = EndlessBody::start(1 << 20, Duration::ZERO);
+    let _client = asking_client(respond_once(response_with_deadline(body))).await;
+    let dropped = tokio::time::timeout(PATIENCE, is_dropped).await;
+    assert!(dropped.is_ok(), "it goes on");
+}
+
+/// Guards: a response that waits in the buffers for its client is ended at its deadline, too.
+#[tokio::test(start_paused = true)]
+async fn a_response_that_is_still_going_out_is_ended_at_its_deadline() {
+    let body = Body::with_content(vec![b'x'; LARGE_ANSWER_BYTES]);
+    let client = asking_client(respond_once(response_with_deadline(body))).await;
+    client.readable().await.expect("the answer begins");
+    tokio::time::sleep(2 * RESPONSE_TIME).await;
+    let mut answer = Vec::new();
+    let mut reader = client.take(LARGE_ANSWER_BYTES as u64);
+    drop(reader.read_to_end(&mut answer).await);
+    assert!(
+        answer.len() < LARGE_ANSWER_BYTES,
+        "{} bytes after the deadline",
+        answer.len()
+    );
+}
+
+/// Guards: the deadline of a response that is complete ends neither the idle connection nor
+/// the next request on it.
+#[tokio::test(start_paused = true)]
+async fn the_deadline_of_a_complete_response_does_not_end_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let handler: Handler = Arc::new(|_: Request| {
+        Box::pin(async {
+            tokio::time::sleep(ANSWER_DELAY).await;
+            response_with_deadline(Body::with_content(ANSWER))
+        })
+    });
+    let limits = Box::new(RequestLimits::default);
+    let _server = http_listener::serve(listener, limits, handler, ready(()));
+    let mut client = TcpStream::connect(address).await.expect("it listens");
+    for _ in 0..3 {
+        ask(&mut client).await;
+        tokio::time::sleep(RESPONSE_TIME / 2).await;
+    }
+}
