--- a/testbed/tests/known_red.rs
+++ b/testbed/tests/known_red.rs
@@ -105,6 +105,31 @@
     assert!(text.contains("test late ... FAILED"), "{text}");
 }
 
+/// Lines of issue 54 don't count against the most that there may be; those of others still do.
+#[test]
+fn lines_of_one_issue_do_not_count() {
+    let folder = workspace("known-red-uncounted");
+    let root = &folder.0;
+    let line = |test: &str, issue: &str| format!("{test} | the memory is exceeded | {issue}\n");
+    let uncounted = ["a/edge::late", "a/core::late"].map(|test| line(test, "#54"));
+    let counted =
+        ["b/edge::late", "b/core::late", "a/edge::late_too"].map(|test| line(test, "#12"));
+
+    let list = [&uncounted[..], &counted[..]].concat().concat();
+    let (is_passed, text) = check(root, Some(&list));
+    assert!(is_passed, "{text}");
+    for line in list.lines() {
+        assert!(text.contains(&format!("  {line}\n")), "{line} in {text}");
+    }
+
+    for issue in ["#12", "#540", "#5", "see #54", "#54 and #12"] {
+        let list = list.clone() + &line("a/core::late_too", issue);
+        let (is_passed, text) = check(root, Some(&list));
+        assert!(!is_passed, "{issue}: {text}");
+        assert!(text.contains("it has 4 lines, 3 at most"), "{text}");
+    }
+}
+
 #[test]
 fn a_list_that_is_not_in_order_is_refused() {
     let folder = workspace("known-red-refused");
@@ -135,6 +160,10 @@
             "no `package/test-file::test",
         ),
         (line("late"), "no `package/test-file::test"),
+        (
+            line("b/edge::late").repeat(2),
+            "it names b/edge::late twice",
+        ),
         ("\n".into(), "it is empty"),
     ];
     for (list, wanted) in cases {
