Router: the bodies of all requests share one bound, and those that stand still make room

What callers saw: a router that many clients sent bodies to, each stopping short of its end, grew past its machine's memory and was killed; every request in flight there was lost.

Cause: up to 256 KiB of each body were kept for a retry before anything else was asked, each for 10 s or for its request's life. The only bound counted requests, and it is derived from descriptors: 1,266 times 256 KiB is more than the machine has. What was kept stayed also once it had been sent on and could not be sent again.

Change: the room for a body's bytes is reserved before it is taken, in a budget of the process that follows from the machine's memory (placement::ClientLimits). A quarter of the budget is for bodies up to 32 KiB alone. Where there is no room, bodies of which the client has sent nothing for a second are ended, the one that has waited for the longest time first, with 408, which promises that nothing ran, or with a broken response where a part was sent on; a request that finds no room within 2 s is refused with 503. A large body counts what may wait in the kernel, too, and only then gets a receive buffer for it. Requests past max_requests are refused before their bodies are read. Of a body that is sent on while it comes in, nothing is kept.

Weighed and left: a minimum pace (slow lines that keep to the limits would meet it); a share for each address (clients share addresses); no copy for a retry when memory is tight (the crowd would hold engines' slots instead).

--- a/dispatch/src/body.rs
+++ b/dispatch/src/body.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use transport::uploads::HeldBytes;
 
 /// Of one body, so much is read ahead at the most, in bytes.
 const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
@@ -27,6 +28,8 @@
     is_consumed: bool,
     /// For the bytes that were read ahead.
     read_ahead: Option<OwnedSemaphorePermit>,
+    /// For the bytes that were buffered before.
+    held: Option<HeldBytes>,
 }
 
 /// The bytes that may be read ahead of all bodies of a process together.
@@ -35,8 +38,9 @@
 
 impl ReadAheadBudget {
     /// So many bytes, 4 GiB at the most.
-    pub fn new(max_bytes: u32) -> ReadAheadBudget {
-        ReadAheadBudget(Arc::new(Semaphore::new(max_bytes as usize)))
+    pub fn new(max_bytes: usize) -> ReadAheadBudget {
+        let max_bytes = max_bytes.min(u32::MAX as usize);
+        ReadAheadBudget(Arc::new(Semaphore::new(max_bytes)))
     }
 }
 
@@ -54,9 +58,15 @@
             remainder,
             is_consumed: false,
             read_ahead: None,
+            held: None,
         }
     }
 
+    /// The same body, with what its buffered bytes hold of a budget.
+    pub fn holding(self, held: Option<HeldBytes>) -> RequestBody {
+        RequestBody { held, ..self }
+    }
+
     /// The pieces that are buffered, in their order.
     pub fn buffered(&self) -> &[Bytes] {
         &self.buffered
@@ -135,12 +145,21 @@
         self.remainder.take()
     }
 
-    /// The body as it is sent to an engine. Takes the remainder.
-    pub(crate) fn take_outgoing(&mut self) -> OutgoingBody {
-        let pieces = self.buffered.iter().filter(|piece| !piece.is_empty());
+    /// The body as it is sent to an engine. Takes the remainder. Without one a copy of the body
+    /// stays here to be sent again; with one it can't be, and nothing stays.
+    pub fn take_outgoing(&mut self) -> OutgoingBody {
+        let remainder = self.take_remainder();
+        let (pieces, held) = match remainder.is_some() {
+            true => (std::mem::take(&mut self.buffered), self.held.take()),
+            false => (self.buffered.clone(), None),
+        };
         OutgoingBody {
-            buffered: pieces.cloned().collect(),
-            remainder: self.take_remainder(),
+            buffered: pieces
+                .into_iter()
+                .filter(|piece| !piece.is_empty())
+                .collect(),
+            remainder,
+            held,
         }
     }
 }
@@ -149,6 +168,8 @@
 pub struct OutgoingBody {
     buffered: VecDeque<Bytes>,
     remainder: Option<BodyStream>,
+    /// What the buffered part and the rest on its way hold of a budget.
+    held: Option<HeldBytes>,
 }
 
 impl Body for OutgoingBody {
@@ -162,6 +183,9 @@
         if let Some(piece) = self.buffered.pop_front() {
             return Poll::Ready(Some(Ok(Frame::data(piece))));
         }
+        if let Some(held) = &mut self.held {
+            held.release_kept();
+        }
         match &mut self.remainder {
             Some(remainder) => Pin::new(remainder).poll_frame(context),
             None => Poll::Ready(None),
--- a/dispatch/tests/request_body.rs
+++ b/dispatch/tests/request_body.rs
@@ -116,3 +116,18 @@
     assert_eq!(done.expect("the work is done"), 3);
     assert_eq!(buffered(&body), b"head");
 }
+
+/// Guards against the sent part of a body that is kept although it can't be sent again.
+#[tokio::test]
+async fn nothing_is_kept_of_a_body_whose_remainder_was_taken() {
+    let (mut body, chunks) = streamed_body();
+    let budget = ReadAheadBudget::new(1 << 20);
+    send(&chunks, b"-one").await;
+    read_what_came(&mut body, &budget).await;
+    let outgoing = body.take_outgoing();
+    assert!(body.buffered().is_empty());
+    assert!(!body.is_intact());
+    drop(chunks);
+    let sent = outgoing.collect().await.expect("it ends").to_bytes();
+    assert_eq!(sent, "head-one");
+}
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -12,6 +12,8 @@
 //! | which demands for quota a leader that is behind weighs | `quota_work_limit` |
 //! | what may be attempted next, and what an error may claim | `request_state` |
 //! | whether there is budget for a retry | `retry` |
+//! | what clients may take of a process's memory and descriptors | `client_limits` |
+//! | which bodies of requests may be held, and which are ended | `body_budget` |
 //! | whether a cached mapping may be used | `cache` |
 //! | whether a request may use a connection that carried others | `connection_reuse` |
 //! | how long a router goes on past its lease | `lease_grace` |
@@ -24,7 +26,9 @@
 //! | which routers a client is sent to | `router_selection` |
 //! | which process owns what, without communication | `rendezvous` |
 
+mod body_budget;
 mod cache;
+mod client_limits;
 mod connection_reuse;
 mod directory_observer;
 mod drain;
@@ -42,7 +46,9 @@
 mod state_lease;
 mod watch_schedule;
 
+pub use body_budget::{BodyBudget, UploadId, SMALL_BODY_BYTES};
 pub use cache::{Cache, CacheEntry, CacheLookup};
+pub use client_limits::ClientLimits;
 pub use connection_reuse::{ConnectionDemand, ConnectionReuse, ReuseMode};
 pub use directory_observer::{
     DirectoryObserver, ExtensionReason, LeaseExtension, VotersOutOfReach,
--- a/router/src/ingress/admit.rs
+++ b/router/src/ingress/admit.rs
@@ -24,7 +24,7 @@
     ///
     /// # Errors
     /// [`RouterRejection`]: `HttpVersion`, `BodyTooLong`, `Starting`, `LeaseEnded`,
-    /// `ShuttingDown`, `RouterFull`, or of the body's reading.
+    /// `ShuttingDown`, `RouterFull`, `MemoryFull`, or of the body's reading.
     pub(super) async fn admit_by_capacity(
         &self,
         head: &http::request::Parts,
@@ -39,6 +39,10 @@
             router.lease.check()?;
             return Err(too_long);
         }
+        if self.is_full() && !router.bodies.end_stalled() {
+            // Cheap: nothing of the body is read for it.
+            return Err(self.full());
+        }
         if router.settings.buffered_body_bytes > 0 {
             // A client that reads only after it has sent its request gets a rejection when
             // the body is buffered, not while it still sends.
@@ -50,15 +54,20 @@
         if router.is_stopped.load(Ordering::Relaxed) {
             return Err(RouterRejection::ShuttingDown);
         }
-        // This request is among those in flight.
-        if router.in_flight.count() > router.settings.max_requests {
-            return Err(RouterRejection::RouterFull {
-                max_requests: router.settings.max_requests,
-            });
-        }
         Ok(())
     }
 
+    /// Whether more requests are in flight than may be; the one that asks is among them.
+    fn is_full(&self) -> bool {
+        self.router.in_flight.count() > self.router.settings.max_requests
+    }
+
+    fn full(&self) -> RouterRejection {
+        RouterRejection::RouterFull {
+            max_requests: self.router.settings.max_requests,
+        }
+    }
+
     /// Takes the request if this router doesn't drain, or the request is certain to end
     /// before the process does. What is accepted after the first part of the draining is
     /// noted for as long as the guard lives.
--- a/router/src/ingress/mod.rs
+++ b/router/src/ingress/mod.rs
@@ -39,7 +39,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
-use transport::http_listener::{self, HttpListener};
+use transport::http_listener::{self, HttpListener, ListenerLimits};
 use transport::http_server::{self, Request, Response};
 use transport::rejection::Rejection;
 use transport::{now, sleep_until};
@@ -91,20 +91,20 @@
     /// Serves a listener until the returned handle is shut.
     pub fn serve(self: Arc<Ingress>, listener: TcpListener) -> Arc<HttpListener> {
         let view = self.router.view.subscribe();
+        let router = Arc::clone(&self.router);
         let opened = {
-            let router = Arc::clone(&self.router);
+            let router = Arc::clone(&router);
             Box::pin(async move { wait_for_first_lease(&router).await })
         };
         let handler: http_server::Handler = Arc::new(move |request| {
             let ingress = Arc::clone(&self);
             Box::pin(async move { ingress.handle(request).await })
         });
-        http_listener::serve(
-            listener,
-            Box::new(move || view.borrow().limits),
-            handler,
-            opened,
-        )
+        let limits = ListenerLimits {
+            requests: Box::new(move || view.borrow().limits),
+            bodies: router.bodies.clone(),
+        };
+        http_listener::serve(listener, limits, handler, opened)
     }
 
     async fn handle(&self, request: Request) -> Response {
@@ -146,7 +146,8 @@
         id: &str,
         guard: &mut RequestGuard,
     ) -> Result<Response, Rejection> {
-        let mut body = IncomingBody::new(body, self.body_limit_bytes(view));
+        let upload = head.extensions.get().cloned();
+        let mut body = IncomingBody::new(body, upload, self.body_limit_bytes(view));
         self.admit_by_capacity(head, &mut body).await?;
         let route = route.ok_or(RouterRejection::NoRoute)?;
         let mut identified = self.identify(view, head, &mut body, id, route).await?;
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,7 +1,7 @@
 //! The project's own router program: settings by flags and a JSON file; clients and
 //! engines by the project's own HTTP interface.
 
-use placement::{DrainPlan, LeaseGrace};
+use placement::{ClientLimits, DrainPlan, LeaseGrace};
 use router::{Extensions, Settings, ENGINE_SLOT_WAIT_MS};
 use settings::{setting, Setting, SettingsReader};
 use std::time::Duration;
@@ -12,6 +12,8 @@
 /// How long tasks may take to end after the router has stopped.
 const RUNTIME_SHUTDOWN: Duration = Duration::from_millis(200);
 
+const BYTES_PER_MB: u64 = 1_000_000;
+
 const SETTINGS: &[Setting] = &[
     setting(
         "name",
@@ -55,6 +57,18 @@
         "requests in flight, at the most",
         Some("4096"),
     ),
+    setting(
+        "memory",
+        "MB",
+        "the memory that the process may use; clients get a part of it",
+        Some("1024"),
+    ),
+    setting(
+        "descriptors",
+        "COUNT",
+        "the file descriptors that it may open; clients get a part of them",
+        Some("16384"),
+    ),
     setting(
         "leave-ms",
         "MS",
@@ -139,6 +153,10 @@
         body_head_timeout: Duration::from_millis(reader.count("head-ms", 1, 600_000)),
         quota_wait: Duration::from_millis(reader.count("quota-ms", 0, 60_000)),
         max_requests: reader.count("jobs", 1, 1 << 20) as usize,
+        client_limits: ClientLimits::of_process(
+            reader.count("memory", 64, 1 << 20) * BYTES_PER_MB,
+            reader.count("descriptors", 256, 1 << 24),
+        ),
         seeds: reader.addresses("seeds"),
         body_limit_bytes: reader.count("body", 1 << 10, 1 << 30) as usize,
         operator_address: reader.address("desk"),
--- a/router/src/operator_api.rs
+++ b/router/src/operator_api.rs
@@ -72,6 +72,7 @@
             router.lease.until_ms().saturating_sub(now()),
         ),
         ("requests_in_flight", router.in_flight.count() as u64),
+        ("body_bytes_held", router.bodies.held_bytes() as u64),
         ("mappings_cached", sizes.local as u64),
         ("mappings_cached_for_the_region", sizes.regional as u64),
     ];
--- a/router/src/rejection.rs
+++ b/router/src/rejection.rs
@@ -33,6 +33,9 @@
         /// The limit, of the settings.
         max_requests: usize,
     },
+    /// The bodies of other requests take all memory that they may.
+    #[error("no memory is left for this body here; use another router")]
+    MemoryFull,
     /// HTTP/1.0 has no chunked coding: a response that broke off would look
     /// complete.
     #[error("requests are accepted in HTTP/1.1 only")]
@@ -188,6 +191,7 @@
                 Reply::transient(502, "broken-off", 1_000).with_outcome(ExecutionOutcome::Unknown)
             }
             Self::RouterFull { .. } => Reply::transient(503, "router-full", 1_000),
+            Self::MemoryFull => Reply::transient(503, "memory-full", 1_000),
             Self::HttpVersion => Reply::permanent(400, "http-version"),
             Self::BodyTooLong { .. } => Reply::permanent(413, "long-body"),
             Self::BodyTooSlow { .. } => Reply::transient(408, "slow-body", 1_000),
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -19,6 +19,7 @@
 use std::sync::{Arc, OnceLock};
 use telemetry::metrics::Metrics;
 use tokio::sync::watch;
+use transport::uploads::BodyBudget;
 
 /// A running router. Invariant: the view's epoch only rises.
 pub struct Router {
@@ -43,6 +44,8 @@
     /// What the tenants were worked out from whose quota leases this router owns.
     pub(crate) ownership_basis: Mutex<OwnershipBasis>,
     pub(crate) dispatcher: Dispatcher,
+    /// What the bodies of clients' requests may hold.
+    pub(crate) bodies: BodyBudget,
     /// For bodies of requests that are being looked up.
     pub(crate) read_ahead: ReadAheadBudget,
     pub(crate) metrics: Arc<Metrics>,
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -1,6 +1,6 @@
 //! A router's settings, checked by the program that reads them.
 
-use placement::{DrainPlan, LeaseGrace};
+use placement::{ClientLimits, DrainPlan, LeaseGrace};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,6 +32,8 @@
     pub quota_wait: Duration,
     /// Requests in flight, at the most.
     pub max_requests: usize,
+    /// What clients may take of the process's memory and descriptors.
+    pub client_limits: ClientLimits,
     /// The longest body, in bytes; the rules may allow less.
     pub body_limit_bytes: usize,
     /// Mappings in the local cache tier.
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -30,13 +30,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use transport::http_listener::HttpListener;
+use transport::uploads::BodyBudget;
 use transport::{http_server, now};
 
 /// How often pooled connections of engines that left are looked for.
 const POOL_SWEEP: Duration = Duration::from_millis(700);
-/// Bytes of bodies that are read while their requests are looked up, of all requests.
-/// Past it a body waits in its client's kernel, which hides that the client has left.
-const MAX_READ_AHEAD_BYTES: u32 = 16 << 20;
 /// How often a stopping router looks whether requests are still in flight.
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// How long the leader may take to answer that quota leases were given back. Without an
@@ -120,7 +118,8 @@
             quota: quota_margin.map_or_else(QuotaLimiter::default, QuotaLimiter::without_queue),
             ownership_basis: Mutex::default(),
             dispatcher,
-            read_ahead: ReadAheadBudget::new(MAX_READ_AHEAD_BYTES),
+            bodies: BodyBudget::new(settings.client_limits.body_bytes),
+            read_ahead: ReadAheadBudget::new(settings.client_limits.read_ahead_bytes),
             metrics,
             in_flight: InFlight::default(),
             settings,
--- a/router/tests/quota_owners/main.rs
+++ b/router/tests/quota_owners/main.rs
@@ -42,6 +42,7 @@
         body_head_timeout: Duration::from_secs(5),
         quota_wait: Duration::from_secs(1),
         max_requests: 100,
+        client_limits: placement::ClientLimits::of_process(1_000_000_000, 16_384),
         seeds: vec![node.address],
         body_limit_bytes: 1 << 20,
         local_cache_entries: 16,
--- a/testbed/tests/forwarding/site.rs
+++ b/testbed/tests/forwarding/site.rs
@@ -88,6 +88,7 @@
             body_head_timeout: Duration::from_secs(5),
             quota_wait: Duration::from_secs(1),
             max_requests: 100,
+            client_limits: placement::ClientLimits::of_process(1_000_000_000, 16_384),
             seeds: vec![seed],
             body_limit_bytes: 1 << 20,
             local_cache_entries: 16,
--- a/transport/src/http_listener/mod.rs
+++ b/transport/src/http_listener/mod.rs
@@ -7,11 +7,12 @@
 
 use crate::http_server::{Handler, Request, Response};
 use crate::now;
+use crate::uploads::{BodyBudget, UploadBody};
 use connection::{
     ConnectionState, FlushOnDrop, ObservedBody, ObservedStream, Phase, ResponseTimer,
 };
 use dropshot::Body;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -22,7 +23,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
@@ -50,20 +51,43 @@
     pub deadline_ms: u64,
 }
 
+/// What the clients of a listener may do.
+pub struct ListenerLimits {
+    /// What one client may send, and how long it may take.
+    pub requests: Box<dyn Fn() -> RequestLimits + Send + Sync>,
+    /// What the bodies of all requests may hold.
+    pub bodies: BodyBudget,
+}
+
+impl ListenerLimits {
+    /// What bodies may hold, where nothing else is said.
+    pub const DEFAULT_BODY_BYTES: usize = 64 << 20;
+}
+
+impl Default for ListenerLimits {
+    fn default() -> ListenerLimits {
+        ListenerLimits {
+            requests: Box::new(RequestLimits::default),
+            bodies: BodyBudget::new(ListenerLimits::DEFAULT_BODY_BYTES),
+        }
+    }
+}
+
 /// A listener for clients.
 pub struct HttpListener {
     connections: Mutex<HashMap<u64, Arc<ConnectionState>>>,
     next_connection: AtomicU64,
     is_draining: AtomicBool,
     shut_down: Notify,
-    limits: Box<dyn Fn() -> RequestLimits + Send + Sync>,
+    requests: Box<dyn Fn() -> RequestLimits + Send + Sync>,
+    bodies: BodyBudget,
 }
 
 /// Accepts connections from when `opened` is ready until the listener is shut down. When a
 /// client disconnects, the handler's work is dropped where it stands.
 pub fn serve(
     listener: TcpListener,
-    limits: Box<dyn Fn() -> RequestLimits + Send + Sync>,
+    limits: ListenerLimits,
     handler: Handler,
     opened: impl Future<Output = ()> + Send + 'static,
 ) -> Arc<HttpListener> {
@@ -72,7 +96,8 @@
         next_connection: AtomicU64::new(0),
         is_draining: AtomicBool::new(false),
         shut_down: Notify::new(),
-        limits,
+        requests: limits.requests,
+        bodies: limits.bodies,
     });
     let accepting = Arc::clone(&http_listener);
     tokio::spawn(async move {
@@ -158,12 +183,15 @@
         state: &Arc<ConnectionState>,
         handler: Handler,
     ) -> hyper::Result<()> {
+        let (reader, writer) = stream.into_split();
+        let writer = Arc::new(writer);
+        let socket = Arc::downgrade(&writer);
         let service = {
             let (listener, state) = (Arc::clone(self), Arc::clone(state));
             hyper::service::service_fn(move |request: hyper::Request<Incoming>| {
                 state.enter(Phase::Handling);
                 let flush_on_drop = FlushOnDrop(Arc::clone(&state));
-                let responding = handler(request.map(Body::wrap) as Request);
+                let responding = handler(listener.observe_body(request, &socket));
                 let (listener, state) = (Arc::clone(&listener), Arc::clone(&state));
                 async move {
                     let response = listener.close_if_draining(responding.await);
@@ -177,11 +205,9 @@
                 }
             })
         };
-        let max_head_bytes = usize::try_from((self.limits)().max_head_bytes)
+        let max_head_bytes = usize::try_from((self.requests)().max_head_bytes)
             .unwrap_or(usize::MAX)
             .max(MIN_HEAD_BYTES);
-        let (reader, writer) = stream.into_split();
-        let writer = Arc::new(writer);
         let stream = TokioIo::new(ObservedStream {
             reader,
             writer: Arc::clone(&writer),
@@ -206,6 +232,21 @@
         }
     }
 
+    /// The request with a body that may be ended when its room is needed, if it has one.
+    fn observe_body(
+        &self,
+        request: hyper::Request<Incoming>,
+        socket: &Weak<OwnedWriteHalf>,
+    ) -> Request {
+        let (mut head, body) = request.into_parts();
+        if body.is_end_stream() {
+            return Request::from_parts(head, Body::wrap(body));
+        }
+        let body = UploadBody::new(body, &self.bodies, Weak::clone(socket));
+        head.extensions.insert(body.upload());
+        Request::from_parts(head, Body::wrap(body))
+    }
+
     /// Drives a connection until it ends by itself, or is to end and has nothing more to
     /// send.
     async fn serve_until_ended<S>(
@@ -259,7 +300,7 @@
     }
 
     fn is_overdue(&self, state: &ConnectionState) -> bool {
-        let limits = (self.limits)();
+        let limits = (self.requests)();
         let limit_ms = if state.is_in(Phase::Handling) {
             return false;
         } else if state.is_in(Phase::ReadingHead) {
--- a/transport/src/lib.rs
+++ b/transport/src/lib.rs
@@ -1,5 +1,5 @@
-//! What processes speak over: the HTTP listener and client, framed links between own
-//! processes, and the clock that deadlines and leases are counted by.
+//! What processes speak over: the HTTP listener and client, the bodies of clients' requests,
+//! framed links between own processes, and the clock that deadlines and leases are counted by.
 
 mod clock;
 pub mod http_client;
@@ -9,6 +9,7 @@
 pub mod rejection;
 mod shutdown;
 mod task;
+pub mod uploads;
 
 pub use clock::{jitter, now, sleep_until};
 pub use shutdown::shutdown_signal;
--- a/transport/tests/http_listener.rs
+++ b/transport/tests/http_listener.rs
@@ -4,7 +4,6 @@
 use bytes::Bytes;
 use dropshot::Body;
 use hyper::body::Frame;
-use residency::RequestLimits;
 use std::convert::Infallible;
 use std::future::ready;
 use std::pin::Pin;
@@ -15,7 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
-use transport::http_listener::{self, ResponseDeadline};
+use transport::http_listener::{self, ListenerLimits, ResponseDeadline};
 use transport::http_server::{self, Handler, Request};
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -59,7 +58,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
     let handed = Arc::new(AtomicUsize::new(0));
-    let limits = Box::new(RequestLimits::default);
+    let limits = ListenerLimits::default();
     let server = http_listener::serve(listener, limits, slow_handler(&handed), ready(()));
     let mut clients = Vec::new();
     for _ in 0..CONNECTIONS {
@@ -111,7 +110,7 @@
     let handler: Handler = Arc::new(|_: Request| {
         Box::pin(async { hyper::Response::new(Body::with_content(vec![b'x'; LARGE_ANSWER_BYTES])) })
     });
-    let limits = Box::new(RequestLimits::default);
+    let limits = ListenerLimits::default();
     let server = http_listener::serve(listener, limits, handler, ready(()));
     let mut client = TcpStream::connect(address).await.expect("it listens");
     client.write_all(REQUEST).await.expect("it is open");
@@ -191,7 +190,7 @@
 async fn asking_client(handler: Handler) -> TcpStream {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
-    let limits = Box::new(RequestLimits::default);
+    let limits = ListenerLimits::default();
     http_listener::serve(listener, limits, handler, ready(()));
     let mut client = TcpStream::connect(address).await.expect("it listens");
     client.write_all(REQUEST).await.expect("it is open");
@@ -252,7 +251,7 @@
             response_with_deadline(Body::with_content(ANSWER))
         })
     });
-    let limits = Box::new(RequestLimits::default);
+    let limits = ListenerLimits::default();
     let _server = http_listener::serve(listener, limits, handler, ready(()));
     let mut client = TcpStream::connect(address).await.expect("it listens");
     for _ in 0..3 {
