Listeners: connections have a bound at each port, and what waits in the kernel has one

What callers saw: connections that send nothing, or half a head, take all descriptors of a process; none is left for engines and peers, and nobody else is accepted. A crowd of one-byte chunks, which are slow to read, fills the kernel's receive buffers, which count as the process's memory.

Cause: no listener had a bound on its connections. Operators', look-up, readiness and own pages were served by dropshot's server, which has none on the time of a head or of an idle connection either. The kernel lets a receive buffer grow by itself to megabytes.

Change: a listener has so many connections as follow from memory and descriptors. A further one takes the place of the one that has been idle for the longest time, then of the one whose head has been coming for the longest, then of a response's end that nobody reads, then of a body that stands still; if every other one is in use it is closed unread, which lets its client go elsewhere. All ports are served by the one listener that has these bounds, heads and idle time included; dropshot's types stay.

Why this works: descriptors for engines and peers are kept back, and a connection that is in use is never ended for another one.

--- a/directory/src/extensions.rs
+++ b/directory/src/extensions.rs
@@ -9,8 +9,8 @@
 pub struct HttpServer {
     /// Where it listens.
     pub address: SocketAddr,
-    /// The most that a request's body may hold, in bytes.
-    pub body_limit_bytes: usize,
+    /// Open connections, at the most.
+    pub max_connections: usize,
     /// Makes the handler of its requests.
     pub handler: Box<dyn FnOnce(Arc<ControlPlane>) -> transport::http_server::Handler + Send>,
 }
--- a/directory/src/main.rs
+++ b/directory/src/main.rs
@@ -2,10 +2,13 @@
 
 use consensus::node::Timing;
 use directory::{Extensions, RuntimeFlavor, Settings};
+use placement::ClientLimits;
 use settings::{setting, Setting, SettingsReader};
 use std::time::Duration;
 use telemetry::exit::{self, ExitCause};
 
+const BYTES_PER_MB: u64 = 1_000_000;
+
 const SETTINGS: &[Setting] = &[
     setting(
         "name",
@@ -53,6 +56,18 @@
         "bytes of forwarded bodies in memory at a time, at the most",
         Some("16777216"),
     ),
+    setting(
+        "memory",
+        "MB",
+        "the memory that the process may use; operators get a part of it",
+        Some("1024"),
+    ),
+    setting(
+        "descriptors",
+        "COUNT",
+        "the file descriptors that it may open; operators get a part of them",
+        Some("16384"),
+    ),
     setting(
         "snapshot-every",
         "COUNT",
@@ -90,6 +105,10 @@
         },
         max_forwarded_requests: reader.count("jobs", 0, 100_000) as usize,
         max_forwarded_bytes: reader.count("bytes", 1 << 20, 1 << 31) as usize,
+        client_limits: ClientLimits::of_process(
+            reader.count("memory", 64, 1 << 20) * BYTES_PER_MB,
+            reader.count("descriptors", 256, 1 << 24),
+        ),
         snapshot_every: reader.count("snapshot-every", 16, 1 << 20),
         is_first_start: false,
         min_voters: 1,
--- a/directory/src/node.rs
+++ b/directory/src/node.rs
@@ -27,6 +27,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
+use transport::uploads::BodyBudget;
 
 /// How long forwarded requests get to finish when the node stops.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
@@ -37,8 +38,6 @@
 /// How long the runtime waits for blocking work at its end.
 const RUNTIME_SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(200);
 
-type WebServer = dropshot::HttpServer<transport::http_server::Handler>;
-
 /// Why a node did not start. None is mended by a retry alone.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -102,7 +101,7 @@
             address: listen,
             source,
         })?;
-    let servers = start_servers(&control, settings.operator_address, extensions.http_servers)
+    let servers = start_servers(&control, &settings, extensions.http_servers)
         .map_err(StartError::HttpServer)?;
     tasks.spawn(peers::accept(Arc::clone(&control), listener));
     if is_founder {
@@ -206,15 +205,22 @@
 
 fn start_servers(
     control: &Arc<ControlPlane>,
-    operator_address: SocketAddr,
+    settings: &Settings,
     added: Vec<HttpServer>,
-) -> anyhow::Result<Vec<WebServer>> {
-    let mut servers = vec![operator_api::serve(Arc::clone(control), operator_address)?];
+) -> anyhow::Result<Vec<transport::http_server::HttpServer>> {
+    let bodies = BodyBudget::new(settings.client_limits.body_bytes);
+    let mut servers = vec![operator_api::serve(
+        Arc::clone(control),
+        settings.operator_address,
+        settings.client_limits,
+        &bodies,
+    )?];
     for server in added {
         let handler = (server.handler)(Arc::clone(control));
         servers.push(transport::http_server::serve(
             server.address,
-            server.body_limit_bytes,
+            server.max_connections,
+            &bodies,
             handler,
         )?);
     }
@@ -242,7 +248,11 @@
 
 /// Leaves the cluster to the others, lets forwarded requests finish, then closes the
 /// servers; clients of what is left see a broken connection.
-async fn stop(settings: &Settings, control: &ControlPlane, servers: Vec<WebServer>) {
+async fn stop(
+    settings: &Settings,
+    control: &ControlPlane,
+    servers: Vec<transport::http_server::HttpServer>,
+) {
     let driver = &control.driver;
     driver
         .prepare_to_stop(control.member.identity, settings.leave_timeout)
@@ -254,7 +264,7 @@
     }
     let close = async {
         for server in servers {
-            drop(server.close().await);
+            server.close().await;
         }
     };
     drop(tokio::time::timeout(CLOSE_TIMEOUT, close).await);
--- a/directory/src/operator_api/commands.rs
+++ b/directory/src/operator_api/commands.rs
@@ -8,7 +8,7 @@
 use transport::http_server::{self, Request, Response};
 
 /// The most that a request's body may hold.
-pub(super) const BODY_LIMIT_BYTES: usize = 8 << 20;
+const BODY_LIMIT_BYTES: usize = 8 << 20;
 /// How long a proposal is submitted for, over changes of leader.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(3_500);
 
--- a/directory/src/operator_api/mod.rs
+++ b/directory/src/operator_api/mod.rs
@@ -13,17 +13,22 @@
 
 use crate::control_plane::ControlPlane;
 use error::ApiError;
+use placement::ClientLimits;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use transport::http_server::{self, Request, Response};
-
-type Server = dropshot::HttpServer<http_server::Handler>;
+use transport::http_server::{self, HttpServer, Request, Response};
+use transport::uploads::BodyBudget;
 
 /// Serves the API until the server is closed. A request whose client leaves is dropped.
 ///
 /// # Errors
 /// The address can't be listened at.
-pub(crate) fn serve(control: Arc<ControlPlane>, address: SocketAddr) -> anyhow::Result<Server> {
+pub(crate) fn serve(
+    control: Arc<ControlPlane>,
+    address: SocketAddr,
+    limits: ClientLimits,
+    bodies: &BodyBudget,
+) -> anyhow::Result<HttpServer> {
     let handler: http_server::Handler = Arc::new(move |request| {
         let control = Arc::clone(&control);
         Box::pin(async move {
@@ -31,9 +36,11 @@
             result.unwrap_or_else(|error| error.response())
         })
     });
+    let max_connections = limits.side_connections();
     Ok(http_server::serve(
         address,
-        commands::BODY_LIMIT_BYTES,
+        max_connections,
+        bodies,
         handler,
     )?)
 }
--- a/directory/src/settings.rs
+++ b/directory/src/settings.rs
@@ -39,6 +39,8 @@
     pub max_forwarded_requests: usize,
     /// Bytes of forwarded bodies in memory at a time, at the most.
     pub max_forwarded_bytes: usize,
+    /// What clients and operators may take of the process's memory and descriptors.
+    pub client_limits: placement::ClientLimits,
     /// Entries between two snapshots.
     pub snapshot_every: u64,
     /// This is the first start of all nodes on empty disks: the first seed founds the
--- a/directory/tests/operator_api.rs
+++ b/directory/tests/operator_api.rs
@@ -43,6 +43,7 @@
             timing: Timing::default(),
             max_forwarded_requests: 0,
             max_forwarded_bytes: 0,
+            client_limits: placement::ClientLimits::of_process(1_000_000_000, 16_384),
             snapshot_every: 256,
             is_first_start: false,
             min_voters: 1,
--- a/directory/tests/recorded_data.rs
+++ b/directory/tests/recorded_data.rs
@@ -269,6 +269,7 @@
         },
         max_forwarded_requests: 0,
         max_forwarded_bytes: 0,
+        client_limits: placement::ClientLimits::of_process(1_000_000_000, 16_384),
         snapshot_every: 8,
         is_first_start: false,
         min_voters: 1,
--- a/router/src/ingress/mod.rs
+++ b/router/src/ingress/mod.rs
@@ -102,6 +102,7 @@
         });
         let limits = ListenerLimits {
             requests: Box::new(move || view.borrow().limits),
+            max_connections: router.settings.client_limits.connections,
             bodies: router.bodies.clone(),
         };
         http_listener::serve(listener, limits, handler, opened)
--- a/router/src/operator_api.rs
+++ b/router/src/operator_api.rs
@@ -5,24 +5,26 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use telemetry::prometheus::{self, Gauge};
-use transport::{http_server, now};
-
-/// Requests of operators have no bodies; this is the cap.
-const BODY_CAP_BYTES: usize = 1 << 16;
+use transport::http_server::{self, HttpServer};
+use transport::now;
 
 /// Serves the pages until the server is closed.
 ///
 /// # Errors
 /// The address can't be listened at.
-pub fn serve(
-    router: Arc<Router>,
-    address: SocketAddr,
-) -> anyhow::Result<dropshot::HttpServer<http_server::Handler>> {
+pub fn serve(router: Arc<Router>, address: SocketAddr) -> anyhow::Result<HttpServer> {
+    let max_connections = router.settings.client_limits.side_connections();
+    let bodies = router.bodies.clone();
     let handler: http_server::Handler = Arc::new(move |request| {
         let response = respond(&router, &request);
         Box::pin(async move { response })
     });
-    Ok(http_server::serve(address, BODY_CAP_BYTES, handler)?)
+    Ok(http_server::serve(
+        address,
+        max_connections,
+        &bodies,
+        handler,
+    )?)
 }
 
 fn respond(router: &Router, request: &http_server::Request) -> http_server::Response {
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -30,8 +30,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use transport::http_listener::HttpListener;
+use transport::http_server::{self, HttpServer};
+use transport::now;
 use transport::uploads::BodyBudget;
-use transport::{http_server, now};
 
 /// How often pooled connections of engines that left are looked for.
 const POOL_SWEEP: Duration = Duration::from_millis(700);
@@ -42,8 +43,6 @@
 const QUOTA_RETURN_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the operators' server may take to close.
 const OPERATOR_API_CLOSE: Duration = Duration::from_millis(100);
-/// Requests to the additional servers have no bodies; this is the cap.
-const ADDITIONAL_SERVER_BODY_CAP_BYTES: usize = 1 << 16;
 
 /// Runs a router until the process is told to stop.
 ///
@@ -78,6 +77,7 @@
             Arc::clone(&engine_tracker),
         ));
     }
+    let bodies = BodyBudget::new(settings.client_limits.body_bytes);
     let withdraw = Arc::clone(&retries.withdraw);
     let (members, fleet) = (Arc::clone(&membership), view_out.clone());
     let router = Arc::new_cyclic(|router: &Weak<Router>| {
@@ -118,7 +118,7 @@
             quota: quota_margin.map_or_else(QuotaLimiter::default, QuotaLimiter::without_queue),
             ownership_basis: Mutex::default(),
             dispatcher,
-            bodies: BodyBudget::new(settings.client_limits.body_bytes),
+            bodies,
             read_ahead: ReadAheadBudget::new(settings.client_limits.read_ahead_bytes),
             metrics,
             in_flight: InFlight::default(),
@@ -176,16 +176,19 @@
 fn serve_additional(
     router: &Arc<Router>,
     servers: Vec<AdditionalServer>,
-) -> anyhow::Result<Vec<dropshot::HttpServer<http_server::Handler>>> {
-    servers
-        .into_iter()
-        .map(|server| {
-            let handler = (server.handler)(Arc::clone(router));
-            let server =
-                http_server::serve(server.address, ADDITIONAL_SERVER_BODY_CAP_BYTES, handler)?;
-            Ok(server)
-        })
-        .collect()
+) -> anyhow::Result<Vec<HttpServer>> {
+    let max_connections = router.settings.client_limits.side_connections();
+    let mut serving = Vec::new();
+    for server in servers {
+        let handler = (server.handler)(Arc::clone(router));
+        serving.push(http_server::serve(
+            server.address,
+            max_connections,
+            &router.bodies,
+            handler,
+        )?);
+    }
+    Ok(serving)
 }
 
 /// Shuts down gracefully in two steps. While draining it still accepts requests, since
--- a/testbed/src/bin/engine.rs
+++ b/testbed/src/bin/engine.rs
@@ -60,7 +60,8 @@
             .build()?;
         runtime.block_on(async {
             let server = testbed::simulated_engine::serve(settings)?;
-            server.await.map_err(|text| anyhow::anyhow!(text))
+            server.serve_forever().await;
+            Ok(())
         })
     };
     if let Err(error) = run() {
--- a/testbed/src/simulated_engine.rs
+++ b/testbed/src/simulated_engine.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, Semaphore};
-use transport::http_server::{self, Request, Response};
+use transport::http_server::{self, HttpServer, Request, Response};
 use transport::rejection;
 
 /// How an engine behaves.
@@ -62,7 +62,6 @@
 const WARM_AFTER_RESPONSES: u32 = 24;
 /// What a warm start counts as.
 const RESPONSES_OF_WARM_START: u32 = 1000;
-const BODY_LIMIT_BYTES: usize = 64 << 20;
 const VITALS_PERIOD: Duration = Duration::from_millis(100);
 
 /// Serves an engine until the server is dropped.
@@ -70,7 +69,7 @@
 /// # Errors
 ///
 /// Where the journal can't be opened, or the address is taken.
-pub fn serve(settings: Settings) -> anyhow::Result<dropshot::HttpServer<http_server::Handler>> {
+pub fn serve(settings: Settings) -> anyhow::Result<HttpServer> {
     let engine = Arc::new(Engine {
         journal: Journal::open(&settings.journal)?,
         running: AtomicU32::new(0),
@@ -100,7 +99,7 @@
             }
         })
     });
-    Ok(http_server::serve(address, BODY_LIMIT_BYTES, handler)?)
+    Ok(http_server::serve_by_default(address, handler)?)
 }
 
 fn vitals(engine: &Arc<Engine>) -> Response {
--- a/testbed/src/simulated_router/mod.rs
+++ b/testbed/src/simulated_router/mod.rs
@@ -39,7 +39,7 @@
         let response = figures::respond(&known, &reconnect, &request);
         Box::pin(async move { response })
     });
-    let _desk = http_server::serve(settings.operator_address, 1 << 16, handler)?;
+    let _desk = http_server::serve_by_default(settings.operator_address, handler)?;
     let parent = std::thread::spawn(|| {
         // Nothing is ever written there: it closes when the process that started this ends.
         drop(std::io::copy(&mut std::io::stdin(), &mut std::io::sink()));
--- a/transport/src/http_listener/connection.rs
+++ b/transport/src/http_listener/connection.rs
@@ -41,6 +41,8 @@
     pub end: Notify,
     /// The connection is to end as soon as it is idle.
     ends_when_idle: AtomicBool,
+    /// The connection ends so that there is room for another one.
+    makes_room: AtomicBool,
     /// The client has closed its side.
     is_client_gone: AtomicBool,
     /// Notified when a request begins to be handled whose client is gone.
@@ -63,7 +65,31 @@
     }
 
     pub fn is_in(&self, phase: Phase) -> bool {
-        self.phase.load(Ordering::SeqCst) == phase as u8
+        self.phase() == phase
+    }
+
+    pub fn phase(&self) -> Phase {
+        let phase = self.phase.load(Ordering::SeqCst);
+        let all = [
+            Phase::Idle,
+            Phase::ReadingHead,
+            Phase::Handling,
+            Phase::Flushing,
+        ];
+        all.into_iter()
+            .find(|one| *one as u8 == phase)
+            .expect("only phases are stored")
+    }
+
+    /// Ends the connection, whose room is needed.
+    pub fn end_to_make_room(&self) {
+        self.makes_room.store(true, Ordering::Relaxed);
+        self.end.notify_one();
+    }
+
+    /// Whether it was ended for that.
+    pub fn makes_room(&self) -> bool {
+        self.makes_room.load(Ordering::Relaxed)
     }
 
     pub fn since_ms(&self) -> u64 {
--- a/transport/src/http_listener/mod.rs
+++ b/transport/src/http_listener/mod.rs
@@ -1,13 +1,14 @@
 //! The listener for clients: HTTP/1.1 by hyper itself, since every request of every client
 //! comes through it. What a client may send, and how long it may take, is bounded by limits
-//! that are read anew for each connection. A response with a [`ResponseDeadline`] ends by then,
-//! also while its client reads nothing.
+//! that are read anew for each connection, and so is how many connections there are. A response
+//! with a [`ResponseDeadline`] ends by then, also while its client reads nothing.
 
 mod connection;
+mod open_connections;
 
 use crate::http_server::{Handler, Request, Response};
 use crate::now;
-use crate::uploads::{BodyBudget, UploadBody};
+use crate::uploads::{BodyBudget, UploadBody, NARROW_RECEIVE_BUFFER_BYTES};
 use connection::{
     ConnectionState, FlushOnDrop, ObservedBody, ObservedStream, Phase, ResponseTimer,
 };
@@ -15,14 +16,15 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
+use open_connections::{Admission, OpenConnections};
 use parking_lot::Mutex;
 use residency::RequestLimits;
-use std::collections::HashMap;
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -55,11 +57,16 @@
 pub struct ListenerLimits {
     /// What one client may send, and how long it may take.
     pub requests: Box<dyn Fn() -> RequestLimits + Send + Sync>,
+    /// Open connections, at the most. A further one takes the place of one that is of no use; if
+    /// there is none, it is closed.
+    pub max_connections: usize,
     /// What the bodies of all requests may hold.
     pub bodies: BodyBudget,
 }
 
 impl ListenerLimits {
+    /// Open connections, where nothing else is said.
+    pub const DEFAULT_CONNECTIONS: usize = 1024;
     /// What bodies may hold, where nothing else is said.
     pub const DEFAULT_BODY_BYTES: usize = 64 << 20;
 }
@@ -68,6 +75,7 @@
     fn default() -> ListenerLimits {
         ListenerLimits {
             requests: Box::new(RequestLimits::default),
+            max_connections: ListenerLimits::DEFAULT_CONNECTIONS,
             bodies: BodyBudget::new(ListenerLimits::DEFAULT_BODY_BYTES),
         }
     }
@@ -75,8 +83,7 @@
 
 /// A listener for clients.
 pub struct HttpListener {
-    connections: Mutex<HashMap<u64, Arc<ConnectionState>>>,
-    next_connection: AtomicU64,
+    connections: Mutex<OpenConnections>,
     is_draining: AtomicBool,
     shut_down: Notify,
     requests: Box<dyn Fn() -> RequestLimits + Send + Sync>,
@@ -91,9 +98,13 @@
     handler: Handler,
     opened: impl Future<Output = ()> + Send + 'static,
 ) -> Arc<HttpListener> {
+    // Accepted connections begin with it.
+    let receive_buffer = SockRef::from(&listener).set_recv_buffer_size(NARROW_RECEIVE_BUFFER_BYTES);
+    if let Err(error) = receive_buffer {
+        log::warn!("the receive buffer of a listener can't be set: {error}");
+    }
     let http_listener = Arc::new(HttpListener {
-        connections: Mutex::default(),
-        next_connection: AtomicU64::new(0),
+        connections: Mutex::new(OpenConnections::new(limits.max_connections)),
         is_draining: AtomicBool::new(false),
         shut_down: Notify::new(),
         requests: limits.requests,
@@ -104,7 +115,7 @@
         opened.await;
         accepting.accept(listener, handler).await;
     });
-    tokio::spawn(Arc::clone(&http_listener).end_overdue_connections());
+    tokio::spawn(end_overdue_connections(Arc::downgrade(&http_listener)));
     http_listener
 }
 
@@ -114,15 +125,20 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
-    /// Accepts no more connections, and ends each as soon as it is idle. Returns when all
-    /// have ended, or when for `CLOSE_TIMEOUT` nothing more was sent of the responses that
-    /// are complete. What is still answered goes on.
-    pub async fn shut_down(&self) {
+    /// Accepts no more connections, and ends each as soon as it is idle.
+    pub(crate) fn stop_accepting(&self) {
         self.start_draining();
         self.shut_down.notify_one();
-        for state in self.connections.lock().values() {
+        for state in self.connections.lock().iter() {
             state.end_when_idle();
         }
+    }
+
+    /// Accepts no more connections, and ends each as soon as it is idle. Returns when all
+    /// have ended, or when for `CLOSE_TIMEOUT` nothing more was sent of the responses that
+    /// are complete. What is still answered goes on.
+    pub async fn shut_down(&self) {
+        self.stop_accepting();
         let started_ms = now();
         while self.is_closing(started_ms) {
             tokio::time::sleep(CLOSE_POLL).await;
@@ -133,7 +149,7 @@
     fn is_closing(&self, started_ms: u64) -> bool {
         let connections = self.connections.lock();
         let last_sent_ms = connections
-            .values()
+            .iter()
             .filter(|state| state.is_in(Phase::Flushing))
             .map(|state| state.since_ms())
             .max();
@@ -148,10 +164,12 @@
                 () = self.shut_down.notified() => return,
             };
             match accepted {
-                Ok((stream, from)) => {
+                Ok((stream, from)) if self.has_room() => {
                     let (listener, handler) = (Arc::clone(&self), Arc::clone(&handler));
                     tokio::spawn(async move { listener.serve_client(stream, from, handler).await });
                 }
+                // Nothing of it was read: the client may send its request elsewhere.
+                Ok((refused, _)) => drop(refused),
                 Err(error) => {
                     log::warn!("accepting a client's connection failed: {error}");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -160,6 +178,16 @@
         }
     }
 
+    /// Whether one more connection may be served. Another one may be ended for it.
+    fn has_room(&self) -> bool {
+        let admission = self.connections.lock().make_room();
+        match admission {
+            Admission::Admitted => true,
+            Admission::InUse => self.bodies.end_stalled(),
+            Admission::Refused => false,
+        }
+    }
+
     async fn serve_client(
         self: Arc<HttpListener>,
         stream: TcpStream,
@@ -169,12 +197,11 @@
         drop(stream.set_nodelay(true));
         let state = Arc::new(ConnectionState::default());
         state.enter(Phase::Idle);
-        let number = self.next_connection.fetch_add(1, Ordering::Relaxed);
-        self.connections.lock().insert(number, Arc::clone(&state));
+        let number = self.connections.lock().insert(Arc::clone(&state));
         if let Err(error) = self.serve_connection(stream, &state, handler).await {
             log::debug!(from = from.to_string(); "a client's connection ended: {error}");
         }
-        self.connections.lock().remove(&number);
+        self.connections.lock().remove(number);
     }
 
     async fn serve_connection(
@@ -286,19 +313,6 @@
         response
     }
 
-    /// Ends connections that take too long over a head, are idle for too long, or whose
-    /// clients don't read the end of a response.
-    async fn end_overdue_connections(self: Arc<HttpListener>) {
-        loop {
-            tokio::time::sleep(TIMEOUT_CHECK_INTERVAL).await;
-            for state in self.connections.lock().values() {
-                if self.is_overdue(state) {
-                    state.end.notify_one();
-                }
-            }
-        }
-    }
-
     fn is_overdue(&self, state: &ConnectionState) -> bool {
         let limits = (self.requests)();
         let limit_ms = if state.is_in(Phase::Handling) {
@@ -312,6 +326,22 @@
     }
 }
 
+/// Ends connections that take too long over a head, are idle for too long, or whose clients don't
+/// read the end of a response; for as long as there is the listener.
+async fn end_overdue_connections(listener: Weak<HttpListener>) {
+    loop {
+        tokio::time::sleep(TIMEOUT_CHECK_INTERVAL).await;
+        let Some(listener) = listener.upgrade() else {
+            return;
+        };
+        for state in listener.connections.lock().iter() {
+            if listener.is_overdue(state) {
+                state.end.notify_one();
+            }
+        }
+    }
+}
+
 /// Sees that the client learns of the end of its response, which is dropped with its connection.
 /// Where bytes wait for the client, a close would come behind them, as late as it reads them: the
 /// connection is reset instead.
--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -1,18 +1,18 @@
 //! HTTP server of own interfaces: operators' port, peers' pages, simulated engines.
 
+use crate::http_listener::{self, HttpListener, ListenerLimits};
+use crate::uploads::BodyBudget;
 pub use dropshot::Body;
-use dropshot::{
-    ApiDescription, ApiEndpoint, ApiEndpointVersions, ConfigDropshot, HandlerTaskMode, HttpError,
-    HttpServer, Path, RawRequest, RequestContext, ServerBuilder,
-};
 use http_body_util::{BodyExt, Limited};
+use residency::RequestLimits;
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
-use std::future::Future;
+use std::future::{pending, ready, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 
 /// A request as handlers get it.
 pub type Request = hyper::Request<Body>;
@@ -25,93 +25,85 @@
 
 /// How long [`read_json`] waits for a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The longest head of a request, in bytes.
+const MAX_HEAD_BYTES: u64 = 16 << 10;
 
-/// Why a server can't begin.
+/// The server can't listen on this address.
 #[derive(Debug, thiserror::Error)]
-pub enum HttpServerError {
-    /// The library refused the endpoint that takes all paths.
-    #[error("the endpoint for {method} can't be registered: {reason}")]
-    Endpoint {
-        /// The method.
-        method: http::Method,
-        /// What the library says.
-        reason: String,
-    },
-    /// The server can't listen on this address.
-    #[error("{address}: {reason}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// What the library says.
-        reason: String,
-    },
+#[error("{address}: {cause}")]
+pub struct ListenError {
+    /// The address.
+    pub address: SocketAddr,
+    /// What the system says.
+    pub cause: std::io::Error,
 }
 
-#[derive(serde::Deserialize, schemars::JsonSchema)]
-struct AnyPath {
-    #[allow(dead_code)]
-    path: Vec<String>,
-}
+/// A server that accepts connections until it is closed or dropped.
+pub struct HttpServer(Arc<HttpListener>);
+
+impl HttpServer {
+    /// Accepts no more connections, and ends those that are idle. Returns when all have ended, or
+    /// after a short while.
+    pub async fn close(self) {
+        self.0.shut_down().await;
+    }
 
-async fn handle(
-    context: RequestContext<Handler>,
-    _: Path<AnyPath>,
-    request: RawRequest,
-) -> Result<Response, HttpError> {
-    let handler = context.context().clone();
-    Ok(handler(request.into_inner()).await)
+    /// Serves for as long as this is awaited.
+    pub async fn serve_forever(self) {
+        pending().await
+    }
 }
 
-const METHODS: [http::Method; 6] = [
-    http::Method::GET,
-    http::Method::HEAD,
-    http::Method::POST,
-    http::Method::PUT,
-    http::Method::PATCH,
-    http::Method::DELETE,
-];
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.0.stop_accepting();
+    }
+}
 
-/// Serves every path and method with one handler. When a client disconnects, the handler's
-/// work is dropped where it stands.
+/// Serves every path and method with one handler, on `max_connections` connections at the most,
+/// whose bodies share `bodies`. When a client disconnects, the handler's work is dropped where it
+/// stands.
 ///
 /// # Errors
-/// See [`HttpServerError`]; most often the address is in use.
+/// [`ListenError`]; most often the address is in use.
 pub fn serve(
     address: SocketAddr,
-    body_limit_bytes: usize,
+    max_connections: usize,
+    bodies: &BodyBudget,
     handler: Handler,
-) -> Result<HttpServer<Handler>, HttpServerError> {
-    let mut api = ApiDescription::new();
-    for method in METHODS {
-        let mut endpoint = ApiEndpoint::new(
-            format!("any-{method}"),
-            handle,
-            method.clone(),
-            "application/json",
-            "/{path:.*}",
-            ApiEndpointVersions::All,
-        );
-        endpoint.visible = false;
-        api.register(endpoint)
-            .map_err(|error| HttpServerError::Endpoint {
-                method,
-                reason: error.to_string(),
-            })?;
-    }
-    let config = ConfigDropshot {
-        bind_address: address,
-        default_request_body_max_bytes: body_limit_bytes,
-        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
-        ..Default::default()
+) -> Result<HttpServer, ListenError> {
+    let listener = listen(address).map_err(|cause| ListenError { address, cause })?;
+    let requests = RequestLimits {
+        max_head_bytes: MAX_HEAD_BYTES,
+        ..RequestLimits::default()
     };
-    let no_logs = slog::Logger::root(slog::Discard, slog::o!());
-    ServerBuilder::new(api, handler, no_logs)
-        .config(config)
-        .start()
-        .map_err(|error| HttpServerError::Listen {
-            address,
-            reason: error.to_string(),
-        })
+    let limits = ListenerLimits {
+        requests: Box::new(move || requests),
+        max_connections,
+        bodies: bodies.clone(),
+    };
+    let listener = http_listener::serve(listener, limits, handler, ready(()));
+    Ok(HttpServer(listener))
+}
+
+/// The same with the limits of a program that has no others.
+///
+/// # Errors
+/// As of [`serve`].
+pub fn serve_by_default(address: SocketAddr, handler: Handler) -> Result<HttpServer, ListenError> {
+    let bodies = BodyBudget::new(ListenerLimits::DEFAULT_BODY_BYTES);
+    serve(
+        address,
+        ListenerLimits::DEFAULT_CONNECTIONS,
+        &bodies,
+        handler,
+    )
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
 }
 
 /// A response with this status, and this value in JSON as its body.
