Directory: operators' documents share a bound, and one document has a shorter one

What callers saw: a directory node grew past its machine's memory while callers whom nobody had authenticated sent documents that stop short of their end, or that are too long.

Cause: each call's body was collected whole, up to 16 MiB (8 MiB at the own operator API), for 10 s, as many as came, in pieces that take many times their bytes where chunks are small, and was then copied twice. One document of that length takes up to 16 times its bytes once it is read into a tree.

Change: documents are received into the budget for bodies of the process, in one piece and without copies, and hold it until the call has ended. Longer ones are 413, before they are read where they state their length; those that stand still while others need the room are 408, and those that find none 503, which operators send again.

--- a/directory/src/operator_api/commands.rs
+++ b/directory/src/operator_api/commands.rs
@@ -7,16 +7,16 @@
 use std::time::Duration;
 use transport::http_server::{self, Request, Response};
 
-/// The most that a request's body may hold.
-const BODY_LIMIT_BYTES: usize = 8 << 20;
 /// How long a proposal is submitted for, over changes of leader.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// Submits the proposal in the body; one without a base is built on the newest state.
-pub(super) async fn submit(control: &ControlPlane, request: Request) -> Result<Response, ApiError> {
-    let value = http_server::read_json(request.into_body(), BODY_LIMIT_BYTES)
-        .await
-        .map_err(ApiError::BadJson)?;
+pub(super) async fn submit(
+    control: &ControlPlane,
+    request: Request,
+    document_limit_bytes: usize,
+) -> Result<Response, ApiError> {
+    let value = http_server::read_json(request, document_limit_bytes).await?;
     let proposal = read_proposal(&value).map_err(ApiError::BadProposal)?;
     let id = proposal.id.clone();
     let result = match proposal.base_epoch {
--- a/directory/src/operator_api/error.rs
+++ b/directory/src/operator_api/error.rs
@@ -2,7 +2,8 @@
 
 use crate::command_result::CommandError;
 use simd_json::json;
-use transport::http_server::{self, Response};
+use transport::http_server::{self, ReadJsonError, Response};
+use transport::uploads::ReceiveError;
 
 /// Why a request of an operator was refused.
 #[derive(Debug, thiserror::Error)]
@@ -12,9 +13,9 @@
     /// A field of the query is missing or can't be read.
     #[error("{0}")]
     BadQuery(&'static str),
-    /// The body is not JSON.
-    #[error("{0}")]
-    BadJson(String),
+    /// The body was not received, or is not JSON.
+    #[error(transparent)]
+    BadJson(#[from] ReadJsonError),
     /// The body is no proposal; the text names the field.
     #[error("{0}")]
     BadProposal(String),
@@ -39,6 +40,7 @@
     /// The status code of the response.
     fn status(&self) -> u16 {
         match self {
+            ApiError::BadJson(ReadJsonError::Receive(error)) => receive_status(error),
             ApiError::BadQuery(_) | ApiError::BadJson(_) | ApiError::BadProposal(_) => 400,
             ApiError::NoSuchPage { .. } | ApiError::NoMapping { .. } => 404,
             ApiError::NotBootstrapped(_) => 409,
@@ -100,3 +102,12 @@
         error => error.to_string(),
     }
 }
+
+fn receive_status(error: &ReceiveError) -> u16 {
+    match error {
+        ReceiveError::TooLong { .. } => 413,
+        ReceiveError::TooSlow => 408,
+        ReceiveError::NoRoom(_) => 503,
+        ReceiveError::Unreadable(_) => 400,
+    }
+}
--- a/directory/src/operator_api/mod.rs
+++ b/directory/src/operator_api/mod.rs
@@ -32,7 +32,7 @@
     let handler: http_server::Handler = Arc::new(move |request| {
         let control = Arc::clone(&control);
         Box::pin(async move {
-            let result = answer(&control, request).await;
+            let result = answer(&control, request, limits.document_bytes).await;
             result.unwrap_or_else(|error| error.response())
         })
     });
@@ -45,7 +45,11 @@
     )?)
 }
 
-async fn answer(control: &ControlPlane, request: Request) -> Result<Response, ApiError> {
+async fn answer(
+    control: &ControlPlane,
+    request: Request,
+    document_limit_bytes: usize,
+) -> Result<Response, ApiError> {
     let path = request.uri().path().to_string();
     match (request.method().as_str(), path.as_str()) {
         ("GET", "/vitals") => Ok(status::health(control)),
@@ -58,7 +62,7 @@
         ("GET", "/explain") => explain::explain(control, &request),
         ("POST", "/found") => cluster::bootstrap(control).await,
         ("POST", "/retire") => cluster::remove_member(control, &request).await,
-        ("POST", "/submit") => commands::submit(control, request).await,
+        ("POST", "/submit") => commands::submit(control, request, document_limit_bytes).await,
         _ => Err(ApiError::NoSuchPage { path }),
     }
 }
--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -1,9 +1,8 @@
 //! HTTP server of own interfaces: operators' port, peers' pages, simulated engines.
 
 use crate::http_listener::{self, HttpListener, ListenerLimits};
-use crate::uploads::BodyBudget;
+use crate::uploads::{self, BodyBudget, ReceiveError};
 pub use dropshot::Body;
-use http_body_util::{BodyExt, Limited};
 use residency::RequestLimits;
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
@@ -11,7 +10,6 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 
 /// A request as handlers get it.
@@ -23,8 +21,6 @@
 /// Responds to every request of a server.
 pub type Handler = Arc<dyn Fn(Request) -> ResponseFuture + Send + Sync>;
 
-/// How long [`read_json`] waits for a body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The longest head of a request, in bytes.
 const MAX_HEAD_BYTES: u64 = 16 << 10;
 
@@ -117,19 +113,28 @@
         .expect("a valid status and a fixed header make a response")
 }
 
-/// Reads a body of up to `max_bytes` as JSON.
+/// Why a body is no JSON that can be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadJsonError {
+    /// The body was not received.
+    #[error(transparent)]
+    Receive(#[from] ReceiveError),
+    /// It is no text.
+    #[error("the body is not UTF-8")]
+    NotUtf8,
+    /// It is no JSON; a sentence for the client.
+    #[error("{0}")]
+    NotJson(String),
+}
+
+/// Reads the body of a request as JSON, up to `max_bytes` of it.
 ///
 /// # Errors
-/// What is wrong with the body, as a sentence for the client.
-pub async fn read_json(body: Body, max_bytes: usize) -> Result<OwnedValue, String> {
-    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect());
-    let bytes = match collected.await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) => return Err(format!("the body can't be read: {error}")),
-        Err(_) => return Err("the body took too long".into()),
-    };
-    let text = String::from_utf8(bytes.to_vec()).map_err(|_| "the body is not UTF-8")?;
-    residency::parse_json(&text).map_err(|error| error.to_string())
+/// What is wrong with the body.
+pub async fn read_json(request: Request, max_bytes: usize) -> Result<OwnedValue, ReadJsonError> {
+    let body = uploads::receive_body(request, max_bytes).await?;
+    let text = std::str::from_utf8(&body.bytes).map_err(|_| ReadJsonError::NotUtf8)?;
+    residency::parse_json(text).map_err(|error| ReadJsonError::NotJson(error.to_string()))
 }
 
 /// A parameter of a query, with its percent-encoding decoded.
