Dispatch: requests whose bodies stand still make room for others at engines

What callers saw: while clients that stop short of their bodies' end come again and again, every ordinary request is refused, engines-full, for as long as they do.

Cause: a body longer than 256 KiB is sent on while it comes in. One that stands still holds a slot and a connection of its engine until its deadline, and nothing ended it for others.

--- a/directory/src/node.rs
+++ b/directory/src/node.rs
@@ -198,6 +198,8 @@
         // Whether a request is retried is decided by the router that has it.
         retry_budget: Box::new(|_| false),
         permit: Arc::new(move |mapping| guard.check_dispatch(mapping)),
+        // Clients send their bodies to routers.
+        end_stalled_uploads: Box::new(|| false),
         options: Default::default(),
         connections: Default::default(),
     }
--- a/dispatch/src/dispatcher.rs
+++ b/dispatch/src/dispatcher.rs
@@ -69,6 +69,9 @@
     pub retry_budget: RetryBudgetFn,
     /// Asked right before the first byte of a request is sent.
     pub permit: PermitDispatch,
+    /// Called where no engine has a free slot: ends requests whose bodies stand still. `false`
+    /// if there is none.
+    pub end_stalled_uploads: Box<dyn Fn() -> bool + Send + Sync>,
     /// How requests are sent.
     pub options: DispatchOptions,
     /// Idle connections to engines.
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -78,6 +78,7 @@
         ));
     }
     let bodies = BodyBudget::new(settings.client_limits.body_bytes);
+    let uploads = bodies.clone();
     let withdraw = Arc::clone(&retries.withdraw);
     let (members, fleet) = (Arc::clone(&membership), view_out.clone());
     let router = Arc::new_cyclic(|router: &Weak<Router>| {
@@ -97,6 +98,7 @@
                 withdraw(now(), service, routers)
             }),
             permit: Arc::new(move |mapping| Ok(check_dispatch(&router, mapping)?)),
+            end_stalled_uploads: Box::new(move || uploads.end_stalled()),
             options,
             connections,
         };
--- a/testbed/tests/dispatch_guard.rs
+++ b/testbed/tests/dispatch_guard.rs
@@ -192,6 +192,7 @@
                     }
                     Ok::<(), Rejection>(())
                 }),
+                end_stalled_uploads: Box::new(|| false),
                 options: Default::default(),
                 connections: Default::default(),
             };
