Dispatch: a body that breaks off is no failure of its engine

What callers saw: clients that send bodies over the limit in chunks, or bytes that are no chunks, made a router pass over the engines that it had begun to send them to.

Cause: the client library reports a body that can't be read as an error of the request, and every error counted as a failure of the engine; its pooled connections were thrown away, too.

Change: an error of the body is told from one of the connection. The client gets 502, body-lost, since a part of the request had been sent; the engine's record stays as it was.

--- a/dispatch/src/attempt/response.rs
+++ b/dispatch/src/attempt/response.rs
@@ -118,6 +118,10 @@
     ) -> Result<Option<EngineResponse>, Rejection> {
         log::info!(job = self.request.id.as_str(), engine = slot.name.as_str();
             "the response was lost: {error}");
+        if matches!(error, LostResponse::RequestBody(_)) {
+            self.dispatcher.metrics.increment("bodies-broken");
+            return self.response_lost(rejections::body_lost);
+        }
         if !matches!(error, LostResponse::Abandoned) {
             self.dispatcher.connections.record_loss(&slot.name, history);
         }
--- a/dispatch/src/rejections.rs
+++ b/dispatch/src/rejections.rs
@@ -31,6 +31,12 @@
     Rejection::not_run(502, "engine-lost", text).with_outcome(ExecutionOutcome::Unknown)
 }
 
+/// The rest of the body could not be read after a part of it was sent; the request may have run.
+pub(crate) fn body_lost() -> Rejection {
+    let text = "the body broke off after a part of it was sent to an engine";
+    Rejection::not_run(502, "body-lost", text).with_outcome(ExecutionOutcome::Unknown)
+}
+
 /// The engine sent something that is no response to the request, which may have run.
 pub(crate) fn unrelated_response() -> Rejection {
     let text = "the engine sent no response to this request";
--- a/dispatch/src/response_head.rs
+++ b/dispatch/src/response_head.rs
@@ -31,7 +31,19 @@
     #[error("the engine fell silent")]
     Silent,
     #[error("{0}")]
-    Connection(#[from] hyper::Error),
+    Connection(hyper::Error),
+    /// What the client sent can't be passed on whole; the engine is not to blame.
+    #[error("the body of the request broke off: {0}")]
+    RequestBody(hyper::Error),
+}
+
+impl From<hyper::Error> for LostResponse {
+    fn from(error: hyper::Error) -> LostResponse {
+        match error.is_user() {
+            true => LostResponse::RequestBody(error),
+            false => LostResponse::Connection(error),
+        }
+    }
 }
 
 impl From<hyper::Result<Response<Incoming>>> for ResponseHead {
