Dispatch: very small pieces of a body that is read ahead are gathered

Cause: each piece that is kept takes some tens of bytes, and may keep the whole buffer that it was cut from, while the budget counted the bytes in it: chunks of one byte took a multiple of what was counted.

Evidence: very_small_pieces_are_gathered; before, 5,000 pieces of one byte were kept as 5,000.

Change: pieces below 512 bytes are copied together, up to 16 KiB.

--- a/dispatch/src/body.rs
+++ b/dispatch/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of requests: buffered and streamed parts, and bodies fed by a channel.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
@@ -14,6 +14,11 @@
 
 /// Of one body, so much is read ahead at the most, in bytes.
 const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
+/// Pieces below this are gathered: each one that is kept takes some tens of bytes, and may keep
+/// the whole buffer that it was read into.
+const MIN_PIECE_BYTES: usize = 512;
+/// A gathered piece is this long at the most.
+const GATHERED_BYTES: usize = 16 << 10;
 
 /// A body that is read while it is passed on.
 pub type BodyStream = UnsyncBoxBody<Bytes, anyhow::Error>;
@@ -24,6 +29,8 @@
 pub struct RequestBody {
     /// The first bytes of the body, in pieces; all of it where there is no remainder.
     buffered: Vec<Bytes>,
+    /// What follows them, of pieces that are too small to be kept by themselves.
+    gathered: BytesMut,
     remainder: Option<BodyStream>,
     is_consumed: bool,
     /// For the bytes that were read ahead.
@@ -55,6 +62,7 @@
     pub fn new(buffered: Bytes, remainder: Option<BodyStream>) -> RequestBody {
         RequestBody {
             buffered: vec![buffered],
+            gathered: BytesMut::new(),
             remainder,
             is_consumed: false,
             read_ahead: None,
@@ -83,11 +91,13 @@
         budget: &ReadAheadBudget,
         work: impl Future<Output = T>,
     ) -> Result<T, BodyReadError> {
-        tokio::select! {
+        let done = tokio::select! {
             biased;
             done = work => Ok(done),
             error = self.read_ahead(budget) => Err(error),
-        }
+        };
+        self.end_gathered();
+        done
     }
 
     /// Reads the remainder into the buffer; returns only if it can't be read. What was
@@ -119,7 +129,7 @@
     /// Keeps a piece that was read. The last one may pass the budget.
     fn add_read_ahead(&mut self, data: Bytes, budget: &ReadAheadBudget) {
         let bytes = data.len().min(budget.0.available_permits());
-        self.buffered.push(data);
+        self.keep(data);
         let Ok(permit) = Arc::clone(&budget.0).try_acquire_many_owned(bytes as u32) else {
             return;
         };
@@ -129,6 +139,25 @@
         }
     }
 
+    fn keep(&mut self, data: Bytes) {
+        if data.len() >= MIN_PIECE_BYTES {
+            self.end_gathered();
+            self.buffered.push(data);
+            return;
+        }
+        if self.gathered.len() + data.len() > GATHERED_BYTES {
+            self.end_gathered();
+        }
+        self.gathered.extend_from_slice(&data);
+    }
+
+    /// What was gathered becomes a piece.
+    fn end_gathered(&mut self) {
+        if !self.gathered.is_empty() {
+            self.buffered.push(self.gathered.split().freeze());
+        }
+    }
+
     /// Whether the whole body is still here to be sent.
     pub fn is_intact(&self) -> bool {
         !self.is_consumed
--- a/dispatch/tests/request_body.rs
+++ b/dispatch/tests/request_body.rs
@@ -117,6 +117,25 @@
     assert_eq!(buffered(&body), b"head");
 }
 
+/// Guards against pieces that take many times the memory of the bytes in them.
+#[tokio::test]
+async fn very_small_pieces_are_gathered() {
+    let (mut body, chunks) = streamed_body();
+    let budget = ReadAheadBudget::new(1 << 20);
+    let all: Vec<u8> = (0..5_000).map(|at| b'a' + (at % 26) as u8).collect();
+    for some in all.chunks(10) {
+        for byte in some {
+            let chunk = Ok(Bytes::copy_from_slice(&[*byte]));
+            chunks.send(chunk).await.expect("the body is there");
+        }
+        read_what_came(&mut body, &budget).await;
+        assert!(body.has_remainder());
+    }
+    assert_eq!(buffered(&body), [b"head", &all[..]].concat());
+    let pieces = body.buffered().len();
+    assert!(pieces <= 1 + 5_000 / 10, "{pieces} pieces");
+}
+
 /// Guards against the sent part of a body that is kept although it can't be sent again.
 #[tokio::test]
 async fn nothing_is_kept_of_a_body_whose_remainder_was_taken() {
