Uploads and listeners: what a review of the change found

- A body that had come in whole went on counting what may wait in the kernel until its request ended: 131 requests with bodies of 100 KB would have taken the budget of a router of 160 MB.
- A body's room was doubled up to twice what is kept; it grows by 64 KiB at the most now.
- Several connections could be accepted before the first of them was counted.
- A connection that is ended for another one is closed at once, not after 100 ms.
- A server that is closed waits for its requests again, for as long as its caller allows.

--- a/router/src/ingress/body.rs
+++ b/router/src/ingress/body.rs
@@ -114,8 +114,9 @@
     /// What is sent on: the buffered part, then the rest, whose length is bounded.
     pub fn into_outgoing(mut self) -> RequestBody {
         let left = self.max_bytes.saturating_sub(self.buffered().len());
-        if !self.is_ended {
-            self.buffered.widen_receive_buffer();
+        match self.is_ended {
+            true => self.buffered.finish(),
+            false => self.buffered.widen_receive_buffer(),
         }
         let rest = (!self.is_ended).then(|| bounded(self.body, left));
         let (buffered, held) = self.buffered.into_parts();
--- a/transport/src/http_listener/connection.rs
+++ b/transport/src/http_listener/connection.rs
@@ -65,7 +65,7 @@
     }
 
     pub fn is_in(&self, phase: Phase) -> bool {
-        self.phase() == phase
+        self.phase.load(Ordering::SeqCst) == phase as u8
     }
 
     pub fn phase(&self) -> Phase {
@@ -81,6 +81,11 @@
             .expect("only phases are stored")
     }
 
+    /// Whether a request is handled, or the end of its response is being sent.
+    pub fn has_request(&self) -> bool {
+        matches!(self.phase(), Phase::Handling | Phase::Flushing)
+    }
+
     /// Ends the connection, whose room is needed.
     pub fn end_to_make_room(&self) {
         self.makes_room.store(true, Ordering::Relaxed);
--- a/transport/src/http_listener/mod.rs
+++ b/transport/src/http_listener/mod.rs
@@ -16,7 +16,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
-use open_connections::{Admission, OpenConnections};
+use open_connections::{Admission, OpenConnection, OpenConnections};
 use parking_lot::Mutex;
 use residency::RequestLimits;
 use socket2::SockRef;
@@ -125,6 +125,13 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Returns when no connection is open.
+    pub(crate) async fn wait_until_ended(&self) {
+        while !self.connections.lock().is_empty() {
+            tokio::time::sleep(CLOSE_POLL).await;
+        }
+    }
+
     /// Accepts no more connections, and ends each as soon as it is idle.
     pub(crate) fn stop_accepting(&self) {
         self.start_draining();
@@ -164,12 +171,18 @@
                 () = self.shut_down.notified() => return,
             };
             match accepted {
-                Ok((stream, from)) if self.has_room() => {
+                Ok((stream, from)) => {
+                    let Some(connection) = self.admit() else {
+                        // Nothing of it was read: the client may send its request elsewhere.
+                        continue;
+                    };
                     let (listener, handler) = (Arc::clone(&self), Arc::clone(&handler));
-                    tokio::spawn(async move { listener.serve_client(stream, from, handler).await });
+                    tokio::spawn(async move {
+                        listener
+                            .serve_client(stream, from, connection, handler)
+                            .await
+                    });
                 }
-                // Nothing of it was read: the client may send its request elsewhere.
-                Ok((refused, _)) => drop(refused),
                 Err(error) => {
                     log::warn!("accepting a client's connection failed: {error}");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -178,26 +191,26 @@
         }
     }
 
-    /// Whether one more connection may be served. Another one may be ended for it.
-    fn has_room(&self) -> bool {
-        let admission = self.connections.lock().make_room();
-        match admission {
+    /// One more connection, if it may be served. Another one may be ended for it.
+    fn admit(&self) -> Option<OpenConnection> {
+        let mut connections = self.connections.lock();
+        let is_admitted = match connections.make_room() {
             Admission::Admitted => true,
             Admission::InUse => self.bodies.end_stalled(),
             Admission::Refused => false,
-        }
+        };
+        is_admitted.then(|| connections.open())
     }
 
     async fn serve_client(
         self: Arc<HttpListener>,
         stream: TcpStream,
         from: SocketAddr,
+        connection: OpenConnection,
         handler: Handler,
     ) {
         drop(stream.set_nodelay(true));
-        let state = Arc::new(ConnectionState::default());
-        state.enter(Phase::Idle);
-        let number = self.connections.lock().insert(Arc::clone(&state));
+        let OpenConnection { number, state } = connection;
         if let Err(error) = self.serve_connection(stream, &state, handler).await {
             log::debug!(from = from.to_string(); "a client's connection ended: {error}");
         }
@@ -291,6 +304,9 @@
             ended = connection.as_mut() => return ended,
             () = state.end.notified() => {}
         }
+        if state.makes_room() && !state.has_request() {
+            return Ok(());
+        }
         connection.as_mut().graceful_shutdown();
         loop {
             let closing = tokio::time::timeout(CLOSE_TIMEOUT, connection.as_mut());
--- a/transport/src/http_listener/open_connections.rs
+++ b/transport/src/http_listener/open_connections.rs
@@ -22,7 +22,14 @@
     Refused,
 }
 
-/// The connections of a listener. Invariant: those that aren't about to end are `max` at most.
+/// One of the connections of a listener, to be removed by its number.
+pub(super) struct OpenConnection {
+    pub number: u64,
+    pub state: Arc<ConnectionState>,
+}
+
+/// The connections of a listener. Invariant: those that aren't about to end are `max` at most,
+/// not counting those admitted in the place of a body that was ended.
 pub(super) struct OpenConnections {
     max: usize,
     by_number: HashMap<u64, Arc<ConnectionState>>,
@@ -49,11 +56,14 @@
         self.by_number.is_empty()
     }
 
-    pub fn insert(&mut self, state: Arc<ConnectionState>) -> u64 {
+    /// One more connection, which is idle.
+    pub fn open(&mut self) -> OpenConnection {
         let number = self.next;
         self.next += 1;
-        self.by_number.insert(number, state);
-        number
+        let state = Arc::new(ConnectionState::default());
+        state.enter(Phase::Idle);
+        self.by_number.insert(number, Arc::clone(&state));
+        OpenConnection { number, state }
     }
 
     pub fn remove(&mut self, number: u64) {
@@ -81,22 +91,22 @@
         }
     }
 
-    /// Between requests, then within a head, then at the end of a response that isn't read; of
-    /// each the one that has been so for the longest time.
+    /// Between requests or within a head, else at the end of a response that isn't read; of each
+    /// the one that has been so for the longest time. One that has just come is the last of all:
+    /// its request may be here and not read yet.
     fn least_useful(&self) -> Option<Arc<ConnectionState>> {
         let now_ms = now();
-        let candidate = |state: &&Arc<ConnectionState>| {
+        let candidates = self.by_number.iter().filter_map(|(number, state)| {
             let since_ms = state.since_ms();
             let rank = match state.phase() {
                 _ if state.makes_room() => return None,
-                Phase::Idle => 0,
-                Phase::ReadingHead => 1,
-                Phase::Flushing if now_ms >= since_ms + MIN_FLUSH_STALL_MS => 2,
+                Phase::Idle | Phase::ReadingHead => 0,
+                Phase::Flushing if now_ms >= since_ms + MIN_FLUSH_STALL_MS => 1,
                 Phase::Flushing | Phase::Handling => return None,
             };
-            Some((rank, since_ms))
-        };
-        let candidates = self.iter().filter(|state| candidate(state).is_some());
-        candidates.min_by_key(candidate).cloned()
+            Some(((rank, since_ms, number), state))
+        });
+        let (_, least_useful) = candidates.min_by_key(|(key, _)| *key)?;
+        Some(Arc::clone(least_useful))
     }
 }
--- a/transport/src/http_server.rs
+++ b/transport/src/http_server.rs
@@ -38,10 +38,11 @@
 pub struct HttpServer(Arc<HttpListener>);
 
 impl HttpServer {
-    /// Accepts no more connections, and ends those that are idle. Returns when all have ended, or
-    /// after a short while.
+    /// Accepts no more connections, and ends each as soon as it is idle. Returns when all have
+    /// ended: requests are answered, for as long as the caller waits for that.
     pub async fn close(self) {
-        self.0.shut_down().await;
+        self.0.stop_accepting();
+        self.0.wait_until_ended().await;
     }
 
     /// Serves for as long as this is awaited.
--- a/transport/src/uploads/budget.rs
+++ b/transport/src/uploads/budget.rs
@@ -155,7 +155,7 @@
     }
 
     /// Gives back what is beyond so many bytes.
-    fn shrink_to(&mut self, bytes: usize) {
+    pub(super) fn shrink_to(&mut self, bytes: usize) {
         let Some(released) = self.bytes.checked_sub(bytes).filter(|freed| *freed > 0) else {
             return;
         };
--- a/transport/src/uploads/buffer.rs
+++ b/transport/src/uploads/buffer.rs
@@ -6,8 +6,11 @@
 use bytes::Bytes;
 use placement::SMALL_BODY_BYTES;
 
-/// What is made room for at first, of a body whose length is not known.
+/// What is made room for at first, of a body whose length is not known. It is doubled up to
+/// [`GROWTH_BYTES`].
 const FIRST_CAPACITY_BYTES: usize = 4 << 10;
+/// By this much the room grows at the most, so that little of it is of no use.
+const GROWTH_BYTES: usize = 64 << 10;
 
 /// The beginning of a body, in one piece. Its room is reserved before it is taken.
 pub struct BodyBuffer {
@@ -57,6 +60,13 @@
         Ok(())
     }
 
+    /// The body has come in whole: nothing more of it waits in the kernel.
+    pub fn finish(&mut self) {
+        if let Some((_, held)) = &mut self.upload {
+            held.shrink_to(self.bytes.capacity());
+        }
+    }
+
     /// The rest of the body is sent on as it comes: more of it may wait in the kernel meanwhile,
     /// if there is room for that.
     pub fn widen_receive_buffer(&mut self) {
@@ -79,8 +89,12 @@
     }
 
     async fn grow(&mut self, needed_bytes: usize) -> Result<(), BudgetExhausted> {
-        let doubled_bytes = (2 * self.bytes.capacity()).max(FIRST_CAPACITY_BYTES);
-        let capacity = doubled_bytes.min(self.expected_bytes).max(needed_bytes);
+        let growth_bytes = self
+            .bytes
+            .capacity()
+            .clamp(FIRST_CAPACITY_BYTES, GROWTH_BYTES);
+        let grown_bytes = self.bytes.capacity() + growth_bytes;
+        let capacity = grown_bytes.min(self.expected_bytes).max(needed_bytes);
         if let Some((upload, held)) = &mut self.upload {
             held.grow_to(Upload::footprint_bytes(capacity)).await?;
             if capacity > SMALL_BODY_BYTES {
--- a/transport/src/uploads/receive.rs
+++ b/transport/src/uploads/receive.rs
@@ -77,5 +77,6 @@
         }
         buffer.extend(&data).await?;
     }
+    buffer.finish();
     Ok(buffer)
 }
