Directory: a forwarded request's deadline is the router's to end first

Cause, by reading: a directory node ends what was forwarded to it at the time left that the router told it, in whole milliseconds, counted from its own clock. That may be up to a millisecond before the router's own deadline; the router then takes the node for lost.

Change: the node ends it 20 ms later, as the ingress does with what its phases don't end.

--- a/directory/src/forwarded_requests/serve.rs
+++ b/directory/src/forwarded_requests/serve.rs
@@ -26,6 +26,9 @@
 
 /// How long a request waits for the leader's grant of quota.
 const QUOTA_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// A router ends its request at the deadline, and knows whether it may have run. What it doesn't
+/// end is ended this much later: the time left is told in whole milliseconds.
+const DEADLINE_MARGIN_MS: u64 = 20;
 /// How long the body may take to bring the key.
 const KEY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes that a request takes in memory beside what of its body was read.
@@ -58,8 +61,8 @@
     tokio::select! {
         biased;
         served = serve_request(&control, &head, deadline_ms, &mut reader, &mut writer) => served,
-        () = sleep_until(deadline_ms) => {
-            // The router's own deadline came first, by the time that the request was on its way.
+        () = sleep_until(deadline_ms.saturating_add(DEADLINE_MARGIN_MS)) => {
+            // The router's own deadline came first.
             control.metrics.increment("forwards-ended-at-deadline");
             log::info!(job = head.id.as_str(); "the request's deadline passed");
             Ok(())
